Thin whole path: kernel, link, node and a first request end to end

Cause: nothing existed; the other parts hang their depth on a path that runs. Change: workspace of six crates; the kernel is a pure step with self-registering plug-ins (accept, members, spread, view); the edge holds the platform in memory and the link over libzmq and UDP; the node runs one control thread and tokio traffic threads. Before: no code. Conclusion: the interfaces hold; the modules behind them are thin and named as such in the open issues.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load and experiments over real nodes on loopback.
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! `laburnum-bench`: load and experiments.
+
+fn main() {}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! `laburnum-ctl`: the operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/edge/src/clock.rs
@@ -0,0 +1,56 @@
+//! The one clock of a process.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Instant, SystemTime, UNIX_EPOCH},
+};
+
+use laburnum_kernel::Ms;
+
+/// Tells the time in milliseconds; never runs backwards.
+#[derive(Clone, Debug)]
+pub struct Clock(Arc<Source>);
+
+#[derive(Debug)]
+enum Source {
+    /// Wall clock at start plus monotonic time since.
+    System { epoch: Ms, start: Instant },
+    /// Moved by hand.
+    Manual(AtomicU64),
+}
+
+impl Clock {
+    /// The machine's clock: the wall clock read once, then monotonic time.
+    pub fn system() -> Clock {
+        let epoch = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |it| it.as_millis() as u64);
+        Clock(Arc::new(Source::System {
+            epoch: Ms(epoch),
+            start: Instant::now(),
+        }))
+    }
+
+    /// A clock that only [`Clock::advance`] moves.
+    pub fn manual(now: Ms) -> Clock {
+        Clock(Arc::new(Source::Manual(AtomicU64::new(now.0))))
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Ms {
+        match &*self.0 {
+            Source::System { epoch, start } => *epoch + start.elapsed().as_millis() as u64,
+            Source::Manual(now) => Ms(now.load(Ordering::SeqCst)),
+        }
+    }
+
+    /// Moves a manual clock forward; the system clock moves by itself.
+    pub fn advance(&self, millis: u64) {
+        if let Source::Manual(now) = &*self.0 {
+            now.fetch_add(millis, Ordering::SeqCst);
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/memory.rs
@@ -0,0 +1,129 @@
+//! A platform inside the process; nothing in it outlives the process.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+
+use laburnum_kernel::platform::{Check, ObjectAnswer, ObjectOp, Row, TableAnswer, TableOp, Write};
+
+use crate::platform::{Answer, Platform};
+
+/// The platform kept in memory.
+#[derive(Debug, Default)]
+pub struct Memory {
+    store: Mutex<Store>,
+}
+
+#[derive(Debug, Default)]
+struct Store {
+    rows: BTreeMap<String, Row>,
+    /// Last version that each deleted key had, so that its next version is higher.
+    deleted: BTreeMap<String, u64>,
+    objects: BTreeMap<String, Vec<u8>>,
+}
+
+impl Memory {
+    /// Carries out one operation on the table at once.
+    pub fn table_now(&self, op: &TableOp) -> TableAnswer {
+        let mut store = self.lock();
+        match op {
+            TableOp::Get { keys } => {
+                let rows = keys.iter().filter_map(|it| store.rows.get(it).cloned());
+                TableAnswer::Rows(rows.collect())
+            }
+            TableOp::Scan {
+                prefix,
+                after,
+                limit,
+            } => TableAnswer::Rows(store.scan(prefix, after, *limit as usize)),
+            TableOp::Commit { checks, writes } => store.commit(checks, writes),
+        }
+    }
+
+    /// Carries out one operation on the object store at once.
+    pub fn object_now(&self, op: ObjectOp) -> ObjectAnswer {
+        let mut store = self.lock();
+        match op {
+            ObjectOp::Put { name, bytes } => {
+                store.objects.insert(name, bytes);
+                ObjectAnswer::Done
+            }
+            ObjectOp::Get { name } => match store.objects.get(&name) {
+                Some(bytes) => ObjectAnswer::Bytes(bytes.clone()),
+                None => ObjectAnswer::Absent,
+            },
+            ObjectOp::Delete { name } => {
+                store.objects.remove(&name);
+                ObjectAnswer::Done
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Store> {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Store {
+    fn scan(&self, prefix: &str, after: &str, limit: usize) -> Vec<Row> {
+        self.rows
+            .range(prefix.to_owned()..)
+            .map(|(_, row)| row)
+            .take_while(|row| row.key.starts_with(prefix))
+            .filter(|row| row.key.as_str() > after)
+            .take(limit)
+            .cloned()
+            .collect()
+    }
+
+    fn commit(&mut self, checks: &[Check], writes: &[Write]) -> TableAnswer {
+        let failed: Vec<&Check> = checks
+            .iter()
+            .filter(|it| self.version(&it.key) != it.version)
+            .collect();
+        if !failed.is_empty() {
+            let rows = failed
+                .iter()
+                .filter_map(|it| self.rows.get(&it.key).cloned());
+            return TableAnswer::Conflict(rows.collect());
+        }
+        for write in writes {
+            self.write(write);
+        }
+        TableAnswer::Committed
+    }
+
+    fn version(&self, key: &str) -> u64 {
+        self.rows.get(key).map_or(0, |it| it.version)
+    }
+
+    fn write(&mut self, write: &Write) {
+        match write {
+            Write::Put { key, value } => {
+                let last = self.version(key).max(self.deleted.remove(key).unwrap_or(0));
+                let row = Row {
+                    key: key.clone(),
+                    version: last + 1,
+                    value: value.clone(),
+                };
+                self.rows.insert(key.clone(), row);
+            }
+            Write::Delete { key } => {
+                if let Some(row) = self.rows.remove(key) {
+                    self.deleted.insert(key.clone(), row.version);
+                }
+            }
+        }
+    }
+}
+
+impl Platform for Memory {
+    fn table(&self, op: TableOp) -> Answer<'_, TableAnswer> {
+        Box::pin(async move { self.table_now(&op) })
+    }
+
+    fn object(&self, op: ObjectOp) -> Answer<'_, ObjectAnswer> {
+        Box::pin(async move { self.object_now(op) })
+    }
+}
--- /dev/null
+++ b/crates/edge/src/platform.rs
@@ -0,0 +1,20 @@
+//! The platform's table and object store.
+
+use std::{future::Future, pin::Pin};
+
+use laburnum_kernel::platform::{ObjectAnswer, ObjectOp, TableAnswer, TableOp};
+
+/// An answer that is on its way.
+pub type Answer<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+
+/// The platform's transactional table and its object store.
+///
+/// An answer always comes: adapters turn a lost connection or a timeout into a
+/// [`laburnum_kernel::platform::Fault`].
+pub trait Platform: Send + Sync + 'static {
+    /// Carries out one operation on the table.
+    fn table(&self, op: TableOp) -> Answer<'_, TableAnswer>;
+
+    /// Carries out one operation on the object store.
+    fn object(&self, op: ObjectOp) -> Answer<'_, ObjectAnswer>;
+}
--- /dev/null
+++ b/crates/kernel/src/admission.rs
@@ -0,0 +1,1 @@
+//! Admission at the owner: slots, classes, deadlines and shedding.
--- /dev/null
+++ b/crates/kernel/src/clock.rs
@@ -0,0 +1,26 @@
+//! Milliseconds, the only unit of time in the system.
+
+use std::ops::Add;
+
+use serde::{Deserialize, Serialize};
+
+/// A point in time, in milliseconds since the Unix epoch as the driver's clock tells it.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Ms(pub u64);
+
+impl Ms {
+    /// Milliseconds from `earlier` to `self`; zero if `earlier` is the later of the two.
+    pub fn since(self, earlier: Ms) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+impl Add<u64> for Ms {
+    type Output = Ms;
+
+    fn add(self, millis: u64) -> Ms {
+        Ms(self.0.saturating_add(millis))
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/hot.rs
@@ -0,0 +1,1 @@
+//! Hot callers: halving counters and a token bucket.
--- /dev/null
+++ b/crates/kernel/src/kernel.rs
@@ -0,0 +1,211 @@
+//! The kernel: state, plug-ins and the step that drives them.
+
+use std::collections::VecDeque;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    accept::Accept,
+    clock::Ms,
+    drain::Drain,
+    event::{Action, Call, Event, Message, Notice, Reply, TICK_MS},
+    guard::Guard,
+    id::{CallId, NodeId, Token},
+    log::Log,
+    members::Members,
+    once::Once,
+    platform::{ObjectOp, TableOp},
+    settings::Settings,
+    spread::Spread,
+    view::Publisher,
+};
+
+/// A part of the kernel. Each module registers its own with `inventory::submit!`.
+pub struct Plugin {
+    /// Name, unique among the plug-ins.
+    pub name: &'static str,
+    /// Plug-ins see each event in ascending order.
+    pub order: u8,
+    /// Handles one event; called for each event and notice.
+    pub handle: fn(&mut Context<'_>, &mut State, &Event),
+}
+
+inventory::collect!(Plugin);
+
+/// The state of every plug-in. Each changes its own and may read the others'.
+pub struct State {
+    /// The applied configuration.
+    pub log: Log,
+    /// Submissions on their way into the table.
+    pub accept: Accept,
+    /// Configuration on its way to the nodes.
+    pub spread: Spread,
+    /// Who is there.
+    pub members: Members,
+    /// Claims of requests that run at most once.
+    pub once: Once,
+    /// Requests that crash their upstream.
+    pub guard: Guard,
+    /// Leaving.
+    pub drain: Drain,
+    /// The view that traffic threads read.
+    pub publisher: Publisher,
+}
+
+/// What a plug-in may use while it handles one event.
+pub struct Context<'a> {
+    /// Time of the event.
+    pub now: Ms,
+    /// Settings of this kernel.
+    pub settings: &'a Settings,
+    /// Seeded randomness.
+    pub rng: &'a mut ChaCha8Rng,
+    out: &'a mut Vec<Action>,
+    notices: &'a mut VecDeque<Notice>,
+    calls: &'a mut u64,
+}
+
+impl Context<'_> {
+    /// Emits one action.
+    pub fn act(&mut self, action: Action) {
+        self.out.push(action);
+    }
+
+    /// Sends `message` over the link.
+    pub fn send(&mut self, to: NodeId, message: Message) {
+        self.act(Action::Send { to, message });
+    }
+
+    /// Answers a call.
+    pub fn reply(&mut self, token: Token, reply: Reply) {
+        self.act(Action::Reply { token, reply });
+    }
+
+    /// Asks the table; the answer arrives as [`Event::Table`] with the returned id.
+    pub fn table(&mut self, op: TableOp) -> CallId {
+        let call = self.next_call();
+        self.act(Action::Table { call, op });
+        call
+    }
+
+    /// Asks the object store; the answer arrives as [`Event::Object`] with the returned id.
+    pub fn object(&mut self, op: ObjectOp) -> CallId {
+        let call = self.next_call();
+        self.act(Action::Object { call, op });
+        call
+    }
+
+    /// Writes one log line.
+    pub fn log(&mut self, event: &'static str, pairs: Vec<(&'static str, String)>) {
+        self.act(Action::Log { event, pairs });
+    }
+
+    /// Tells every plug-in, once the present event is done.
+    pub fn raise(&mut self, notice: Notice) {
+        if !self.notices.contains(&notice) {
+            self.notices.push_back(notice);
+        }
+    }
+
+    fn next_call(&mut self) -> CallId {
+        *self.calls += 1;
+        CallId(*self.calls)
+    }
+}
+
+/// The decisions of one node.
+pub struct Kernel {
+    settings: Settings,
+    state: State,
+    rng: ChaCha8Rng,
+    plugins: Vec<&'static Plugin>,
+    calls: u64,
+    last: Ms,
+}
+
+/// A gap between two events longer than this means that the process was paused.
+pub const PAUSE_MS: u64 = 20 * TICK_MS;
+
+impl Kernel {
+    /// A kernel with no state but its settings. `seed` fixes its random choices.
+    pub fn new(settings: Settings, seed: u64) -> Kernel {
+        let mut plugins: Vec<&'static Plugin> = inventory::iter::<Plugin>.into_iter().collect();
+        plugins.sort_by_key(|it| (it.order, it.name));
+        Kernel {
+            state: State {
+                log: Log::default(),
+                accept: Accept::default(),
+                spread: Spread::default(),
+                members: Members::new(&settings),
+                once: Once::default(),
+                guard: Guard::default(),
+                drain: Drain::default(),
+                publisher: Publisher::default(),
+            },
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            plugins,
+            settings,
+            calls: 0,
+            last: Ms(0),
+        }
+    }
+
+    /// Handles one event and appends what the driver has to do to `out`.
+    ///
+    /// `now` never runs backwards: an earlier time counts as the time of the event before.
+    pub fn step(&mut self, now: Ms, event: Event, out: &mut Vec<Action>) {
+        let lost = now.since(self.last);
+        let paused = self.last != Ms(0) && lost > PAUSE_MS;
+        self.last = self.last.max(now);
+        let mut notices = VecDeque::new();
+        // A paused process still believes leases and views that lapsed meanwhile; the plug-ins hear of
+        // the pause before the event, so none acts on a lapsed lease.
+        if paused {
+            notices.push_back(Notice::Paused { lost });
+            self.drain_notices(&mut notices, out);
+        }
+        self.dispatch(&event, &mut notices, out);
+        self.drain_notices(&mut notices, out);
+    }
+
+    /// The state, for drivers that check or show it.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// The settings it was made with.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    fn drain_notices(&mut self, notices: &mut VecDeque<Notice>, out: &mut Vec<Action>) {
+        while let Some(notice) = notices.pop_front() {
+            self.dispatch(&Event::Notice(notice), notices, out);
+        }
+    }
+
+    fn dispatch(&mut self, event: &Event, notices: &mut VecDeque<Notice>, out: &mut Vec<Action>) {
+        for plugin in &self.plugins {
+            let mut cx = Context {
+                now: self.last,
+                settings: &self.settings,
+                rng: &mut self.rng,
+                out,
+                notices,
+                calls: &mut self.calls,
+            };
+            (plugin.handle)(&mut cx, &mut self.state, event);
+        }
+    }
+}
+
+/// Whether `call` is one that `plugin` answers; used by drivers to route statistics.
+pub fn call_name(call: &Call) -> &'static str {
+    match call {
+        Call::Accept(_) => "accept",
+        Call::Once(_) => "once",
+        Call::Guard(_) => "guard",
+        Call::Status => "status",
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/settings.rs
@@ -0,0 +1,88 @@
+//! What a kernel is told once, at start.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use crate::id::{Name, NodeId};
+
+/// Settings of one kernel. The driver has checked them.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// This node's control address, which is also its identity.
+    pub node: NodeId,
+    /// Start of this process in milliseconds since the epoch; grows with each restart.
+    pub incarnation: u64,
+    /// Where other nodes send this one requests.
+    pub traffic: SocketAddr,
+    /// Region of this node.
+    pub region: Name,
+    /// Availability zone of this node.
+    pub zone: Name,
+    /// Control addresses of nodes to contact first. Default: none.
+    pub peers: Vec<NodeId>,
+    /// How configuration spreads. Default: [`SpreadSettings::default`].
+    pub spread: SpreadSettings,
+}
+
+/// How configuration spreads, and the baselines it is measured against.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SpreadSettings {
+    /// Which mechanism carries changes to the nodes. Default: relays.
+    pub mode: SpreadMode,
+    /// Whether changes travel as deltas. Default: deltas.
+    pub form: SpreadForm,
+    /// How long a committer or relay gathers changes before passing them on, in ms. Default: 20.
+    pub window: u64,
+    /// Control bytes a second this node may send, averaged over a minute. Default: 2048.
+    pub budget: u64,
+    /// Relays in each availability zone. Default: 2.
+    pub relays: usize,
+    /// Most nodes that one node pushes to. Default: 4.
+    pub degree: usize,
+}
+
+/// Which mechanism carries changes to the nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SpreadMode {
+    /// Relays in each availability zone read the table and push down a tree, with repair.
+    Relays,
+    /// Every node polls the table; a baseline.
+    Poll,
+}
+
+/// The form in which changes travel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SpreadForm {
+    /// The difference to the revision before.
+    Delta,
+    /// The full document; a baseline.
+    Full,
+}
+
+impl Default for SpreadSettings {
+    fn default() -> SpreadSettings {
+        SpreadSettings {
+            mode: SpreadMode::Relays,
+            form: SpreadForm::Delta,
+            window: 20,
+            budget: 2048,
+            relays: 2,
+            degree: 4,
+        }
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        let loopback = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let name = |text: &str| text.parse().expect("a literal name is valid");
+        Settings {
+            node: NodeId(loopback(7101)),
+            incarnation: 1,
+            traffic: loopback(7100),
+            region: name("local"),
+            zone: name("local-a"),
+            peers: Vec::new(),
+            spread: SpreadSettings::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/utils.rs
@@ -0,0 +1,42 @@
+//! Small helpers that several modules share.
+
+use std::hash::Hash;
+
+use crate::id::NodeId;
+
+/// The first 8 bytes of the BLAKE3 hash of `parts`, each preceded by its length.
+pub fn hash64(parts: &[&[u8]]) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let mut head = [0; 8];
+    head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(head)
+}
+
+/// The nodes in descending rendezvous (highest random weight) order for `key`.
+///
+/// Two views that differ in one node differ in at most that node's place.
+pub fn rendezvous(key: &str, nodes: impl IntoIterator<Item = NodeId>) -> Vec<NodeId> {
+    let weight = |it: &NodeId| hash64(&[key.as_bytes(), it.to_string().as_bytes()]);
+    let mut ranked: Vec<(u64, NodeId)> = nodes.into_iter().map(|it| (weight(&it), it)).collect();
+    ranked.sort_unstable_by(|lhs, rhs| rhs.cmp(lhs));
+    ranked.into_iter().map(|(_, it)| it).collect()
+}
+
+/// Removes and returns the entries of `map` for which `due` holds.
+pub fn take_due<K: Clone + Eq + Hash + Ord, V>(
+    map: &mut std::collections::BTreeMap<K, V>,
+    due: impl Fn(&K, &V) -> bool,
+) -> Vec<(K, V)> {
+    let keys: Vec<K> = map
+        .iter()
+        .filter(|(key, value)| due(key, value))
+        .map(|(key, _)| key.clone())
+        .collect();
+    keys.into_iter()
+        .filter_map(|key| map.remove(&key).map(|value| (key, value)))
+        .collect()
+}
--- /dev/null
+++ b/crates/kernel/src/view.rs
@@ -0,0 +1,126 @@
+//! The immutable view that traffic threads read.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use crate::{
+    document::Document,
+    event::{Action, Event, Notice},
+    id::{Name, NodeId, Revision, Seq},
+    kernel::{Context, Plugin, State},
+    members::{Phase, Record},
+};
+
+inventory::submit! { Plugin { name: "view", order: 90, handle } }
+
+/// Configuration and members at one moment. A route in it never names a service that it lacks.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The log position that the services stand for.
+    pub seq: Seq,
+    /// Every service, with the nodes whose upstreams serve it.
+    pub services: BTreeMap<Name, ServiceView>,
+    /// The offer and phase of the upstream beside this node.
+    pub own: Option<OwnView>,
+}
+
+/// One service.
+#[derive(Clone, Debug)]
+pub struct ServiceView {
+    /// Revision in force.
+    pub revision: Revision,
+    /// Its document.
+    pub document: Arc<Document>,
+    /// Nodes beside its upstreams.
+    pub endpoints: Vec<Endpoint>,
+}
+
+/// A node beside an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Endpoint {
+    /// The node.
+    pub node: NodeId,
+    /// Start of its process: a new incarnation is a new endpoint.
+    pub incarnation: u64,
+    /// Where to send requests.
+    pub traffic: SocketAddr,
+    /// Region.
+    pub region: Name,
+    /// Availability zone.
+    pub zone: Name,
+    /// Phase of the upstream.
+    pub phase: Phase,
+    /// Requests that the upstream handles at once.
+    pub slots: u16,
+}
+
+/// The upstream beside this node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnView {
+    /// Its service.
+    pub service: Name,
+    /// Its phase.
+    pub phase: Phase,
+    /// Its slots.
+    pub slots: u16,
+}
+
+/// Publishes a new view whenever something in it changed.
+#[derive(Debug, Default)]
+pub struct Publisher {
+    stale: bool,
+}
+
+fn handle(cx: &mut Context<'_>, state: &mut State, event: &Event) {
+    match event {
+        Event::Start | Event::Notice(Notice::Applied { .. } | Notice::Members | Notice::Own) => {
+            state.publisher.stale = true;
+        }
+        Event::Tick => {}
+        _ => return,
+    }
+    if std::mem::take(&mut state.publisher.stale) {
+        let view = Arc::new(build(state));
+        cx.act(Action::Publish(view));
+    }
+}
+
+fn build(state: &State) -> View {
+    let mut endpoints: BTreeMap<Name, Vec<Endpoint>> = BTreeMap::new();
+    for record in state.members.alive() {
+        if let Some((service, endpoint)) = endpoint(record) {
+            endpoints.entry(service).or_default().push(endpoint);
+        }
+    }
+    let services = state.log.services().iter().map(|(name, it)| {
+        let view = ServiceView {
+            revision: it.revision,
+            document: it.document.clone(),
+            endpoints: endpoints.remove(name).unwrap_or_default(),
+        };
+        (name.clone(), view)
+    });
+    let own = state.members.own();
+    View {
+        seq: state.log.seq(),
+        services: services.collect(),
+        own: own.offer.as_ref().map(|it| OwnView {
+            service: it.service.clone(),
+            phase: own.phase,
+            slots: it.slots,
+        }),
+    }
+}
+
+fn endpoint(record: &Record) -> Option<(Name, Endpoint)> {
+    let offer = record.offer.as_ref()?;
+    let endpoint = Endpoint {
+        node: record.id,
+        incarnation: record.incarnation,
+        traffic: record.traffic,
+        region: record.region.clone(),
+        zone: record.zone.clone(),
+        phase: record.phase,
+        slots: offer.slots,
+    };
+    Some((offer.service.clone(), endpoint))
+}
--- /dev/null
+++ b/crates/node/src/config.rs
@@ -0,0 +1,45 @@
+//! Settings of a node, already checked.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use laburnum_kernel::settings::SpreadSettings;
+
+/// Settings of a node.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Where callers send requests. Default: 127.0.0.1:7100.
+    pub caller: SocketAddr,
+    /// Control address, TCP and UDP; the node's identity. Default: 127.0.0.1:7101.
+    pub control: SocketAddr,
+    /// Where other nodes send requests. Default: 127.0.0.1:7102.
+    pub traffic: SocketAddr,
+    /// Where operators and the upstream beside the node call. Default: 127.0.0.1:7103.
+    pub admin: SocketAddr,
+    /// Region. Default: local.
+    pub region: String,
+    /// Availability zone. Default: local-a.
+    pub zone: String,
+    /// Control addresses of the nodes to contact first. Default: none.
+    pub peers: Vec<SocketAddr>,
+    /// Address of the platform's HTTP service. Default: the embedded memory platform.
+    pub platform: Option<SocketAddr>,
+    /// How configuration spreads.
+    pub spread: SpreadSettings,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        let loopback = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        Config {
+            caller: loopback(7100),
+            control: loopback(7101),
+            traffic: loopback(7102),
+            admin: loopback(7103),
+            region: "local".to_owned(),
+            zone: "local-a".to_owned(),
+            peers: Vec::new(),
+            platform: None,
+            spread: SpreadSettings::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/control.rs
@@ -0,0 +1,212 @@
+//! The control thread: it owns the kernel and the link, and carries out the kernel's actions.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{Receiver, Sender, channel},
+    },
+    thread::JoinHandle,
+};
+
+use arc_swap::ArcSwap;
+use laburnum_edge::{
+    Clock, Incoming, Link, LinkError, Platform,
+    link::{Waker, ZmqLink},
+};
+use laburnum_kernel::{Action, Call, Event, Kernel, Reply, Settings, Token, View, event::TICK_MS};
+use tokio::{runtime::Handle, sync::oneshot};
+
+use crate::logs;
+
+/// Asks the control thread; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Control {
+    queue: Sender<Command>,
+    waker: Waker,
+    view: Arc<ArcSwap<View>>,
+    tokens: Arc<AtomicU64>,
+}
+
+#[derive(Debug)]
+enum Command {
+    Event(Event),
+    Call(Token, Call, oneshot::Sender<Reply>),
+    Close,
+}
+
+/// The control thread is gone: the process is shutting down.
+#[derive(Debug, thiserror::Error)]
+#[error("the node is shutting down; ask another node")]
+pub struct Closed;
+
+impl Control {
+    /// Asks the kernel and waits for its answer.
+    pub async fn call(&self, call: Call) -> Result<Reply, Closed> {
+        let token = Token(self.tokens.fetch_add(1, Ordering::Relaxed));
+        let (sender, receiver) = oneshot::channel();
+        self.push(Command::Call(token, call, sender))?;
+        receiver.await.map_err(|_| Closed)
+    }
+
+    /// Tells the kernel of an event.
+    pub fn tell(&self, event: Event) -> Result<(), Closed> {
+        self.push(Command::Event(event))
+    }
+
+    /// The newest view.
+    pub fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    fn push(&self, command: Command) -> Result<(), Closed> {
+        self.queue.send(command).map_err(|_| Closed)?;
+        self.waker.wake();
+        Ok(())
+    }
+}
+
+/// The running control thread.
+#[derive(Debug)]
+pub struct ControlThread {
+    control: Control,
+    thread: JoinHandle<()>,
+}
+
+impl ControlThread {
+    /// Binds the link and starts the thread. Platform calls run on `runtime`.
+    pub fn start(
+        settings: Settings,
+        clock: Clock,
+        platform: Arc<dyn Platform>,
+        runtime: Handle,
+    ) -> Result<ControlThread, LinkError> {
+        let (link, waker) = ZmqLink::bind(settings.node)?;
+        let (queue, commands) = channel();
+        let control = Control {
+            queue,
+            waker,
+            view: Arc::default(),
+            tokens: Arc::default(),
+        };
+        let seed = settings.incarnation ^ u64::from(settings.node.0.port());
+        let driver = Driver {
+            kernel: Kernel::new(settings, seed),
+            link,
+            clock,
+            platform,
+            runtime,
+            control: control.clone(),
+            waiting: HashMap::new(),
+        };
+        let thread = std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || driver.run(&commands))
+            .map_err(LinkError::Wake)?;
+        Ok(ControlThread { control, thread })
+    }
+
+    /// A handle to ask the thread by.
+    pub fn control(&self) -> &Control {
+        &self.control
+    }
+
+    /// Stops the thread and closes its sockets.
+    pub fn close(self) {
+        if self.control.push(Command::Close).is_ok() {
+            let _ = self.thread.join();
+        }
+    }
+}
+
+struct Driver {
+    kernel: Kernel,
+    link: ZmqLink,
+    clock: Clock,
+    platform: Arc<dyn Platform>,
+    runtime: Handle,
+    control: Control,
+    waiting: HashMap<Token, oneshot::Sender<Reply>>,
+}
+
+/// Whether the control loop goes on.
+enum Next {
+    Run,
+    Close,
+}
+
+impl Driver {
+    fn run(mut self, commands: &Receiver<Command>) {
+        self.step(Event::Start);
+        let mut ticked = self.clock.now();
+        loop {
+            let due = TICK_MS.saturating_sub(self.clock.now().since(ticked));
+            for incoming in self.link.wait(due) {
+                self.step(match incoming {
+                    Incoming::Message { from, message } => Event::Message { from, message },
+                    Incoming::Probe { from, packet } => Event::Probe { from, packet },
+                });
+            }
+            if let Next::Close = self.commands(commands) {
+                return self.link.close();
+            }
+            if self.clock.now().since(ticked) >= TICK_MS {
+                ticked = self.clock.now();
+                self.step(Event::Tick);
+            }
+        }
+    }
+
+    fn commands(&mut self, commands: &Receiver<Command>) -> Next {
+        while let Ok(command) = commands.try_recv() {
+            match command {
+                Command::Event(event) => self.step(event),
+                Command::Call(token, call, sender) => {
+                    self.waiting.insert(token, sender);
+                    self.step(Event::Call { token, call });
+                }
+                Command::Close => return Next::Close,
+            }
+        }
+        Next::Run
+    }
+
+    fn step(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.kernel.step(self.clock.now(), event, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { to, message } => self.link.send(to, &message),
+            Action::Probe { to, packet } => self.link.probe(to, &packet),
+            Action::Table { call, op } => {
+                let (platform, control) = (self.platform.clone(), self.control.clone());
+                self.runtime.spawn(async move {
+                    let answer = platform.table(op).await;
+                    // A closed control thread no longer waits for the answer.
+                    let _ = control.tell(Event::Table { call, answer });
+                });
+            }
+            Action::Object { call, op } => {
+                let (platform, control) = (self.platform.clone(), self.control.clone());
+                self.runtime.spawn(async move {
+                    let answer = platform.object(op).await;
+                    let _ = control.tell(Event::Object { call, answer });
+                });
+            }
+            Action::Reply { token, reply } => {
+                if let Some(sender) = self.waiting.remove(&token) {
+                    // The asker may have given up meanwhile.
+                    let _ = sender.send(reply);
+                }
+            }
+            Action::Publish(view) => self.control.view.store(view),
+            Action::Log { event, pairs } => logs::event(event, &pairs),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,14 @@
+//! The node: one small process beside each upstream.
+//!
+//! One thread owns the kernel and the link ([`control`]); others carry requests ([`traffic`]) and read the
+//! immutable view that the control thread publishes. [`Node::start`] runs both inside any process.
+
+pub mod admin;
+pub mod cli;
+pub mod config;
+pub mod control;
+pub mod logs;
+pub mod node;
+pub mod traffic;
+
+pub use crate::{config::Config, node::Node};
--- /dev/null
+++ b/crates/node/tests/path.rs
@@ -0,0 +1,116 @@
+//! The whole path over real sockets: a document submitted at one node carries requests through another.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use axum::body::Body;
+use http::{Request, header};
+use http_body_util::BodyExt;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use laburnum_edge::{Clock, Memory};
+use laburnum_kernel::{
+    Call, Event, Reply, Revision, SubmitId,
+    accept::{self, Submission, Verdict},
+    event::UpstreamEvent,
+    log::Edit,
+};
+use laburnum_node::{Config, Node};
+use laburnum_standin::upstream::Upstream;
+
+const DOCUMENT: &str = include_str!("../../../examples/nile/drafting-desk.toml");
+
+/// Polls `ready` until it holds, for as long as the test runner allows.
+async fn until(mut ready: impl FnMut() -> bool) {
+    while !ready() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+async fn free() -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
+    listener
+        .and_then(|it| it.local_addr())
+        .expect("a free port")
+}
+
+async fn node(peers: Vec<SocketAddr>, platform: Arc<Memory>) -> (Node, Config) {
+    let config = Config {
+        caller: free().await,
+        control: free().await,
+        traffic: free().await,
+        admin: free().await,
+        peers,
+        ..Config::default()
+    };
+    let node = Node::start(config.clone(), Clock::system(), platform).await;
+    (node.expect("the node starts"), config)
+}
+
+fn submission() -> Submission {
+    Submission {
+        id: SubmitId(1),
+        service: "drafting-desk".parse().expect("a name"),
+        base: Revision(0),
+        edit: Edit::Put {
+            text: DOCUMENT.to_owned(),
+        },
+        author: "amal".to_owned(),
+        reason: "first".to_owned(),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn document_submitted_at_one_node_carries_requests_through_another() {
+    let platform = Arc::new(Memory::default());
+    let (owner, owner_config) = node(Vec::new(), platform.clone()).await;
+    let (entry, entry_config) = node(vec![owner_config.control], platform).await;
+    let upstream = Upstream::start(SocketAddr::from(([127, 0, 0, 1], 0)))
+        .await
+        .expect("the upstream starts");
+    let client = Client::builder(TokioExecutor::new()).build(HttpConnector::new());
+    let announce = format!(
+        r#"{{"service":"drafting-desk","address":"{}","slots":6,"ready":true}}"#,
+        upstream.address()
+    );
+    let request = Request::put(format!("http://{}/v1/upstream", owner_config.admin))
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Body::from(announce))
+        .expect("a request");
+    let answer = client.request(request).await.expect("an answer");
+    assert_eq!(answer.status(), 204);
+
+    let call = Call::Accept(accept::Call::Submit(submission()));
+    let reply = owner.control().call(call).await.expect("a reply");
+    assert!(matches!(
+        reply,
+        Reply::Accept(accept::Reply::Verdict(Verdict::Accepted { .. }))
+    ));
+    let name = "drafting-desk".parse().expect("a name");
+    until(|| {
+        let view = entry.control().view();
+        view.services
+            .get(&name)
+            .is_some_and(|it| it.endpoints.len() == 1)
+    })
+    .await;
+
+    let request = Request::get(format!("http://{}/drafts/7", entry_config.caller))
+        .header(header::HOST, "drafting-desk")
+        .body(Body::empty())
+        .expect("a request");
+    let answer = client.request(request).await.expect("an answer");
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.headers()["laburnum-outcome"], "ran");
+    let body = answer.into_body().collect().await.expect("a whole body");
+    assert_eq!(body.to_bytes(), "GET /drafts/7 \n");
+
+    entry
+        .control()
+        .tell(Event::Upstream(UpstreamEvent::Gone))
+        .expect("running");
+    upstream.close();
+    entry.close().await;
+    owner.close().await;
+}
