Read settings from one table of flags, variables and defaults

Cause: each binary read its own flags, leaked their names and stopped short of a useful message. Change: crate laburnum-flags: typed settings as constants, one table a program, faults collected and named with their remedy, help, version, commands, operands and secrets. Conclusion: binaries can be moved to it one by one.

--- /dev/null
+++ b/crates/flags/src/help.rs
@@ -0,0 +1,54 @@
+//! The text of `--help`.
+
+use std::fmt::Write;
+
+use crate::{
+    fault::value,
+    program::{Program, Suite},
+    setting::{Fallback, Row},
+};
+
+/// Usage, operands, every flag with its variable, default and unit, and the exit codes.
+pub(crate) fn program(program: &Program) -> String {
+    let mut text = format!("{}\n\nusage: {}", program.about, program.name);
+    // Writing to a string cannot fail.
+    for operand in program.operands {
+        let _ = write!(text, " {}", operand.name);
+    }
+    text.push_str(" [FLAGS]\n");
+    for operand in program.operands {
+        let _ = write!(text, "\n  {}\n      {}\n", operand.name, operand.help);
+    }
+    text.push_str("\nflags, each read from its variable if not given:\n");
+    for row in program.settings {
+        setting(&mut text, row);
+    }
+    text.push_str("  --help\n      Print this text.\n  --version\n      Print the version.\n");
+    text.push_str("\nexit codes:\n");
+    for exit in program.exits {
+        let _ = writeln!(text, "  {}  {}", exit.code, exit.meaning);
+    }
+    text
+}
+
+/// The commands of a suite.
+pub(crate) fn suite(suite: &Suite) -> String {
+    let mut text = format!("{}\n\nusage: {} COMMAND\n\n", suite.about, suite.name);
+    for (name, program) in suite.commands {
+        let _ = writeln!(text, "  {name}\n      {}", program.about);
+    }
+    let _ = writeln!(text, "\n{} COMMAND --help lists its flags.", suite.name);
+    text
+}
+
+fn setting(text: &mut String, row: &Row) {
+    let fallback = match row.fallback {
+        Fallback::Text("") => "default: empty".to_owned(),
+        Fallback::Text(default) => format!("default: {}", row.show(default)),
+        Fallback::Absent => "default: none".to_owned(),
+        Fallback::Required => "required".to_owned(),
+    };
+    let _ = writeln!(text, "  {} {}", row.flag, value(row));
+    let _ = writeln!(text, "      {}", row.help);
+    let _ = writeln!(text, "      {}; {fallback}", row.variable());
+}
