Reach the platform over HTTP

Cause: the platform had no adapter, so nodes shared nothing outside one process. Change: HttpPlatform with JSON bodies, bounded concurrency and queue, and each failure told as its fault; Memory refuses commits and values that exceed the platform's limits and scans from its start key. Conclusion: a write that may have been sent is always Unknown, never sent again.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,12 +4,14 @@
 
 pub mod api;
 pub mod clock;
+pub mod http;
 pub mod link;
 pub mod memory;
 pub mod platform;
 
 pub use crate::{
     clock::Clock,
+    http::{HttpPlatform, HttpSettings},
     link::{Incoming, Link, LinkError},
     memory::Memory,
     platform::Platform,
--- a/crates/edge/src/memory.rs
+++ b/crates/edge/src/memory.rs
@@ -2,10 +2,13 @@
 
 use std::{
     collections::BTreeMap,
+    ops::Bound,
     sync::{Mutex, MutexGuard, PoisonError},
 };
 
-use laburnum_kernel::platform::{Check, ObjectAnswer, ObjectOp, Row, TableAnswer, TableOp, Write};
+use laburnum_kernel::platform::{
+    COMMIT_MAX, Check, Fault, ObjectAnswer, ObjectOp, Row, TableAnswer, TableOp, VALUE_MAX, Write,
+};
 
 use crate::platform::{Answer, Platform};
 
@@ -67,17 +70,23 @@
 
 impl Store {
     fn scan(&self, prefix: &str, after: &str, limit: usize) -> Vec<Row> {
+        let from = match after < prefix {
+            true => Bound::Included(prefix),
+            false => Bound::Excluded(after),
+        };
         self.rows
-            .range(prefix.to_owned()..)
+            .range::<str, _>((from, Bound::Unbounded))
             .map(|(_, row)| row)
             .take_while(|row| row.key.starts_with(prefix))
-            .filter(|row| row.key.as_str() > after)
             .take(limit)
             .cloned()
             .collect()
     }
 
     fn commit(&mut self, checks: &[Check], writes: &[Write]) -> TableAnswer {
+        if let Err(why) = check_size(checks, writes) {
+            return TableAnswer::Failed(Fault::Invalid(why));
+        }
         let failed: Vec<&Check> = checks
             .iter()
             .filter(|it| self.version(&it.key) != it.version)
@@ -118,6 +127,25 @@
     }
 }
 
+/// The limits that the platform itself has, so that what is too large fails in tests too.
+fn check_size(checks: &[Check], writes: &[Write]) -> Result<(), String> {
+    let items = checks.len() + writes.len();
+    if items > COMMIT_MAX {
+        let why = format!("a commit of {items} items exceeds {COMMIT_MAX}; split it");
+        return Err(why);
+    }
+    let longest = writes.iter().filter_map(|it| match it {
+        Write::Put { key, value } => Some((value.len(), key)),
+        Write::Delete { .. } => None,
+    });
+    match longest.max() {
+        Some((length, key)) if length > VALUE_MAX => Err(format!(
+            "the value of {key:?} has {length} bytes and exceeds {VALUE_MAX}; keep it in an object"
+        )),
+        _ => Ok(()),
+    }
+}
+
 impl Platform for Memory {
     fn table(&self, op: TableOp) -> Answer<'_, TableAnswer> {
         Box::pin(async move { self.table_now(&op) })
