--- a/crates/edge/src/http.rs
+++ b/crates/edge/src/http.rs
@@ -211,7 +211,9 @@
             self.client
                 .request(request)
                 .await
-                .map_err(|error| match never_sent(&error) {
+                .map_err(|error| match error.is_connect() {
+                    // Without a connection no byte was sent. Every other failure counts as sent: a kept
+                    // connection may close just as the request goes out, and nobody can say which came first.
                     true => Fault::Unavailable,
                     false => kind.lost(),
                 })?;
