Admission, pick, retry and refusal reasons: types and first logic

The request path took any ready endpoint at random and forwarded whatever came. Not yet measured or tuned, and the request path does not use them yet.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod once;
 pub mod pick;
 pub mod platform;
+pub mod refusal;
 pub mod retry;
 pub mod settings;
 pub mod spread;
--- a/crates/kernel/src/pick.rs
+++ b/crates/kernel/src/pick.rs
@@ -1,8 +1,278 @@
 //! Pick: which endpoint an entry node sends a request to.
+//!
+//! Two random choices in each distance (own zone, own region, beyond), compared by expected time: the
+//! endpoint's measured latency, its load relative to its slots, and a penalty for distance. What this node has
+//! itself seen of an endpoint goes before what the endpoint or the members say of it.
 
-use rand::Rng;
+mod experience;
 
-use crate::{members::Phase, view::Endpoint};
+use std::collections::HashMap;
+
+use rand::{Rng, seq::index};
+
+use crate::{
+    admission::Load,
+    clock::Ms,
+    document::Class,
+    id::{Name, NodeId},
+    members::Phase,
+    refusal::{Reason, Refusal},
+    view::Endpoint,
+};
+
+use experience::{Experience, State};
+
+/// Penalties on the expected time for an endpoint in the own zone, in the own region and beyond.
+const PENALTY: [f64; TIERS] = [1.0, 1.5, 3.0];
+const TIERS: usize = 3;
+/// Largest share of the endpoints that may be ejected at once, in percent.
+const EJECTED_SHARE: usize = 50;
+/// Draws in a tier before all of it is looked through.
+const DRAWS: usize = 6;
+
+/// Where an entry stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Region.
+    pub region: Name,
+    /// Availability zone.
+    pub zone: Name,
+}
+
+/// How an attempt at an endpoint ended, as its entry saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Answered whole after `latency` ms.
+    Answered {
+        /// From sending to the whole answer, in ms.
+        latency: u64,
+    },
+    /// Refused as not run.
+    Refused(Refusal),
+    /// No connection, a lost or cut answer, or a timeout.
+    Failed,
+    /// The caller gave up; says nothing of the endpoint.
+    Cancelled,
+}
+
+/// The answer to [`Picker::pick`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// Send it there.
+    Send(Endpoint),
+    /// No endpoint is worth trying now.
+    Refuse(Refusal),
+}
+
+/// Endpoints of one service and what this entry has seen of them.
+#[derive(Debug)]
+pub struct Picker {
+    place: Place,
+    ramp: u64,
+    members: Vec<Member>,
+    slots: HashMap<NodeId, usize>,
+    /// First member of each tier, and the end of the last.
+    bounds: [usize; TIERS + 1],
+    /// Mean latency over all endpoints in ms; stands in where an endpoint has none yet.
+    latency: f64,
+}
+
+#[derive(Debug)]
+struct Member {
+    endpoint: Endpoint,
+    tier: usize,
+    experience: Experience,
+}
+
+impl Picker {
+    /// A picker for an entry at `place`, without endpoints.
+    pub fn new(place: Place) -> Picker {
+        Picker {
+            place,
+            ramp: 0,
+            members: Vec::new(),
+            slots: HashMap::new(),
+            bounds: [0; TIERS + 1],
+            latency: 0.0,
+        }
+    }
+
+    /// Follows the view: the service's endpoints and its `ramp` in ms.
+    ///
+    /// What is known of an endpoint stays as long as its incarnation does; what left is forgotten. The
+    /// endpoints of the first call count as warm, for it is this node that is new to them.
+    pub fn refresh(&mut self, now: Ms, endpoints: &[Endpoint], ramp: u64) {
+        self.ramp = ramp;
+        let mut known: HashMap<NodeId, Member> = std::mem::take(&mut self.members)
+            .into_iter()
+            .map(|it| (it.endpoint.node, it))
+            .collect();
+        let first = known.is_empty();
+        self.members = endpoints
+            .iter()
+            .filter(|it| it.phase == Phase::Ready)
+            .map(|it| {
+                let experience = match known.remove(&it.node) {
+                    Some(member) if member.endpoint.incarnation == it.incarnation => {
+                        member.experience
+                    }
+                    _ if first => Experience::warm(),
+                    _ => Experience::cold(now),
+                };
+                Member {
+                    endpoint: it.clone(),
+                    tier: self.tier(it),
+                    experience,
+                }
+            })
+            .collect();
+        self.members.sort_by_key(|it| it.tier);
+        self.slots = (0..)
+            .zip(&self.members)
+            .map(|(at, it)| (it.endpoint.node, at))
+            .collect();
+        for tier in 0..TIERS {
+            self.bounds[tier + 1] = self.members.partition_point(|it| it.tier <= tier);
+        }
+    }
+
+    /// Chooses an endpoint for a request of `class` that already failed at `tried`.
+    pub fn pick(&self, now: Ms, rng: &mut impl Rng, class: Class, tried: &[NodeId]) -> Choice {
+        let usable = |it: &Member| !tried.contains(&it.endpoint.node) && it.usable(now, class);
+        let candidates = (0..TIERS).flat_map(|tier| self.draw(rng, tier, &usable));
+        let best =
+            candidates.min_by(|lhs, rhs| self.cost(now, lhs).total_cmp(&self.cost(now, rhs)));
+        if let Some(member) = best {
+            return Choice::Send(member.endpoint.clone());
+        }
+        self.last_resort(now, class, tried)
+    }
+
+    /// Counts an attempt sent to `node`.
+    pub fn started(&mut self, now: Ms, node: NodeId) {
+        if let Some(it) = self.member(node) {
+            it.experience.started(now);
+        }
+    }
+
+    /// Counts the end of an attempt at `node`, with the load that its answer told.
+    pub fn finished(
+        &mut self,
+        now: Ms,
+        node: NodeId,
+        class: Class,
+        outcome: Outcome,
+        load: Option<Load>,
+    ) {
+        if let Outcome::Answered { latency } = outcome {
+            let gain = if self.latency == 0.0 { 1.0 } else { 0.02 };
+            self.latency += gain * (latency as f64 - self.latency);
+        }
+        let ejected = self
+            .members
+            .iter()
+            .filter(|it| it.experience.ejected(now))
+            .count();
+        let may_eject = (ejected + 1) * 100 <= self.members.len() * EJECTED_SHARE;
+        let Some(it) = self.member(node) else {
+            return;
+        };
+        it.experience.finished(now, class, outcome, load);
+        if may_eject && outcome == Outcome::Failed {
+            it.experience.eject(now);
+        }
+    }
+
+    /// Endpoints that may be chosen at all.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether no endpoint may be chosen.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    fn tier(&self, endpoint: &Endpoint) -> usize {
+        if endpoint.region != self.place.region {
+            return 2;
+        }
+        usize::from(endpoint.zone != self.place.zone)
+    }
+
+    fn member(&mut self, node: NodeId) -> Option<&mut Member> {
+        let at = *self.slots.get(&node)?;
+        self.members.get_mut(at)
+    }
+
+    /// Up to two random usable members of a tier, without looking at all of it if draws suffice.
+    fn draw(
+        &self,
+        rng: &mut impl Rng,
+        tier: usize,
+        usable: &impl Fn(&Member) -> bool,
+    ) -> Vec<&Member> {
+        let members = &self.members[self.bounds[tier]..self.bounds[tier + 1]];
+        let amount = members.len().min(DRAWS);
+        let drawn = index::sample(rng, members.len(), amount);
+        let found: Vec<&Member> = drawn
+            .into_iter()
+            .map(|it| &members[it])
+            .filter(|it| usable(it))
+            .take(2)
+            .collect();
+        if !found.is_empty() || amount == members.len() {
+            return found;
+        }
+        members.iter().filter(|it| usable(it)).take(1).collect()
+    }
+
+    /// Expected time of a request at `member`, in ms with penalties.
+    fn cost(&self, now: Ms, member: &Member) -> f64 {
+        let latency = member.experience.latency(now).unwrap_or(self.latency) + 1.0;
+        let room =
+            f64::from(member.endpoint.slots.max(1)) * member.experience.warmth(now, self.ramp);
+        let load = member.experience.load(now) / room;
+        latency * (1.0 + load) * PENALTY[member.tier]
+    }
+
+    /// Every endpoint was tried, refused lately or is ejected.
+    ///
+    /// If all that are left refused, sending more only adds to their load: the caller learns at once when
+    /// the first will take work again. An ejected one is tried rather than nobody.
+    fn last_resort(&self, now: Ms, class: Class, tried: &[NodeId]) -> Choice {
+        let left = || {
+            self.members
+                .iter()
+                .filter(|it| !tried.contains(&it.endpoint.node))
+        };
+        let held = left()
+            .filter(|it| it.experience.state(now) != State::Ejected)
+            .map(|it| it.experience.held(now, class))
+            .min();
+        if let Some(after) = held {
+            return Choice::Refuse(Refusal::after(Reason::Overloaded, after));
+        }
+        match left().min_by_key(|it| it.experience.failures()) {
+            Some(it) => Choice::Send(it.endpoint.clone()),
+            None => Choice::Refuse(Refusal::after(Reason::NoEndpoint, NO_ENDPOINT)),
+        }
+    }
+}
+
+/// When to come back if a service has no endpoint left, in ms.
+const NO_ENDPOINT: u64 = 200;
+
+impl Member {
+    fn usable(&self, now: Ms, class: Class) -> bool {
+        let open = match self.experience.state(now) {
+            State::Open => true,
+            State::Probing => self.experience.inflight() == 0,
+            State::Ejected => false,
+        };
+        open && self.experience.held(now, class) == 0
+    }
+}
 
 /// Picks one of the ready endpoints, or none if no one is ready.
 pub fn pick<'a>(rng: &mut impl Rng, endpoints: &'a [Endpoint]) -> Option<&'a Endpoint> {
--- /dev/null
+++ b/crates/kernel/src/pick/experience.rs
@@ -0,0 +1,169 @@
+//! What an entry has itself seen of one endpoint.
+
+use crate::{
+    admission::{CLASSES, Load, class_index},
+    clock::Ms,
+    document::Class,
+    pick::Outcome,
+    refusal::Reason,
+};
+
+/// Failures in a row after which an endpoint is ejected.
+const FAILURES: u32 = 3;
+/// Shortest and longest ejection, in ms.
+const EJECTION: (u64, u64) = (1_000, 30_000);
+/// Time after which a load that was told counts for nothing, in ms.
+const LOAD_AGE: f64 = 1_000.0;
+/// Time in which a latency that is not measured again halves, in ms, so that a slow one is tried again.
+const LATENCY_AGE: f64 = 3_000.0;
+/// Share of a new sample in the mean latency.
+const LATENCY_GAIN: f64 = 0.1;
+/// Smallest share of work of an endpoint that has just started.
+const COLD: f64 = 0.1;
+/// Longest time for which a refusal keeps work away, in ms; its sender may be wrong.
+const HOLD_MAX: u64 = 1_000;
+/// How long an endpoint that is not ready or leaves is left alone, in ms; by then the members tell it.
+const HOLD_PHASE: u64 = 500;
+
+/// Whether an endpoint is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// As usual.
+    Open,
+    /// After an ejection: one request at a time.
+    Probing,
+    /// Not at all.
+    Ejected,
+}
+
+/// What an entry has itself seen of one endpoint.
+#[derive(Debug, Default)]
+pub struct Experience {
+    inflight: u32,
+    failures: u32,
+    ejections: u32,
+    ejected: Option<Ms>,
+    held: [Ms; CLASSES],
+    latency: Option<(Ms, f64)>,
+    load: Option<(Ms, Load)>,
+    born: Option<Ms>,
+}
+
+impl Experience {
+    /// Of an endpoint that ran before this entry knew it.
+    pub fn warm() -> Experience {
+        Experience::default()
+    }
+
+    /// Of an endpoint that has just started.
+    pub fn cold(now: Ms) -> Experience {
+        Experience {
+            born: Some(now),
+            ..Experience::default()
+        }
+    }
+
+    pub fn started(&mut self, _now: Ms) {
+        self.inflight += 1;
+    }
+
+    pub fn finished(&mut self, now: Ms, class: Class, outcome: Outcome, load: Option<Load>) {
+        self.inflight = self.inflight.saturating_sub(1);
+        if let Some(load) = load {
+            self.load = Some((now, load));
+        }
+        match outcome {
+            Outcome::Answered { latency } => {
+                self.recover();
+                self.measure(now, latency as f64);
+            }
+            Outcome::Refused(refusal) => {
+                self.recover();
+                match refusal.reason {
+                    Reason::NotReady | Reason::Draining => {
+                        self.held = [now + HOLD_PHASE.max(refusal.after.min(HOLD_MAX)); CLASSES];
+                    }
+                    Reason::Overloaded | Reason::QueueFull => {
+                        self.held[class_index(class)] = now + refusal.after.min(HOLD_MAX);
+                    }
+                    _ => {}
+                }
+            }
+            Outcome::Failed => self.failures += 1,
+            Outcome::Cancelled => {}
+        }
+    }
+
+    /// Ejects the endpoint if it failed too often in a row.
+    pub fn eject(&mut self, now: Ms) {
+        let again = self.ejections > 0 && self.failures > 0;
+        if self.ejected(now) || (self.failures < FAILURES && !again) {
+            return;
+        }
+        let (first, longest) = EJECTION;
+        self.ejected = Some(now + (first << self.ejections.min(10)).min(longest));
+        self.ejections += 1;
+    }
+
+    pub fn state(&self, now: Ms) -> State {
+        match self.ejected {
+            None => State::Open,
+            Some(until) if until > now => State::Ejected,
+            Some(_) => State::Probing,
+        }
+    }
+
+    pub fn ejected(&self, now: Ms) -> bool {
+        self.state(now) == State::Ejected
+    }
+
+    /// Time for which the endpoint wants no work of `class`, in ms.
+    pub fn held(&self, now: Ms, class: Class) -> u64 {
+        self.held[class_index(class)].since(now)
+    }
+
+    pub fn inflight(&self) -> u32 {
+        self.inflight
+    }
+
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Mean latency in ms, fading while it is not measured.
+    pub fn latency(&self, now: Ms) -> Option<f64> {
+        let (at, latency) = self.latency?;
+        Some(latency * 0.5f64.powf(now.since(at) as f64 / LATENCY_AGE))
+    }
+
+    /// Requests at the endpoint: the own ones, or those that it told of lately if they are more.
+    pub fn load(&self, now: Ms) -> f64 {
+        let own = f64::from(self.inflight);
+        let Some((at, load)) = self.load else {
+            return own;
+        };
+        let fresh = (1.0 - now.since(at) as f64 / LOAD_AGE).max(0.0);
+        own.max(fresh * (f64::from(load.running) + f64::from(load.waiting)))
+    }
+
+    /// Share of its full work that the endpoint is given, from [`COLD`] to one over `ramp` ms.
+    pub fn warmth(&self, now: Ms, ramp: u64) -> f64 {
+        match self.born {
+            Some(born) if now.since(born) < ramp => {
+                (now.since(born) as f64 / ramp as f64).max(COLD)
+            }
+            _ => 1.0,
+        }
+    }
+
+    fn recover(&mut self) {
+        self.failures = 0;
+        self.ejections = 0;
+        self.ejected = None;
+    }
+
+    fn measure(&mut self, now: Ms, sample: f64) {
+        let mean = self.latency(now).unwrap_or(sample);
+        self.latency = Some((now, mean + LATENCY_GAIN * (sample - mean)));
+    }
+}
