At most once: claims by bucket, committed together on a condition

Requests of routes that may not be repeated had no claim to run under. The node that is about to run one now asks its kernel for a claim; keys hash to 16 buckets with one row each, and a bucket's owner commits all waiting claims and outcomes with one conditional write. Lost answers are read back and compared by attempt id; settled claims move to objects.

--- /dev/null
+++ b/crates/kernel/src/once/bucket.rs
@@ -0,0 +1,641 @@
+//! The side that owns buckets: commits the claims that wait for one row together.
+//!
+//! One write of a row is in flight at a time, on the condition that the row is unchanged since it was read.
+//! Two owners at once therefore collide, read the row again and decide again; neither grants a claim that
+//! the other has granted.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::{
+    clock::Ms,
+    event,
+    id::{CallId, NodeId, Token},
+    kernel::{Context, State},
+    members::Members,
+    once::{
+        BUCKETS, Claim, GRANT_MS, Message, PACE_MS, Reply, Settlement, Verdict, holder,
+        ledger::{Decision, Effect, Entry, Ledger, judge},
+        reply, row_key,
+        seal::Sealer,
+    },
+    platform::{ABSENT, Check, ObjectAnswer, ObjectOp, Row, TableAnswer, TableOp, Write},
+};
+
+/// Most requests that wait for one bucket; more are refused.
+const QUEUE_MAX: usize = 1_024;
+
+/// Most requests that one write of a row carries.
+const BATCH_MAX: usize = 128;
+
+/// A row of more bytes takes no new claims: too many are open or of unknown outcome.
+const ROW_MAX: usize = 128 * 1024;
+
+/// A bucket with more sealed claims within the retention takes no new ones: 8 bytes of memory each.
+const INDEX_MAX: usize = 1_000_000;
+
+/// One bucket that this node commits for.
+#[derive(Debug, Default)]
+pub(super) struct Bucket {
+    row: Known,
+    size: usize,
+    queue: VecDeque<Ask>,
+    /// Number of the newest request.
+    newest: u64,
+    flight: Option<Flight>,
+    /// When the last write began.
+    wrote: Ms,
+    /// Until when the table counts as down.
+    down: Ms,
+    sealer: Sealer,
+    lookups: BTreeMap<CallId, Ask>,
+}
+
+/// What this node knows of the row.
+#[derive(Debug, Default)]
+enum Known {
+    #[default]
+    Nothing,
+    /// At this version, as of the moment that the request with number `read` was the newest.
+    Row {
+        version: u64,
+        ledger: Ledger,
+        read: u64,
+    },
+}
+
+#[derive(Debug)]
+struct Ask {
+    work: Work,
+    since: Ms,
+    /// Counts the bucket's requests.
+    number: u64,
+    written: Written,
+}
+
+/// Whether a write that holds the request may have taken effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Written {
+    No,
+    Perhaps,
+}
+
+#[derive(Debug)]
+enum Work {
+    Claim(NodeId, Claim),
+    Settle(NodeId, Settlement),
+    Resolve(Token, Decision),
+}
+
+#[derive(Debug)]
+enum Flight {
+    Read {
+        call: CallId,
+        read: u64,
+    },
+    Write {
+        call: CallId,
+        version: u64,
+        read: u64,
+        ledger: Ledger,
+        size: usize,
+        asks: Vec<Ask>,
+        dropped: Vec<String>,
+    },
+    /// Reads the keys of a segment.
+    Index(CallId, String),
+}
+
+/// What to do with one request.
+enum Next {
+    /// Answer it now.
+    Say(Said),
+    /// Answer it once the row is written.
+    Write,
+    /// Read the row again first.
+    Reread,
+    /// Look into this segment.
+    Lookup(String),
+    /// Nobody waits for it any more.
+    Drop,
+}
+
+enum Said {
+    Verdict(Verdict),
+    Settled,
+    Resolved,
+    Refused(String),
+}
+
+impl Bucket {
+    pub(super) fn footprint(&self) -> usize {
+        self.size + self.sealer.footprint()
+    }
+
+    fn call(&self) -> Option<CallId> {
+        match self.flight.as_ref()? {
+            Flight::Read { call, .. } | Flight::Write { call, .. } | Flight::Index(call, _) => {
+                Some(*call)
+            }
+        }
+    }
+}
+
+pub(super) fn claim(cx: &mut Context<'_>, state: &mut State, from: NodeId, claim: Claim) {
+    let id = claim.key.bucket();
+    push(cx, state, id, Work::Claim(from, claim));
+}
+
+pub(super) fn settle(cx: &mut Context<'_>, state: &mut State, from: NodeId, it: Settlement) {
+    let id = it.key.bucket();
+    push(cx, state, id, Work::Settle(from, it));
+}
+
+pub(super) fn resolve(cx: &mut Context<'_>, state: &mut State, token: Token, it: Decision) {
+    let id = it.key.bucket();
+    push(cx, state, id, Work::Resolve(token, it));
+}
+
+/// Reads every bucket's row, for [`listed`].
+pub(super) fn list(cx: &mut Context<'_>) -> CallId {
+    cx.table(TableOp::Get {
+        keys: (0..BUCKETS).map(row_key).collect(),
+    })
+}
+
+/// Answers [`super::Call::List`].
+pub(super) fn listed(cx: &mut Context<'_>, state: &mut State, token: Token, answer: &TableAnswer) {
+    let TableAnswer::Rows(rows) = answer else {
+        let why = "the table gave no answer; retry later".to_owned();
+        return reply(cx, token, Reply::Refused { why });
+    };
+    let ledgers = rows.iter().map(|it| Ledger::decode(&it.value));
+    let Ok(ledgers) = ledgers.collect::<Result<Vec<Ledger>, _>>() else {
+        let why = "a claim row is damaged; upgrade this node".to_owned();
+        return reply(cx, token, Reply::Refused { why });
+    };
+    let members = &state.members;
+    let found = ledgers
+        .into_iter()
+        .flat_map(|it| it.entries)
+        .filter(|it| it.unknown(cx.now, |it| lives(members, it)))
+        .collect();
+    reply(cx, token, Reply::Listed(found));
+}
+
+pub(super) fn tick(cx: &mut Context<'_>, state: &mut State) {
+    let waiting: Vec<u16> = state
+        .once
+        .buckets
+        .iter()
+        .filter(|(_, it)| it.flight.is_none() && (!it.queue.is_empty() || it.sealer.stored()))
+        .map(|(id, _)| *id)
+        .collect();
+    for id in waiting {
+        pump(cx, state, id);
+    }
+}
+
+pub(super) fn table(cx: &mut Context<'_>, state: &mut State, call: CallId, answer: &TableAnswer) {
+    let found = state.once.buckets.iter_mut();
+    let Some((id, bucket)) = found
+        .map(|(id, it)| (*id, it))
+        .find(|(_, it)| it.call() == Some(call))
+    else {
+        return;
+    };
+    match bucket.flight.take() {
+        Some(Flight::Write {
+            version,
+            read,
+            ledger,
+            size,
+            asks,
+            dropped,
+            ..
+        }) => {
+            if *answer == TableAnswer::Committed {
+                bucket.row = Known::Row {
+                    version: version + 1,
+                    ledger,
+                    read,
+                };
+                bucket.size = size;
+                bucket.sealer.written(cx, &dropped);
+                asks.into_iter().for_each(|it| confirm(cx, state, it));
+            } else {
+                failed_write(cx, state, id, (read, asks), answer);
+            }
+        }
+        Some(Flight::Read { read, .. }) => loaded(cx, state, id, read, answer),
+        other => bucket.flight = other,
+    }
+    pump(cx, state, id);
+}
+
+pub(super) fn object(cx: &mut Context<'_>, state: &mut State, call: CallId, answer: &ObjectAnswer) {
+    let ids: Vec<u16> = state.once.buckets.keys().copied().collect();
+    for id in ids {
+        let Some(bucket) = state.once.buckets.get_mut(&id) else {
+            continue;
+        };
+        if let Some(ask) = bucket.lookups.remove(&call) {
+            return looked(cx, state, ask, answer);
+        }
+        if bucket.call() == Some(call) {
+            if let Some(Flight::Index(_, name)) = bucket.flight.take() {
+                indexed(cx, state, id, name, answer);
+            }
+            return pump(cx, state, id);
+        }
+        if bucket.sealer.object(cx, call, answer) {
+            return;
+        }
+    }
+}
+
+fn push(cx: &mut Context<'_>, state: &mut State, id: u16, work: Work) {
+    let bucket = state.once.buckets.entry(id).or_default();
+    bucket.newest += 1;
+    let ask = Ask {
+        work,
+        since: cx.now,
+        number: bucket.newest,
+        written: Written::No,
+    };
+    if cx.now < bucket.down {
+        let after = bucket.down.since(cx.now);
+        return fail(cx, state, ask, after, "the table is down; retry later");
+    }
+    if bucket.queue.len() >= QUEUE_MAX {
+        return fail(cx, state, ask, PACE_MS, "too many claims wait; retry later");
+    }
+    bucket.queue.push_back(ask);
+    pump(cx, state, id);
+}
+
+/// Starts the next operation of a bucket, if it has something to do and nothing in flight.
+fn pump(cx: &mut Context<'_>, state: &mut State, id: u16) {
+    let Some(bucket) = state.once.buckets.get_mut(&id) else {
+        return;
+    };
+    let idle = bucket.queue.is_empty() && !bucket.sealer.stored();
+    let paced = bucket.wrote != Ms(0) && cx.now.since(bucket.wrote) < PACE_MS;
+    if bucket.flight.is_some() || idle || paced {
+        return;
+    }
+    let Known::Row { ledger, .. } = &bucket.row else {
+        let keys = vec![row_key(id)];
+        bucket.flight = Some(Flight::Read {
+            call: cx.table(TableOp::Get { keys }),
+            read: bucket.newest,
+        });
+        return;
+    };
+    if let Some(name) = bucket.sealer.missing(ledger) {
+        let call = cx.object(ObjectOp::Get { name: name.clone() });
+        bucket.flight = Some(Flight::Index(call, name));
+        return;
+    }
+    decide(cx, state, id);
+}
+
+/// Decides on the waiting requests and writes the row if it changes.
+fn decide(cx: &mut Context<'_>, state: &mut State, id: u16) {
+    let Some(bucket) = state.once.buckets.get_mut(&id) else {
+        return;
+    };
+    let Known::Row {
+        version,
+        ledger: before,
+        read,
+    } = std::mem::take(&mut bucket.row)
+    else {
+        return;
+    };
+    let mut after = before.clone();
+    let mut dropped = after.expire(cx.now, cx.settings.once.retention);
+    dropped.extend(bucket.sealer.apply(&mut after));
+    let count = bucket.queue.len().min(BATCH_MAX);
+    let batch: Vec<Ask> = bucket.queue.drain(..count).collect();
+    let full = bucket.size > ROW_MAX || bucket.sealer.keys() > INDEX_MAX;
+    let (mut asks, mut says, mut again) = (Vec::new(), Vec::new(), Vec::new());
+    for ask in batch {
+        let claims = matches!(ask.work, Work::Claim(..));
+        if full && claims && ask.written == Written::No {
+            let why = "this bucket is full: resolve unknown claims or shorten the retention";
+            says.push((ask, unavailable(PACE_MS, why)));
+            continue;
+        }
+        match judge_ask(cx, &state.members, &bucket.sealer, &mut after, read, &ask) {
+            Next::Say(said) => says.push((ask, said)),
+            Next::Write => asks.push(ask),
+            Next::Reread => again.push(ask),
+            Next::Lookup(name) => {
+                let call = cx.object(ObjectOp::Get { name });
+                bucket.lookups.insert(call, ask);
+            }
+            Next::Drop => {}
+        }
+    }
+    let reread = !again.is_empty();
+    again
+        .into_iter()
+        .rev()
+        .for_each(|it| bucket.queue.push_front(it));
+    if after != before {
+        write(cx, bucket, id, version, after, asks, dropped);
+    }
+    if !reread || bucket.flight.is_some() {
+        bucket.row = Known::Row {
+            version,
+            ledger: before,
+            read,
+        };
+    }
+    for (ask, said) in says {
+        say(cx, state, ask, said);
+    }
+    pump(cx, state, id);
+}
+
+fn judge_ask(
+    cx: &Context<'_>,
+    members: &Members,
+    sealer: &Sealer,
+    ledger: &mut Ledger,
+    read: u64,
+    ask: &Ask,
+) -> Next {
+    let lives = |it: &Entry| lives(members, it);
+    let stale = ask.number > read;
+    match &ask.work {
+        // Its holder has given up by now: a claim that is written for it would stay open for nothing.
+        Work::Claim(..) if cx.now.since(ask.since) > GRANT_MS => Next::Drop,
+        Work::Claim(_, claim) => {
+            let sealed = ledger.find(&claim.key).is_none();
+            if sealed && let Some(name) = sealer.find(&claim.key) {
+                return Next::Lookup(name);
+            }
+            match ledger.claim(cx.now, claim, lives) {
+                (_, Effect::Changed) => Next::Write,
+                // What an older row says may have been settled, released or resolved through another node.
+                (Verdict::Busy | Verdict::Unknown { .. } | Verdict::Mismatch, _) if stale => {
+                    Next::Reread
+                }
+                (verdict, _) => Next::Say(Said::Verdict(verdict)),
+            }
+        }
+        Work::Settle(_, it) => match ledger.settle(it) {
+            Effect::Changed => Next::Write,
+            // The claim may have been written by another owner since the row was read.
+            Effect::Missing if stale && sealer.find(&it.key).is_none() => Next::Reread,
+            _ => Next::Say(Said::Settled),
+        },
+        Work::Resolve(_, it) => match ledger.resolve(cx.now, it, lives) {
+            Effect::Changed => Next::Write,
+            _ if stale => Next::Reread,
+            Effect::Refused(why) => Next::Say(Said::Refused(why.to_owned())),
+            Effect::Missing | Effect::Same => {
+                Next::Say(Said::Refused("no open claim has this key".to_owned()))
+            }
+        },
+    }
+}
+
+fn write(
+    cx: &mut Context<'_>,
+    bucket: &mut Bucket,
+    id: u16,
+    version: u64,
+    ledger: Ledger,
+    asks: Vec<Ask>,
+    dropped: Vec<String>,
+) {
+    let value = ledger.encode();
+    let size = value.len();
+    bucket.sealer.consider(cx, id, &ledger, size);
+    let key = row_key(id);
+    let read = bucket.newest;
+    let call = cx.table(TableOp::Commit {
+        checks: vec![Check {
+            key: key.clone(),
+            version,
+        }],
+        writes: vec![Write::Put { key, value }],
+    });
+    bucket.wrote = cx.now;
+    bucket.flight = Some(Flight::Write {
+        call,
+        version,
+        read,
+        ledger,
+        size,
+        asks,
+        dropped,
+    });
+}
+
+/// A write that did not surely take effect.
+fn failed_write(
+    cx: &mut Context<'_>,
+    state: &mut State,
+    id: u16,
+    (read, mut asks): (u64, Vec<Ask>),
+    answer: &TableAnswer,
+) {
+    let Some(bucket) = state.once.buckets.get_mut(&id) else {
+        return;
+    };
+    bucket.sealer.unwritten();
+    match answer {
+        TableAnswer::Failed(crate::platform::Fault::Unknown) => {
+            // The row is read back: a claim that is in it meets its own attempt id and is granted.
+            asks.iter_mut().for_each(|it| it.written = Written::Perhaps);
+            bucket.row = Known::Nothing;
+            requeue(bucket, asks);
+        }
+        TableAnswer::Failed(fault) => {
+            let after = holder::hint(fault);
+            bucket.down = cx.now + after;
+            let why = fault.to_string();
+            asks.into_iter()
+                .for_each(|it| fail(cx, state, it, after, &why));
+        }
+        // Another owner wrote first.
+        TableAnswer::Conflict(rows) => {
+            requeue(bucket, asks);
+            load(cx, bucket, id, read, rows);
+        }
+        TableAnswer::Committed | TableAnswer::Rows(_) => requeue(bucket, asks),
+    }
+}
+
+/// A read of the row came back.
+fn loaded(cx: &mut Context<'_>, state: &mut State, id: u16, read: u64, answer: &TableAnswer) {
+    let Some(bucket) = state.once.buckets.get_mut(&id) else {
+        return;
+    };
+    let (after, why) = match answer {
+        TableAnswer::Rows(rows) => {
+            load(cx, bucket, id, read, rows);
+            if !matches!(bucket.row, Known::Nothing) {
+                return;
+            }
+            let why = "this bucket's row is damaged; upgrade this node";
+            (GRANT_MS, why.to_owned())
+        }
+        TableAnswer::Failed(fault) => (holder::hint(fault), fault.to_string()),
+        _ => (
+            GRANT_MS,
+            "the table gave an answer of another kind".to_owned(),
+        ),
+    };
+    bucket.down = cx.now + after;
+    for ask in std::mem::take(&mut bucket.queue) {
+        fail(cx, state, ask, after, &why);
+    }
+}
+
+fn load(cx: &mut Context<'_>, bucket: &mut Bucket, id: u16, read: u64, rows: &[Row]) {
+    let key = row_key(id);
+    let found = rows.iter().find(|it| it.key == key);
+    bucket.size = found.map_or(0, |it| it.value.len());
+    let known = |version, ledger| Known::Row {
+        version,
+        ledger,
+        read,
+    };
+    bucket.row = match found.map(|it| (it.version, Ledger::decode(&it.value))) {
+        None => known(ABSENT, Ledger::default()),
+        Some((version, Ok(ledger))) => known(version, ledger),
+        Some((_, Err(error))) => {
+            cx.log(
+                "claims_damaged",
+                vec![("row", key), ("error", error.to_string())],
+            );
+            Known::Nothing
+        }
+    };
+}
+
+fn requeue(bucket: &mut Bucket, asks: Vec<Ask>) {
+    asks.into_iter()
+        .rev()
+        .for_each(|it| bucket.queue.push_front(it));
+}
+
+/// The keys of a segment came.
+fn indexed(cx: &mut Context<'_>, state: &mut State, id: u16, name: String, answer: &ObjectAnswer) {
+    let Some(bucket) = state.once.buckets.get_mut(&id) else {
+        return;
+    };
+    if bucket.sealer.index(name, answer) {
+        return;
+    }
+    // The segment may have been merged or dropped by another owner meanwhile.
+    bucket.row = Known::Nothing;
+    bucket.down = cx.now + PACE_MS;
+    for ask in std::mem::take(&mut bucket.queue) {
+        fail(
+            cx,
+            state,
+            ask,
+            PACE_MS,
+            "older claims cannot be read; retry later",
+        );
+    }
+}
+
+/// A segment that may hold a claim's key came.
+fn looked(cx: &mut Context<'_>, state: &mut State, ask: Ask, answer: &ObjectAnswer) {
+    let Work::Claim(_, claim) = &ask.work else {
+        return;
+    };
+    let entries = match answer {
+        ObjectAnswer::Bytes(bytes) => postcard::from_bytes::<Vec<Entry>>(bytes).ok(),
+        _ => None,
+    };
+    let Some(entries) = entries else {
+        return fail(
+            cx,
+            state,
+            ask,
+            PACE_MS,
+            "the kept answer cannot be read; retry later",
+        );
+    };
+    let verdict = match entries.iter().find(|it| it.key == claim.key) {
+        Some(it) => judge(cx.now, it, claim, |it| lives(&state.members, it)),
+        // Another key has the same hash. Refusing is safe, and at 64 bits it all but never happens.
+        None => Verdict::Mismatch,
+    };
+    say(cx, state, ask, Said::Verdict(verdict));
+}
+
+/// Answers a request whose write took effect.
+fn confirm(cx: &mut Context<'_>, state: &mut State, ask: Ask) {
+    let said = match &ask.work {
+        Work::Claim(..) => Said::Verdict(Verdict::Granted),
+        Work::Settle(..) => Said::Settled,
+        Work::Resolve(_, it) => {
+            let pairs = vec![
+                ("service", it.key.service.to_string()),
+                ("key", it.key.text.clone()),
+                ("resolution", format!("{:?}", it.resolution)),
+                ("author", it.author.clone()),
+                ("note", it.note.clone()),
+            ];
+            cx.log("claim_resolved", pairs);
+            Said::Resolved
+        }
+    };
+    say(cx, state, ask, said);
+}
+
+/// Answers a request for which nothing, or nothing for sure, was written.
+fn fail(cx: &mut Context<'_>, state: &mut State, ask: Ask, after: u64, why: &str) {
+    match (&ask.work, ask.written) {
+        (Work::Claim(..), Written::Perhaps) => {
+            say(cx, state, ask, Said::Verdict(Verdict::Doubt { after }));
+        }
+        (Work::Claim(..), Written::No) => say(cx, state, ask, unavailable(after, why)),
+        // Its holder sends it again until it is kept.
+        (Work::Settle(..), _) => {}
+        (Work::Resolve(..), _) => say(cx, state, ask, Said::Refused(why.to_owned())),
+    }
+}
+
+fn unavailable(after: u64, why: &str) -> Said {
+    let why = why.to_owned();
+    Said::Verdict(Verdict::Unavailable { after, why })
+}
+
+fn say(cx: &mut Context<'_>, state: &mut State, ask: Ask, said: Said) {
+    match (ask.work, said) {
+        (Work::Claim(from, claim), Said::Verdict(verdict)) => {
+            let attempt = claim.attempt;
+            if from == cx.settings.node {
+                return holder::verdict(cx, state, attempt, &verdict);
+            }
+            let message = Message::Verdict { attempt, verdict };
+            cx.send(from, event::Message::Once(message));
+        }
+        (Work::Settle(from, it), _) => {
+            let attempt = it.attempt;
+            if from == cx.settings.node {
+                return holder::settled(cx, state, attempt);
+            }
+            cx.send(from, event::Message::Once(Message::Settled { attempt }));
+        }
+        (Work::Resolve(token, _), Said::Refused(why)) => reply(cx, token, Reply::Refused { why }),
+        (Work::Resolve(token, _), _) => reply(cx, token, Reply::Resolved),
+        (Work::Claim(..), _) => {}
+    }
+}
+
+/// Whether the process that holds `entry` still runs, as far as this node knows.
+fn lives(members: &Members, entry: &Entry) -> bool {
+    members
+        .alive()
+        .any(|it| it.id == entry.holder && it.incarnation == entry.incarnation)
+}
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -2,7 +2,10 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use crate::id::{Name, NodeId};
+use crate::{
+    id::{Name, NodeId},
+    once::OnceSettings,
+};
 
 /// Settings of one kernel. The driver has checked them.
 #[derive(Clone, Debug)]
@@ -21,6 +24,8 @@
     pub peers: Vec<NodeId>,
     /// How configuration spreads. Default: [`SpreadSettings::default`].
     pub spread: SpreadSettings,
+    /// How claims are kept. Default: [`OnceSettings::default`].
+    pub once: OnceSettings,
 }
 
 /// How configuration spreads, and the baselines it is measured against.
@@ -83,6 +88,7 @@
             zone: name("local-a"),
             peers: Vec::new(),
             spread: SpreadSettings::default(),
+            once: OnceSettings::default(),
         }
     }
 }
