--- a/crates/kernel/src/view.rs
+++ b/crates/kernel/src/view.rs
@@ -5,6 +5,7 @@
 use crate::{
     document::Document,
     event::{Action, Event, Notice},
+    guard::Quarantined,
     id::{Name, NodeId, Revision, Seq},
     kernel::{Context, Plugin, State},
     members::{Phase, Record},
@@ -21,6 +22,8 @@
     pub services: BTreeMap<Name, ServiceView>,
     /// The offer and phase of the upstream beside this node.
     pub own: Option<OwnView>,
+    /// Requests that crash their upstream: refused, or run one at a time.
+    pub quarantined: Arc<Quarantined>,
 }
 
 /// One service.
@@ -72,7 +75,10 @@
 
 fn handle(cx: &mut Context<'_>, state: &mut State, event: &Event) {
     match event {
-        Event::Start | Event::Notice(Notice::Applied { .. } | Notice::Members | Notice::Own) => {
+        Event::Start
+        | Event::Notice(
+            Notice::Applied { .. } | Notice::Members | Notice::Own | Notice::Quarantine,
+        ) => {
             state.publisher.stale = true;
         }
         Event::Tick => {}
@@ -108,6 +114,7 @@
             phase: own.phase,
             slots: it.slots,
         }),
+        quarantined: state.guard.quarantined(),
     }
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -54,6 +54,7 @@
             zone: config.zone.parse()?,
             peers: config.peers.iter().copied().map(NodeId).collect(),
             spread: config.spread.clone(),
+            ..Settings::default()
         };
         let caller = bind("caller", config.caller).await?;
         let traffic = bind("traffic", config.traffic).await?;
