Types to ask for an outcome by id and to read the audit

Operators and the node's API need the shapes before the committer grows: Call::Outcome, Call::Audit, Verdict::Absent, Entry and Page. The answers to both calls are refusals until the committer lands.

--- a/crates/kernel/src/accept.rs
+++ b/crates/kernel/src/accept.rs
@@ -66,6 +66,9 @@
     Unavailable { why: String },
     /// It may or may not be accepted: ask again by its id.
     Unknown { id: SubmitId },
+    /// Asked by its id: the log holds no such submission so far. Submitting it again under the same id
+    /// is safe.
+    Absent { id: SubmitId },
 }
 
 /// What operators ask.
@@ -73,13 +76,44 @@
 pub enum Call {
     /// Make a change.
     Submit(Submission),
+    /// What became of the submission `id`?
+    Outcome { id: SubmitId },
+    /// The log after `after`, oldest first, at most `limit` entries.
+    Audit {
+        /// Only entries that changed this service.
+        service: Option<Name>,
+        after: Seq,
+        limit: u32,
+    },
 }
 
 /// The answer to a [`Call`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
-    /// To [`Call::Submit`].
+    /// To [`Call::Submit`] and [`Call::Outcome`].
     Verdict(Verdict),
+    /// To [`Call::Audit`].
+    Audit(Page),
+    /// The table gave no answer to a [`Call::Audit`].
+    Unavailable { why: String },
+}
+
+/// One entry of the log as the table keeps it: who changed what, when, why, and how.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The changes.
+    pub batch: Batch,
+    /// For each change, in order, the unified diff from the document it replaced.
+    pub diffs: Vec<String>,
+}
+
+/// Part of the log.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Page {
+    /// Oldest first.
+    pub entries: Vec<Entry>,
+    /// Ask again after this one; nothing when the end of the log was reached.
+    pub next: Option<Seq>,
 }
 
 /// Between a node that took a submission and a committer.
@@ -103,6 +137,17 @@
             token,
             call: event::Call::Accept(Call::Submit(submission)),
         } => submit(cx, state, *token, submission),
+        Event::Call {
+            token,
+            call: event::Call::Accept(Call::Outcome { id }),
+        } => reply(cx, *token, Verdict::Unknown { id: *id }),
+        Event::Call {
+            token,
+            call: event::Call::Accept(Call::Audit { .. }),
+        } => {
+            let why = "the audit is not readable on this node yet".to_owned();
+            cx.reply(*token, event::Reply::Accept(Reply::Unavailable { why }));
+        }
         Event::Table { call, answer } => answered(cx, state, *call, answer),
         _ => {}
     }
