Seal the link's frames with a keyed hash and refuse replays

Cause: frames between nodes named their sender without proof, and a recorded frame could be sent again. A verdict could not be decoded at all: its encoding was internally tagged, which postcard cannot read back; the new link test hung on it until the tag was removed. Change: frames carry sender, start of its process, counter and a 16-byte keyed BLAKE3 tag over channel, receiver and content; two keys open during a rotation; a window of 64 counters a sender refuses replays and forgets after 60 s; bytes are counted by kind; a test keeps the nine-byte frame header that claims a terabyte. Before: a stranger's well-formed frame was taken.

--- a/crates/edge/src/api.rs
+++ b/crates/edge/src/api.rs
@@ -33,7 +33,6 @@
     /// The submission's id.
     pub id: String,
     /// What became of it.
-    #[serde(flatten)]
     pub verdict: Verdict,
 }
 
--- a/crates/kernel/src/accept.rs
+++ b/crates/kernel/src/accept.rs
@@ -50,7 +50,7 @@
 
 /// What became of a submission.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", tag = "verdict")]
+#[serde(rename_all = "kebab-case")]
 pub enum Verdict {
     /// It is part of the log and never reverts.
     Accepted { seq: Seq, revision: Revision },
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -13,7 +13,7 @@
 use arc_swap::ArcSwap;
 use laburnum_edge::{
     Clock, Incoming, Link, LinkError, Platform,
-    link::{Waker, ZmqLink},
+    link::{Keys, Waker, ZmqLink},
 };
 use laburnum_kernel::{Action, Call, Event, Kernel, Reply, Settings, Token, View, event::TICK_MS};
 use tokio::{runtime::Handle, sync::oneshot};
@@ -82,7 +82,7 @@
         platform: Arc<dyn Platform>,
         runtime: Handle,
     ) -> Result<ControlThread, LinkError> {
-        let (link, waker) = ZmqLink::bind(settings.node)?;
+        let (link, waker) = ZmqLink::bind(settings.node, Keys::default(), clock.clone())?;
         let (queue, commands) = channel();
         let control = Control {
             queue,
