Stand-ins for the platform and for upstreams, with faults on demand

Cause: nothing could play an outage, a lost answer, a crash or a silent connection. Change: Faulty (in process) and PlatformServer (HTTP) share one seeded injector; Upstream has slots, cold start, shedding, crashes, silence, lying health, cut and late answers, a ledger and a lease with its node; laburnum-standin serves both with settings of the flags crate.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,3 +1,18 @@
-//! Small stand-ins for the platform and for upstreams, for tests and trials.
+//! Small stand-ins for the platform and for upstreams, with faults on demand, for tests and trials.
+//!
+//! Both run inside a test or bench ([`Faulty`], [`Upstream`]) or as the binary `laburnum-standin`.
 
+pub mod body;
+pub mod cli;
+pub mod faults;
+pub mod faulty;
+pub mod platform;
+pub mod server;
 pub mod upstream;
+
+pub use crate::{
+    faults::{Answers, Faults, Outage, Share, Stats},
+    faulty::Faulty,
+    platform::PlatformServer,
+    upstream::{Behaviour, Ledger, Upstream, UpstreamSettings},
+};
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,18 +1,64 @@
 //! `laburnum-standin`: small stand-ins for trials.
 
-use laburnum_standin::upstream::Upstream;
-use pico_args::Arguments;
+use std::{process::ExitCode, sync::Arc};
+
+use laburnum_edge::{Clock, Memory};
+use laburnum_flags::{Exit, Input, Values};
+use laburnum_standin::{
+    Faulty, PlatformServer, Upstream,
+    cli::{self, PlatformCommand},
+};
+use tokio::signal::unix::{SignalKind, signal};
 
 #[tokio::main]
-async fn main() -> Result<(), Box<dyn std::error::Error>> {
-    let mut args = Arguments::from_env();
-    let command = args.subcommand()?;
-    if command.as_deref() != Some("upstream") {
-        return Err("usage: laburnum-standin upstream --listen ADDRESS".into());
+async fn main() -> ExitCode {
+    let (command, values) = match cli::SUITE.parse(Input::process()) {
+        Ok(parsed) => parsed,
+        Err(stop) => return stop.exit(),
+    };
+    let run = match command {
+        cli::PLATFORM_COMMAND => platform(&values).await,
+        _ => upstream(&values).await,
+    };
+    match run {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("laburnum-standin: {error}; choose a free address with --listen");
+            ExitCode::from(Exit::FAILURE.code)
+        }
     }
-    let upstream = Upstream::start(args.value_from_str("--listen")?).await?;
-    println!("event=listening address={}", upstream.address());
-    tokio::signal::ctrl_c().await?;
-    upstream.close();
+}
+
+async fn platform(values: &Values) -> std::io::Result<()> {
+    let command = PlatformCommand::new(values);
+    let memory = Arc::new(Memory::default());
+    let faulty = Faulty::new(memory, Clock::system(), command.seed);
+    faulty.set(command.faults);
+    let server = PlatformServer::start(command.listen, faulty).await?;
+    println!(
+        "event=listening command=platform address={}",
+        server.address()
+    );
+    stopped().await?;
+    server.close();
     Ok(())
 }
+
+async fn upstream(values: &Values) -> std::io::Result<()> {
+    let upstream = Upstream::start(cli::upstream(values)).await?;
+    println!(
+        "event=listening command=upstream address={}",
+        upstream.address()
+    );
+    stopped().await?;
+    upstream.drain().await;
+    Ok(())
+}
+
+async fn stopped() -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = terminate.recv() => Ok(()),
+        interrupt = tokio::signal::ctrl_c() => interrupt,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,218 @@
+//! The platform's HTTP service, as `docs/PLATFORM.md` describes it, with faults.
+//!
+//! Beside the platform's own paths it answers `GET /faults`, `PUT /faults` (both [`Faults`]) and
+//! `GET /stats` ([`crate::Stats`]).
+
+use std::{future::pending, net::SocketAddr};
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use laburnum_edge::http::wire::{
+    self, Base64, BytesBody, CommitBody, DoneBody, Effect, ErrorBody, GetBody, NameBody,
+    ObjectBody, RowsBody, ScanBody,
+};
+use laburnum_kernel::platform::{Fault, ObjectAnswer, ObjectOp, TableAnswer, TableOp};
+use serde::de::DeserializeOwned;
+use tokio::net::TcpListener;
+
+use crate::{
+    body::{self, Body, Cut},
+    faults::Faults,
+    faulty::{Faulty, Served},
+    server::{Conns, Server},
+};
+
+/// Reads and replaces the faults.
+pub const FAULTS: &str = "/faults";
+/// Reads what was served so far.
+pub const STATS: &str = "/stats";
+
+/// Most bytes of one request: a full commit of the largest values, as base64.
+const REQUEST_MAX: usize = 40 * 1024 * 1024;
+
+/// A running stand-in for the platform.
+#[derive(Debug)]
+pub struct PlatformServer {
+    server: Server,
+}
+
+impl PlatformServer {
+    /// Serves `faulty` on `address`; port zero picks a free one.
+    pub async fn start(address: SocketAddr, faulty: Faulty) -> std::io::Result<PlatformServer> {
+        let listener = TcpListener::bind(address).await?;
+        let handler = move |_, request| handle(faulty.clone(), request);
+        let server = Server::start(listener, Conns::default(), handler)?;
+        Ok(PlatformServer { server })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Ends it and every connection to it; what it stored stays with its [`Faulty`].
+    pub fn close(self) {
+        self.server.close();
+    }
+}
+
+type Answered = Result<Response<Body>, Cut>;
+
+/// Why a request is not carried out.
+enum Refusal {
+    TooLong,
+    Malformed(String),
+    Cut,
+}
+
+async fn handle(faulty: Faulty, request: Request<Incoming>) -> Answered {
+    let (parts, body) = request.into_parts();
+    let answered = match Limited::new(body, REQUEST_MAX).collect().await {
+        Ok(body) => route(&faulty, &parts.method, parts.uri.path(), body.to_bytes()).await,
+        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::TooLong),
+        Err(_) => Err(Refusal::Cut),
+    };
+    match answered {
+        Ok(response) => Ok(response),
+        Err(Refusal::Cut) => Err(Cut),
+        Err(Refusal::TooLong) => {
+            let why = format!("the request exceeds {REQUEST_MAX} bytes; split it");
+            Ok(error(StatusCode::PAYLOAD_TOO_LARGE, why))
+        }
+        Err(Refusal::Malformed(why)) => Ok(error(StatusCode::BAD_REQUEST, why)),
+    }
+}
+
+async fn route(
+    faulty: &Faulty,
+    method: &Method,
+    path: &str,
+    bytes: Bytes,
+) -> Result<Response<Body>, Refusal> {
+    match (method, path) {
+        (&Method::GET, STATS) => Ok(body::json(StatusCode::OK, &faulty.stats())),
+        (&Method::GET, FAULTS) => Ok(body::json(StatusCode::OK, &faulty.faults())),
+        (&Method::PUT, FAULTS) => {
+            let faults: Faults = read(&bytes)?;
+            faulty.set(faults);
+            Ok(body::json(StatusCode::OK, &faults))
+        }
+        (&Method::POST, wire::TABLE_GET) => {
+            let GetBody { keys } = read(&bytes)?;
+            table(faulty, TableOp::Get { keys }).await
+        }
+        (&Method::POST, wire::TABLE_SCAN) => {
+            let scan: ScanBody = read(&bytes)?;
+            let op = TableOp::Scan {
+                prefix: scan.prefix,
+                after: scan.after,
+                limit: scan.limit,
+            };
+            table(faulty, op).await
+        }
+        (&Method::POST, wire::TABLE_COMMIT) => {
+            let CommitBody { checks, writes } = read(&bytes)?;
+            let writes = writes.into_iter().map(Into::into).collect();
+            table(faulty, TableOp::Commit { checks, writes }).await
+        }
+        (&Method::POST, wire::OBJECT_PUT) => {
+            let ObjectBody { name, bytes } = read(&bytes)?;
+            let bytes = bytes.0;
+            object(faulty, &name.clone(), ObjectOp::Put { name, bytes }).await
+        }
+        (&Method::POST, wire::OBJECT_GET) => {
+            let NameBody { name } = read(&bytes)?;
+            object(faulty, &name.clone(), ObjectOp::Get { name }).await
+        }
+        (&Method::POST, wire::OBJECT_DELETE) => {
+            let NameBody { name } = read(&bytes)?;
+            object(faulty, &name.clone(), ObjectOp::Delete { name }).await
+        }
+        _ => {
+            let why = format!("no {method} {path}; see docs/PLATFORM.md");
+            Ok(error(StatusCode::NOT_FOUND, why))
+        }
+    }
+}
+
+async fn table(faulty: &Faulty, op: TableOp) -> Result<Response<Body>, Refusal> {
+    let served = faulty.serve_table(op).await;
+    send(served, |answer| match answer {
+        TableAnswer::Rows(rows) => body::json(StatusCode::OK, &RowsBody::from(rows)),
+        TableAnswer::Conflict(rows) => body::json(StatusCode::CONFLICT, &RowsBody::from(rows)),
+        TableAnswer::Committed => body::json(StatusCode::OK, &DoneBody { done: true }),
+        TableAnswer::Failed(fault) => refuse(fault),
+    })
+    .await
+}
+
+async fn object(faulty: &Faulty, name: &str, op: ObjectOp) -> Result<Response<Body>, Refusal> {
+    let served = faulty.serve_object(op).await;
+    let found = |status, bytes| {
+        let name = name.to_owned();
+        body::json(status, &BytesBody { name, bytes })
+    };
+    send(served, |answer| match answer {
+        ObjectAnswer::Done => body::json(StatusCode::OK, &DoneBody { done: true }),
+        ObjectAnswer::Bytes(bytes) => found(StatusCode::OK, Some(Base64(bytes))),
+        ObjectAnswer::Absent => found(StatusCode::NOT_FOUND, None),
+        ObjectAnswer::Failed(fault) => refuse(fault),
+    })
+    .await
+}
+
+async fn send<A>(
+    served: Served<A>,
+    encode: impl FnOnce(A) -> Response<Body>,
+) -> Result<Response<Body>, Refusal> {
+    match served {
+        Served::Whole(answer) => Ok(encode(answer)),
+        Served::Truncated(answer) => Ok(body::cut(encode(answer))),
+        Served::Malformed => Ok(body::text(StatusCode::OK, "<html>\n".to_owned())),
+        Served::Refused(fault) => Ok(refuse(fault)),
+        Served::Cut => Err(Refusal::Cut),
+        // Ends when the caller hangs up.
+        Served::Never => pending().await,
+    }
+}
+
+fn refuse(fault: Fault) -> Response<Body> {
+    let why = fault.to_string();
+    match fault {
+        Fault::Throttled { after } => {
+            let body = ErrorBody {
+                error: why,
+                after: Some(after),
+                effect: Effect::None,
+            };
+            let mut response = body::json(StatusCode::TOO_MANY_REQUESTS, &body);
+            let seconds = HeaderValue::from(after.div_ceil(1000));
+            response.headers_mut().insert(header::RETRY_AFTER, seconds);
+            response
+        }
+        Fault::Unavailable => {
+            let body = ErrorBody {
+                error: why,
+                after: None,
+                effect: Effect::None,
+            };
+            body::json(StatusCode::SERVICE_UNAVAILABLE, &body)
+        }
+        Fault::Unknown => error(StatusCode::INTERNAL_SERVER_ERROR, why),
+        Fault::Invalid(why) => error(StatusCode::BAD_REQUEST, why),
+    }
+}
+
+fn error(status: StatusCode, error: String) -> Response<Body> {
+    let body = ErrorBody {
+        error,
+        ..ErrorBody::default()
+    };
+    body::json(status, &body)
+}
+
+fn read<T: DeserializeOwned>(bytes: &Bytes) -> Result<T, Refusal> {
+    serde_json::from_slice(bytes).map_err(|it| Refusal::Malformed(it.to_string()))
+}
--- /dev/null
+++ b/crates/standin/src/upstream/announce.rs
@@ -0,0 +1,75 @@
+//! The upstream's announcement to the node beside it, renewed as a lease.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Method, Request, header};
+use http_body_util::Full;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use laburnum_edge::api::AnnounceBody;
+use tokio::sync::watch;
+
+use crate::upstream::Phase;
+
+/// Where a node takes announcements.
+pub const PATH: &str = "/v1/upstream";
+
+/// Where and how often to announce.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    /// The node's admin address.
+    pub node: SocketAddr,
+    /// Milliseconds between two heartbeats, and the longest wait for one answer.
+    pub heartbeat: u64,
+    /// What to announce; `ready` follows the phase.
+    pub body: AnnounceBody,
+}
+
+/// Announces each phase at once and renews it until the upstream drains; then withdraws it.
+pub async fn run(lease: Lease, mut phases: watch::Receiver<Phase>) {
+    let client = Client::builder(TokioExecutor::new()).build(HttpConnector::new());
+    let heartbeat = Duration::from_millis(lease.heartbeat);
+    loop {
+        let phase = *phases.borrow_and_update();
+        let request = match phase {
+            Phase::Draining => request(&lease, Method::DELETE, Bytes::new()),
+            Phase::Warming | Phase::Ready => {
+                request(&lease, Method::PUT, announcement(&lease, phase))
+            }
+        };
+        if let Some(request) = request {
+            // A lost heartbeat is made good by the next, a lost withdrawal by the lease's end.
+            let _ = tokio::time::timeout(heartbeat, client.request(request)).await;
+        }
+        if phase == Phase::Draining {
+            return;
+        }
+        tokio::select! {
+            changed = phases.changed() => if changed.is_err() { return },
+            () = tokio::time::sleep(heartbeat) => {}
+        }
+    }
+}
+
+fn announcement(lease: &Lease, phase: Phase) -> Bytes {
+    let ready = phase == Phase::Ready;
+    let body = AnnounceBody {
+        ready,
+        ..lease.body.clone()
+    };
+    serde_json::to_vec(&body)
+        .map(Bytes::from)
+        .unwrap_or_default()
+}
+
+fn request(lease: &Lease, method: Method, body: Bytes) -> Option<Request<Full<Bytes>>> {
+    Request::builder()
+        .method(method)
+        .uri(format!("http://{}{PATH}", lease.node))
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(body))
+        .ok()
+}
