--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -126,7 +126,8 @@
     stats: Stats,
 }
 
-/// A token bucket that holds a second's worth. It may go into debt, since rows read are counted after.
+/// A token bucket that holds a second's worth and admits a call while a whole row is left. It may go into
+/// debt, since the rows of a call are known only afterwards.
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
     /// Rows a second; 0 for no limit.
@@ -238,10 +239,11 @@
     /// Whether a call may pass, else the milliseconds until one may.
     fn admit(&mut self, now: Ms) -> Result<(), u64> {
         self.fill(now);
-        if self.rate == 0 || self.level > 0 {
+        let missing = capacity(1).saturating_sub(self.level);
+        if self.rate == 0 || missing <= 0 {
             return Ok(());
         }
-        Err(self.level.unsigned_abs() / self.rate + 1)
+        Err(missing.unsigned_abs().div_ceil(self.rate))
     }
 
     fn take(&mut self, now: Ms, rows: u64) {
