Tests of the stand-in upstream; its cut answers reach the caller

Cause: an error right after the first half of a body ended the connection before the half was flushed, so a cut answer looked like none.

--- a/crates/standin/src/body.rs
+++ b/crates/standin/src/body.rs
@@ -22,7 +22,9 @@
     Whole(Bytes),
     /// A part of what the length header promises, then the connection ends.
     Part(Bytes),
-    /// The part was sent.
+    /// The part is being sent.
+    Pause,
+    /// Everything was sent that will be.
     Over(Result<(), Cut>),
 }
 
@@ -64,18 +66,26 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _cx: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         let next = match &*self {
             Body::Whole(_) => Body::Over(Ok(())),
-            Body::Part(_) => Body::Over(Err(Cut)),
+            Body::Part(_) => Body::Pause,
+            Body::Pause => Body::Over(Err(Cut)),
             Body::Over(_) => Body::Over(Ok(())),
         };
-        Poll::Ready(match std::mem::replace(&mut *self, next) {
-            Body::Whole(bytes) | Body::Part(bytes) => Some(Ok(Frame::data(bytes))),
-            Body::Over(Ok(())) => None,
-            Body::Over(Err(cut)) => Some(Err(cut)),
-        })
+        match std::mem::replace(&mut *self, next) {
+            Body::Whole(bytes) | Body::Part(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+            // An error at once would end the connection before the server flushed the part, and the
+            // caller would see no answer where it should see half of one. The server flushes whenever
+            // it has to wait.
+            Body::Pause => {
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            Body::Over(Ok(())) => Poll::Ready(None),
+            Body::Over(Err(cut)) => Poll::Ready(Some(Err(cut))),
+        }
     }
 
     fn is_end_stream(&self) -> bool {
@@ -85,7 +95,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Body::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            Body::Part(_) | Body::Over(Err(_)) => SizeHint::default(),
+            Body::Part(_) | Body::Pause | Body::Over(Err(_)) => SizeHint::default(),
             Body::Over(Ok(())) => SizeHint::with_exact(0),
         }
     }
--- a/crates/standin/src/upstream/work.rs
+++ b/crates/standin/src/upstream/work.rs
@@ -35,12 +35,19 @@
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// Crashes the upstream once the request starts to run, if its value is `1`.
 pub const CRASH: &str = "x-crash";
+/// Milliseconds that are left for the request; one that still waits by then is refused as not run.
+pub const DEADLINE: &str = "laburnum-deadline";
 /// Says `not-run` on refusals.
 pub const OUTCOME: &str = "laburnum-outcome";
 
 /// Most bytes of a request's body.
 const REQUEST_MAX: usize = 16 * 1024 * 1024;
 
+/// Why a request is refused whose deadline is over.
+const EXPIRED: &str = "the deadline is over; send it again with more time";
+/// A day.
+const NO_DEADLINE_MS: u64 = 24 * 3_600 * 1_000;
+
 type Answered = Result<Response<Body>, Cut>;
 
 /// Whether a request may run.
@@ -99,7 +106,7 @@
         decided: false,
     };
     let bytes = read(incoming).await?;
-    let admission = admit(shared).await;
+    let admission = admit_in_time(shared, deadline(&parts.headers)).await;
     arrival.decided = true;
     let permit = match admission {
         Admission::Run(permit) => permit,
@@ -138,6 +145,21 @@
     body.map(|it| it.to_bytes()).map_err(|_| Cut)
 }
 
+async fn admit_in_time(shared: &Shared, left: u64) -> Admission {
+    if left == 0 {
+        return Admission::Shed(EXPIRED);
+    }
+    let admission = tokio::time::timeout(Duration::from_millis(left), admit(shared)).await;
+    admission.unwrap_or(Admission::Shed(EXPIRED))
+}
+
+/// A caller without a deadline gets one that no run lasts for.
+fn deadline(headers: &HeaderMap) -> u64 {
+    text(headers, DEADLINE)
+        .and_then(|it| it.parse().ok())
+        .unwrap_or(NO_DEADLINE_MS)
+}
+
 async fn admit(shared: &Shared) -> Admission {
     match *shared.phase.borrow() {
         Phase::Warming => return Admission::Shed("the upstream is warming up; retry elsewhere"),
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -535,6 +535,7 @@
 #[test_case(answer("200 OK", "", FOREIGN), Fault::Unavailable, Fault::Unknown; "rows of another question")]
 #[test_case(answer("409 Conflict", "", FOREIGN), Fault::Unavailable, Fault::Unknown; "conflict of another commit")]
 #[test_case(answer("200 OK", "", NO_VERSION), Fault::Unavailable, Fault::Unknown; "row without a version")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n{\"done\":true}".to_owned(), Fault::Unavailable, Fault::Unknown; "cut within the body")]
 #[test_case(String::new(), Fault::Unavailable, Fault::Unknown; "connection closed")]
 #[test_case("SSH-2.0\r\n".to_owned(), Fault::Unavailable, Fault::Unknown; "another protocol")]
 #[tokio::test]
