Check documents whole, with every fault at its place

Cause: documents were read by serde alone: integers without units, no bounds, the first fault only, and unknown keys passed. Two routes could carry one request, and a filing could be marked repeatable.

Change: one reader (kernel::document) walks the parsed TOML with its spans and notes every fault with line, column and remedy; durations and sizes are text with units; defaults for everything but schema, service, owner, path and methods. check_uses places dangling references.

--- a/crates/kernel/src/document.rs
+++ b/crates/kernel/src/document.rs
@@ -1,13 +1,42 @@
 //! The document that describes how one service is reached.
+//!
+//! [`Document::parse`] is the only way from text to a [`Document`]: submissions and nodes share it, so a
+//! text that was accepted is applied, and whole.
 
-use std::sync::Arc;
+mod fault;
+mod read;
+mod table;
+mod unit;
+
+use std::{collections::BTreeSet, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
+pub use self::fault::{BadDocument, FAULTS_MAX, Fault, FaultKind};
 use crate::id::Name;
 
 /// The newest schema that this build understands.
 pub const SCHEMA: u32 = 1;
+/// The longest document, in bytes.
+pub const DOCUMENT_MAX: usize = 64 * 1024;
+/// Most routes of one document.
+pub const ROUTES_MAX: usize = 256;
+/// Most services that one route uses.
+pub const USES_MAX: usize = 64;
+/// The longest owner, in bytes.
+pub const OWNER_MAX: usize = 128;
+/// The longest path of a route, in bytes.
+pub const PATH_MAX: usize = 512;
+/// The longest method, in bytes.
+pub const METHOD_MAX: usize = 16;
+/// The largest `limits.body`, in bytes.
+pub const BODY_MAX: u64 = 64 << 20;
+/// The shortest deadline, in ms.
+pub const DEADLINE_MIN: u64 = 10;
+/// The longest deadline, in ms.
+pub const DEADLINE_MAX: u64 = 15 * 60_000;
+/// The longest `drain.grace` and `warmup.ramp`, in ms.
+pub const WAIT_MAX: u64 = 10 * 60_000;
 
 /// One service's document, checked.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,11 +64,11 @@
 pub struct Route {
     /// Path prefix, from `/`; matched by whole segments.
     pub path: Arc<str>,
-    /// Methods in upper case; empty means every method.
+    /// Methods in upper case, at least one.
     pub methods: Vec<Arc<str>>,
     /// Share of the upstream that the route is entitled to.
     pub class: Class,
-    /// Longest time a request may take in all, in ms.
+    /// Longest time a request may take in all, in ms. Default: [`Class::deadline`].
     pub deadline: u64,
     /// Whether a request may run more than once.
     pub repeat: Repeat,
@@ -103,15 +132,15 @@
     pub ramp: u64,
 }
 
-/// The text is not a valid document.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{0}")]
-pub struct BadDocument(pub String);
-
 impl Document {
     /// Reads and checks a document in TOML.
     pub fn parse(text: &str) -> Result<Document, BadDocument> {
-        toml::from_str(text).map_err(|it| BadDocument(it.to_string()))
+        read::read(text).map(|it| it.document)
+    }
+
+    /// Every service that the routes use.
+    pub fn uses(&self) -> BTreeSet<&Name> {
+        self.routes.iter().flat_map(|it| &it.uses).collect()
     }
 
     /// The route that carries `method` on `path`, if any: the longest prefix wins.
@@ -125,10 +154,67 @@
 
 impl Route {
     fn covers(&self, method: &str, path: &str) -> bool {
-        let named = self.methods.is_empty() || self.methods.iter().any(|it| &**it == method);
+        let named = self.methods.iter().any(|it| &**it == method);
         let Some(rest) = path.strip_prefix(&*self.path) else {
             return false;
         };
         named && (rest.is_empty() || rest.starts_with('/') || self.path.ends_with('/'))
     }
 }
+
+/// Checks that every service which the document in `text` uses exists; lists those that do not.
+///
+/// Reads the text again, as only the text knows the place of each reference. Call it when
+/// [`Document::uses`] names a service that is not there.
+pub fn check_uses(text: &str, exists: impl Fn(&Name) -> bool) -> Result<(), BadDocument> {
+    let read = read::read(text)?;
+    let mut faults = table::Faults::new(text);
+    for (offset, service) in read.uses {
+        if !exists(&service) {
+            faults.note(offset, FaultKind::Dangling(service));
+        }
+    }
+    faults.finish(Some(()))
+}
+
+impl Class {
+    /// The deadline of a route that names none, in ms.
+    pub fn deadline(self) -> u64 {
+        match self {
+            Class::Interactive => 1_000,
+            Class::Exact => 5_000,
+            Class::Background => 60_000,
+        }
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            queue: 64,
+            caller: 0,
+            body: 1 << 20,
+        }
+    }
+}
+
+impl Default for Retry {
+    fn default() -> Retry {
+        Retry {
+            attempts: 3,
+            budget: 10,
+        }
+    }
+}
+
+impl Default for Drain {
+    fn default() -> Drain {
+        Drain { grace: 30_000 }
+    }
+}
+
+impl Default for Warmup {
+    fn default() -> Warmup {
+        Warmup { ramp: 5_000 }
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/document/read.rs
@@ -0,0 +1,348 @@
+//! From text to a checked [`Document`].
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use toml::de::{DeTable, DeValue};
+
+use crate::{
+    document::{
+        BODY_MAX, Class, DEADLINE_MAX, DEADLINE_MIN, DOCUMENT_MAX, Document, Drain, Limits,
+        METHOD_MAX, OWNER_MAX, PATH_MAX, ROUTES_MAX, Repeat, Retry, Route, SCHEMA, USES_MAX,
+        WAIT_MAX, Warmup,
+        fault::{BadDocument, FaultKind, nearest},
+        table::{At, Faults, Section, clip, name, wrong},
+        unit::{DURATION, SIZE},
+    },
+    id::Name,
+};
+
+const DOCUMENT_KEYS: [&str; 8] = [
+    "schema", "service", "owner", "routes", "limits", "retry", "drain", "warmup",
+];
+const ROUTE_KEYS: [&str; 6] = ["path", "methods", "class", "deadline", "repeat", "uses"];
+
+/// A document as read, with the place of each reference.
+pub(super) struct Read {
+    pub document: Document,
+    pub uses: Vec<At<Name>>,
+}
+
+/// Reads and checks `text`; lists every fault that can be told apart at once.
+pub(super) fn read(text: &str) -> Result<Read, BadDocument> {
+    let mut faults = Faults::new(text);
+    if text.len() > DOCUMENT_MAX {
+        faults.note(0, FaultKind::Oversized(text.len()));
+        return faults.finish(None);
+    }
+    let (table, errors) = DeTable::parse_recoverable(text);
+    for error in &errors {
+        let offset = error.span().map_or(0, |it| it.start);
+        faults.note(offset, FaultKind::Syntax(error.message().to_owned()));
+    }
+    // What is left of a text with broken syntax would only yield faults that are not there.
+    if !errors.is_empty() {
+        return faults.finish(None);
+    }
+    if let Some((offset, schema)) = newer(table.get_ref()) {
+        faults.note(offset, FaultKind::NewSchema(schema));
+        return faults.finish(None);
+    }
+    let value = document(&mut faults, table.get_ref());
+    faults.finish(value)
+}
+
+/// The schema, if it is newer than [`SCHEMA`]: other faults would then mean nothing.
+fn newer(table: &DeTable<'_>) -> Option<At<u64>> {
+    let value = table.get("schema")?;
+    let DeValue::Integer(number) = value.get_ref() else {
+        return None;
+    };
+    let schema = u64::from_str_radix(number.as_str(), number.radix()).ok()?;
+    (schema > u64::from(SCHEMA)).then(|| (value.span().start, schema))
+}
+
+fn document(faults: &mut Faults<'_>, table: &DeTable<'_>) -> Option<Read> {
+    let root = Section::new(faults, "the document", 0, table, &DOCUMENT_KEYS);
+    root.demand(faults, "schema", "\"schema = 1\"");
+    let schema = root.count(faults, "schema", 1..=SCHEMA, SCHEMA);
+    let service = root.name(faults, "service", "service = \"drafting-desk\"");
+    let owner = owner(faults, &root);
+    let limits = limits(faults, &root);
+    let retry = retry(faults, &root);
+    let section = root.section(faults, "drain", &["grace"]);
+    let grace = section.quantity(
+        faults,
+        "grace",
+        &DURATION,
+        0..=WAIT_MAX,
+        Drain::default().grace,
+    );
+    let section = root.section(faults, "warmup", &["ramp"]);
+    let ramp = section.quantity(
+        faults,
+        "ramp",
+        &DURATION,
+        0..=WAIT_MAX,
+        Warmup::default().ramp,
+    );
+    let (routes, uses) = routes(faults, &root, service.as_ref().map(|(_, it)| it));
+    let document = Document {
+        schema,
+        service: service?.1,
+        owner: owner?,
+        routes,
+        limits,
+        retry,
+        drain: Drain { grace },
+        warmup: Warmup { ramp },
+    };
+    Some(Read { document, uses })
+}
+
+fn owner(faults: &mut Faults<'_>, root: &Section<'_, '_>) -> Option<String> {
+    let (offset, text) = root.required(faults, "owner", "owner = \"drafting team\"")?;
+    if text.trim().is_empty() || text.len() > OWNER_MAX || text.chars().any(char::is_control) {
+        let (key, max) = ("owner", OWNER_MAX);
+        faults.note(offset, FaultKind::Text { key, max });
+        return None;
+    }
+    Some(text.to_owned())
+}
+
+fn limits(faults: &mut Faults<'_>, root: &Section<'_, '_>) -> Limits {
+    let section = root.section(faults, "limits", &["queue", "caller", "body"]);
+    let default = Limits::default();
+    Limits {
+        queue: section.count(faults, "queue", 0..=100_000, default.queue),
+        caller: section.count(faults, "caller", 0..=1_000_000, default.caller),
+        body: section.quantity(faults, "body", &SIZE, 1..=BODY_MAX, default.body),
+    }
+}
+
+fn retry(faults: &mut Faults<'_>, root: &Section<'_, '_>) -> Retry {
+    let section = root.section(faults, "retry", &["attempts", "budget"]);
+    let default = Retry::default();
+    Retry {
+        attempts: section.count(faults, "attempts", 1..=10, default.attempts),
+        budget: section.count(faults, "budget", 0..=100, default.budget),
+    }
+}
+
+fn routes(
+    faults: &mut Faults<'_>,
+    root: &Section<'_, '_>,
+    own: Option<&Name>,
+) -> (Vec<Route>, Vec<At<Name>>) {
+    let tables = root.list(faults, "routes");
+    match tables.len() {
+        0 if root.get("routes").is_none_or(|(_, it)| it.is_array()) => {
+            faults.note(root.offset, FaultKind::NoRoutes);
+        }
+        count if count > ROUTES_MAX => {
+            faults.note(tables[ROUTES_MAX].0, FaultKind::ManyRoutes(count));
+            return (Vec::new(), Vec::new());
+        }
+        _ => {}
+    }
+    let mut carried = BTreeMap::new();
+    let mut uses = Vec::new();
+    let mut routes = Vec::new();
+    for (offset, table) in tables {
+        let section = Section::new(faults, "the route", offset, table, &ROUTE_KEYS);
+        let named = services(faults, &section, own);
+        if let Some(route) = route(faults, &section, &named) {
+            doubles(faults, offset, &route, &mut carried);
+            routes.push(route);
+        }
+        uses.extend(named);
+    }
+    routes.sort_by(|lhs, rhs| (rhs.path.len(), &lhs.path).cmp(&(lhs.path.len(), &rhs.path)));
+    (routes, uses)
+}
+
+fn route(faults: &mut Faults<'_>, section: &Section<'_, '_>, uses: &[At<Name>]) -> Option<Route> {
+    let path = path(faults, section);
+    let methods = methods(faults, section);
+    let class = class(faults, section);
+    let repeat = repeat(faults, section, class, &methods);
+    let deadline = section.quantity(
+        faults,
+        "deadline",
+        &DURATION,
+        DEADLINE_MIN..=DEADLINE_MAX,
+        class.deadline(),
+    );
+    Some(Route {
+        path: path?,
+        methods,
+        class,
+        deadline,
+        repeat,
+        uses: uses.iter().map(|(_, it)| it.clone()).collect(),
+    })
+}
+
+fn path(faults: &mut Faults<'_>, section: &Section<'_, '_>) -> Option<Arc<str>> {
+    let (offset, path) = section.required(faults, "path", "path = \"/drafts\"")?;
+    let segment = |it: &str| it.is_empty() || it == "." || it == "..";
+    let plain = |it: u8| it.is_ascii_graphic() && !b"?#\"<>\\^`{|}*".contains(&it);
+    let why = match path.strip_prefix('/') {
+        None => "does not start with '/'",
+        Some(_) if path.len() > PATH_MAX => "is longer than 512 bytes",
+        Some(_) if !path.bytes().all(plain) => {
+            "has characters that no path holds (encode them with '%')"
+        }
+        Some(rest) if !rest.is_empty() && rest.split('/').any(segment) => {
+            "has an empty, '.' or '..' segment or ends with '/'"
+        }
+        Some(_) => return Some(Arc::from(path)),
+    };
+    let path = clip(path);
+    faults.note(offset, FaultKind::Path { path, why });
+    None
+}
+
+fn methods(faults: &mut Faults<'_>, section: &Section<'_, '_>) -> Vec<Arc<str>> {
+    let texts = section.texts(faults, "methods", "methods = [\"GET\"]");
+    if texts.is_empty() && section.get("methods").is_none_or(|(_, it)| it.is_array()) {
+        let offset = section.get("methods").map_or(section.offset, |it| it.0);
+        faults.note(offset, FaultKind::NoMethods);
+    }
+    let valid = |it: u8| it.is_ascii_uppercase() || it == b'-';
+    let mut methods: Vec<Arc<str>> = Vec::new();
+    for (offset, text) in texts {
+        if text.is_empty() || text.len() > METHOD_MAX || !text.bytes().all(valid) {
+            faults.note(offset, FaultKind::Method(clip(text)));
+        } else if methods.iter().any(|it| &**it == text) {
+            faults.note(offset, FaultKind::Twice(text.to_owned()));
+        } else {
+            methods.push(Arc::from(text));
+        }
+    }
+    methods
+}
+
+fn class(faults: &mut Faults<'_>, section: &Section<'_, '_>) -> Class {
+    let choices = "\"interactive\", \"exact\" or \"background\"";
+    match section.text(faults, "class", choices) {
+        None => Class::Interactive,
+        Some((_, "interactive")) => Class::Interactive,
+        Some((_, "exact")) => Class::Exact,
+        Some((_, "background")) => Class::Background,
+        Some((offset, other)) => {
+            let kind = FaultKind::Choice {
+                key: "class",
+                value: clip(other),
+                choices,
+                nearest: nearest(other, &["interactive", "exact", "background"]),
+            };
+            faults.note(offset, kind);
+            Class::Interactive
+        }
+    }
+}
+
+fn repeat(
+    faults: &mut Faults<'_>,
+    section: &Section<'_, '_>,
+    class: Class,
+    methods: &[Arc<str>],
+) -> Repeat {
+    let choices = "\"idempotent\" or \"never\"";
+    let said = match section.get("repeat") {
+        None => return unsaid(faults, section, class, methods),
+        Some((offset, DeValue::String(it))) => (offset, it.as_ref()),
+        Some((offset, other)) => {
+            faults.note(offset, wrong("repeat", other, choices));
+            return Repeat::Never;
+        }
+    };
+    match said {
+        (_, "never") => Repeat::Never,
+        (offset, "idempotent") => {
+            if class == Class::Exact {
+                faults.note(offset, FaultKind::ExactRepeats);
+            }
+            Repeat::Idempotent
+        }
+        (offset, other) => {
+            let kind = FaultKind::Choice {
+                key: "repeat",
+                value: clip(other),
+                choices,
+                nearest: nearest(other, &["idempotent", "never"]),
+            };
+            faults.note(offset, kind);
+            Repeat::Never
+        }
+    }
+}
+
+/// The default of `repeat`. A wrong guess would run a filing twice, or refuse every save that lacks an
+/// `Idempotency-Key`; so only safe methods have one.
+fn unsaid(
+    faults: &mut Faults<'_>,
+    section: &Section<'_, '_>,
+    class: Class,
+    methods: &[Arc<str>],
+) -> Repeat {
+    if class == Class::Exact {
+        return Repeat::Never;
+    }
+    let unsafe_method = methods.iter().find(|it| !SAFE_METHODS.contains(&&***it));
+    if let Some(method) = unsafe_method {
+        faults.note(section.offset, FaultKind::RepeatUnsaid(method.to_string()));
+    }
+    Repeat::Idempotent
+}
+
+/// Methods that change nothing, by RFC 9110.
+const SAFE_METHODS: [&str; 4] = ["GET", "HEAD", "OPTIONS", "TRACE"];
+
+fn services(
+    faults: &mut Faults<'_>,
+    section: &Section<'_, '_>,
+    own: Option<&Name>,
+) -> Vec<At<Name>> {
+    let texts = section.texts(faults, "uses", "uses = [\"court-registry\"]");
+    if texts.len() > USES_MAX {
+        faults.note(texts[USES_MAX].0, FaultKind::ManyUses(texts.len()));
+        return Vec::new();
+    }
+    let mut uses: Vec<At<Name>> = Vec::new();
+    for (offset, text) in texts {
+        let Some(service) = name(faults, (offset, text)) else {
+            continue;
+        };
+        if Some(&service) == own {
+            faults.note(offset, FaultKind::UsesSelf(service));
+        } else if uses.iter().any(|(_, it)| *it == service) {
+            faults.note(offset, FaultKind::Twice(service.to_string()));
+        } else {
+            uses.push((offset, service));
+        }
+    }
+    uses
+}
+
+/// Notes each request of `route` that an earlier one carries too: which of them wins would be chance.
+fn doubles(
+    faults: &mut Faults<'_>,
+    offset: usize,
+    route: &Route,
+    carried: &mut BTreeMap<(Arc<str>, Arc<str>), usize>,
+) {
+    for method in &route.methods {
+        let key = (route.path.clone(), method.clone());
+        if let Some(first) = carried.get(&key) {
+            let kind = FaultKind::DoubleRoute {
+                method: method.to_string(),
+                path: clip(&route.path),
+                line: faults.line(*first),
+            };
+            faults.note(offset, kind);
+        } else {
+            carried.insert(key, offset);
+        }
+    }
+}
