Bound and check the operators' API, and give documents back

Cause: the API read any body at any pace, answered malformed JSON in plain text, gave a service's owner in place of its document, and an unknown verdict could not be written as JSON.

The kernel's view holds the text.

--- a/crates/kernel/src/log.rs
+++ b/crates/kernel/src/log.rs
@@ -45,6 +45,7 @@
 
 /// What a change does to a service's document.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Edit {
     /// The document now reads so (TOML).
     Put { text: String },
--- a/crates/kernel/src/view.rs
+++ b/crates/kernel/src/view.rs
@@ -30,6 +30,8 @@
     pub revision: Revision,
     /// Its document.
     pub document: Arc<Document>,
+    /// The document's text, as submitted.
+    pub text: Arc<str>,
     /// Nodes beside its upstreams.
     pub endpoints: Vec<Endpoint>,
 }
@@ -95,6 +97,7 @@
         let view = ServiceView {
             revision: it.revision,
             document: it.document.clone(),
+            text: it.text.clone(),
             endpoints: endpoints.remove(name).unwrap_or_default(),
         };
         (name.clone(), view)
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -1,19 +1,23 @@
-//! The operators' and the upstream's API of a node.
+//! The operators' and the upstream's API of a node; [`laburnum_edge::api`] lists it.
+
+mod body;
+mod operators;
+mod refusal;
+mod upstream;
+
+use std::time::Duration;
 
 use axum::{
-    Json, Router,
-    extract::{Path, State},
-    http::StatusCode,
+    Router,
+    extract::State,
     response::{IntoResponse, Response},
     routing::{get, post, put},
 };
-use laburnum_edge::api::{AnnounceBody, ErrorBody, ServiceBody, SubmitAnswer, SubmitBody};
-use laburnum_kernel::{
-    Call, Event, Name, Reply,
-    accept::{self, Submission},
-    event::UpstreamEvent,
-};
+use laburnum_edge::api;
+use laburnum_kernel::{Call, Reply};
+use tower::limit::GlobalConcurrencyLimitLayer;
 
+pub use self::refusal::Refusal;
 use crate::{control::Control, traffic::UpstreamAddress};
 
 /// What the API needs.
@@ -23,96 +27,72 @@
     pub control: Control,
     /// Where the upstream beside this node listens.
     pub upstream: UpstreamAddress,
+    /// Bounds on requests.
+    pub bounds: Bounds,
 }
 
-impl Admin {
-    /// Serves the API.
-    pub fn router(self) -> Router {
-        Router::new()
-            .route("/livez", get(|| async { "ok\n" }))
-            .route("/readyz", get(ready))
-            .route("/v1/submissions", post(submit))
-            .route("/v1/services/{name}", get(service))
-            .route("/v1/status", get(status))
-            .route("/v1/upstream", put(announce))
-            .with_state(self)
-    }
-}
-
-async fn ready(State(admin): State<Admin>) -> Response {
-    let seq = admin.control.view().seq;
-    format!("ok seq={seq}\n").into_response()
+/// Bounds on the API's requests.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Longest request body in bytes. Default: [`api::BODY_MAX`].
+    pub body: usize,
+    /// Longest time that a request body may take to arrive. Default: 10 s.
+    pub arrival: Duration,
+    /// Longest time that the control thread may take to answer. Default: 15 s.
+    pub answer: Duration,
+    /// Most operators' requests at once; more wait. Default: 64.
+    pub requests: usize,
 }
 
-async fn submit(State(admin): State<Admin>, Json(body): Json<SubmitBody>) -> Response {
-    let id = match body.submit_id() {
-        Ok(id) => id,
-        Err(error) => return refuse(StatusCode::BAD_REQUEST, &error.to_string()),
-    };
-    let submission = Submission {
-        id,
-        service: body.service,
-        base: body.base,
-        edit: body.edit,
-        author: body.author,
-        reason: body.reason,
-    };
-    let call = Call::Accept(accept::Call::Submit(submission));
-    match admin.control.call(call).await {
-        Ok(Reply::Accept(accept::Reply::Verdict(verdict))) => {
-            let id = id.to_string();
-            Json(SubmitAnswer { id, verdict }).into_response()
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds {
+            body: api::BODY_MAX,
+            arrival: Duration::from_secs(10),
+            answer: Duration::from_secs(15),
+            requests: 64,
         }
-        Ok(_) => refuse(StatusCode::INTERNAL_SERVER_ERROR, "unexpected reply"),
-        Err(error) => refuse(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
     }
 }
 
-async fn service(State(admin): State<Admin>, Path(name): Path<Name>) -> Response {
-    let view = admin.control.view();
-    match view.services.get(&name) {
-        Some(it) => Json(ServiceBody {
-            service: name,
-            revision: it.revision,
-            seq: view.seq,
-            text: it.document.owner.clone(),
-        })
-        .into_response(),
-        None => refuse(
-            StatusCode::NOT_FOUND,
-            "no such service; list them with GET /v1/services",
-        ),
+impl Admin {
+    /// An API with the default bounds.
+    pub fn new(control: Control, upstream: UpstreamAddress) -> Admin {
+        let bounds = Bounds::default();
+        Admin {
+            control,
+            upstream,
+            bounds,
+        }
     }
-}
 
-async fn status(State(admin): State<Admin>) -> Response {
-    match admin.control.call(Call::Status).await {
-        Ok(Reply::Status(status)) => Json(status).into_response(),
-        Ok(_) => refuse(StatusCode::INTERNAL_SERVER_ERROR, "unexpected reply"),
-        Err(error) => refuse(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
+    /// Serves the API.
+    pub fn router(self) -> Router {
+        // Without a bound, a script that submits a quarter's changes at once holds a body each in memory.
+        // The upstream and the probes of the node's host stay outside, so that operators cannot starve them.
+        let limit = GlobalConcurrencyLimitLayer::new(self.bounds.requests);
+        Router::new()
+            .route("/v1/submissions", post(operators::submit))
+            .route("/v1/services", get(operators::list))
+            .route("/v1/services/{name}", get(operators::service))
+            .route("/v1/status", get(operators::status))
+            .layer(limit)
+            .route("/livez", get(|| async { "ok\n" }))
+            .route("/readyz", get(ready))
+            .route("/v1/upstream", put(upstream::announce))
+            .fallback(|| async { Refusal::Path })
+            .method_not_allowed_fallback(|| async { Refusal::Method })
+            .with_state(self)
     }
-}
 
-async fn announce(State(admin): State<Admin>, Json(body): Json<AnnounceBody>) -> Response {
-    if let Ok(mut address) = admin.upstream.write() {
-        *address = Some(body.address);
-    }
-    let announced = Event::Upstream(UpstreamEvent::Announced {
-        service: body.service,
-        slots: body.slots,
-    });
-    let phase = match body.ready {
-        true => UpstreamEvent::Ready,
-        false => UpstreamEvent::Warming,
-    };
-    let told = admin.control.tell(announced);
-    match told.and_then(|()| admin.control.tell(Event::Upstream(phase))) {
-        Ok(()) => StatusCode::NO_CONTENT.into_response(),
-        Err(error) => refuse(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
+    /// Asks the kernel.
+    async fn ask(&self, call: Call) -> Result<Reply, Refusal> {
+        let answer = tokio::time::timeout(self.bounds.answer, self.control.call(call));
+        Ok(answer.await.map_err(|_| Refusal::Late)??)
     }
 }
 
-fn refuse(status: StatusCode, why: &str) -> Response {
-    let error = why.to_owned();
-    (status, Json(ErrorBody { error })).into_response()
+async fn ready(State(admin): State<Admin>) -> Response {
+    let seq = admin.control.view().seq;
+    format!("ok seq={seq}\n").into_response()
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -37,7 +37,7 @@
 }
 
 /// The control thread is gone: the process is shutting down.
-#[derive(Debug, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the node is shutting down; ask another node")]
 pub struct Closed;
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -61,10 +61,7 @@
         let control = ControlThread::start(settings, clock, platform, Handle::current())?;
         let upstream = UpstreamAddress::default();
         let path = Traffic::new(control.control().clone(), upstream.clone());
-        let api = Admin {
-            control: control.control().clone(),
-            upstream,
-        };
+        let api = Admin::new(control.control().clone(), upstream);
         let (stop, stopped) = watch::channel(false);
         let servers = vec![
             serve(caller, path.clone().entry(), stopped.clone()),
--- /dev/null
+++ b/crates/node/tests/admin.rs
@@ -0,0 +1,366 @@
+//! The contract of the operators' API, over real sockets.
+
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{Arc, Mutex, PoisonError},
+    task::{self, Poll},
+    time::Duration,
+};
+
+use axum::body::{Body, Bytes};
+use futures_core::Stream;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::BodyExt;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use laburnum_edge::{
+    Clock, LinkError, Memory, Platform,
+    api::{BODY_MAX, ErrorBody, SubmitAnswer, VerdictBody},
+    platform::Answer,
+};
+use laburnum_kernel::{
+    Revision,
+    platform::{ObjectAnswer, ObjectOp, TableAnswer, TableOp},
+};
+use laburnum_node::{
+    Config, Node,
+    admin::{Admin, Bounds},
+    node::StartError,
+};
+use serde_json::{Value, json};
+use test_case::test_case;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::oneshot,
+};
+use tower::ServiceExt;
+
+const DRAFTING: &str = include_str!("../../../examples/nile/drafting-desk.toml");
+const REGISTRY: &str = include_str!("../../../examples/nile/court-registry.toml");
+const SUBMISSIONS: &str = "/v1/submissions";
+
+/// A node and its API on a port of its own.
+struct Served {
+    node: Node,
+    admin: Admin,
+    address: SocketAddr,
+}
+
+struct Answered {
+    status: StatusCode,
+    body: Vec<u8>,
+}
+
+impl Served {
+    async fn start(platform: Arc<dyn Platform>, bounds: Bounds) -> Served {
+        let node = node(platform).await;
+        let admin = Admin {
+            bounds,
+            ..Admin::new(node.control().clone(), Arc::default())
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let router = admin.clone().router();
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        Served {
+            node,
+            admin,
+            address,
+        }
+    }
+
+    async fn plain() -> Served {
+        Served::start(Arc::new(Memory::default()), Bounds::default()).await
+    }
+
+    async fn ask(&self, request: http::request::Builder, body: impl Into<Body>) -> Answered {
+        let client: Client<HttpConnector, Body> =
+            Client::builder(TokioExecutor::new()).build(HttpConnector::new());
+        let request = request.body(body.into()).expect("a request");
+        let answer = client.request(request).await.expect("an answer");
+        let status = answer.status();
+        let body = answer.into_body().collect().await.expect("a whole body");
+        let body = body.to_bytes().to_vec();
+        Answered { status, body }
+    }
+
+    fn request(&self, method: Method, path: &str) -> http::request::Builder {
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+    }
+
+    async fn get(&self, path: &str) -> Answered {
+        self.ask(self.request(Method::GET, path), "").await
+    }
+
+    async fn submit(&self, body: &Value) -> Answered {
+        self.send(Method::POST, SUBMISSIONS, body.to_string()).await
+    }
+
+    async fn send(&self, method: Method, path: &str, body: String) -> Answered {
+        let request = self.request(method, path);
+        let request = request.header(header::CONTENT_TYPE, "application/json");
+        self.ask(request, body).await
+    }
+
+    /// Sends `text` as it is and reads until the node closes or `end` was read.
+    async fn raw(&self, text: &str, end: &str) -> String {
+        let mut stream = TcpStream::connect(self.address).await.expect("connected");
+        stream.write_all(text.as_bytes()).await.expect("sent");
+        let mut answer = Vec::new();
+        let mut chunk = [0; 1024];
+        while !String::from_utf8_lossy(&answer).contains(end) {
+            match stream.read(&mut chunk).await {
+                Ok(0) | Err(_) => break,
+                Ok(count) => answer.extend_from_slice(&chunk[..count]),
+            }
+        }
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+
+    async fn close(self) {
+        self.node.close().await;
+    }
+}
+
+impl Answered {
+    fn error(&self) -> String {
+        let body: ErrorBody = serde_json::from_slice(&self.body).expect("an error body");
+        body.error
+    }
+
+    fn verdict(&self) -> VerdictBody {
+        let body: SubmitAnswer = serde_json::from_slice(&self.body).expect("a verdict");
+        body.verdict
+    }
+
+    fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).expect("JSON")
+    }
+}
+
+/// Starts a node on free ports; tries others if a test beside this one was quicker to bind one of them.
+async fn node(platform: Arc<dyn Platform>) -> Node {
+    loop {
+        let config = Config {
+            caller: free().await,
+            control: free().await,
+            traffic: free().await,
+            admin: free().await,
+            ..Config::default()
+        };
+        match Node::start(config, Clock::system(), platform.clone()).await {
+            Ok(node) => return node,
+            Err(
+                StartError::Bind { .. }
+                | StartError::Link(LinkError::Bind { .. } | LinkError::Probe { .. }),
+            ) => {}
+            Err(error) => panic!("{error}"),
+        }
+    }
+}
+
+async fn free() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    listener
+        .and_then(|it| it.local_addr())
+        .expect("a free port")
+}
+
+fn put(id: &str, service: &str, base: u64, text: &str) -> Value {
+    json!({
+        "id": id, "service": service, "base": base, "edit": {"put": {"text": text}},
+        "author": "amal", "reason": "first version",
+    })
+}
+
+/// `put` with one field replaced.
+fn with(field: &str, value: Value) -> String {
+    let mut body = put("1", "court-registry", 0, REGISTRY);
+    body[field] = value;
+    body.to_string()
+}
+
+#[test_case(String::new(), "the body is not valid: EOF"; "empty")]
+#[test_case("{\"id\": ".to_owned(), "line 1 column 7; correct the JSON there"; "cut")]
+#[test_case("[1]".to_owned(), "the body is not valid: invalid"; "list")]
+#[test_case(with("color", json!("red")), "unknown field `color`"; "unknown field")]
+#[test_case(with("base", json!("latest")), "expected u64"; "base as text")]
+#[test_case(with("base", json!(-1)), "expected u64"; "negative base")]
+#[test_case(with("edit", json!("rename")), "unknown variant `rename`, expected `put` or `delete`"; "edit")]
+#[test_case(with("service", json!("Court Registry")), "use 1 to 63 of a-z"; "service")]
+#[test_case(with("id", json!("xyz")), "use up to 32 hexadecimal digits"; "id")]
+#[test_case(with("id", json!("")), "use up to 32 hexadecimal digits"; "no id")]
+#[test_case(with("author", json!(" ")), "author is not valid; use 1 to 128 bytes"; "author")]
+#[test_case(with("reason", json!("a\nevent=accepted")), "reason is not valid"; "forged log line")]
+#[test_case(with("reason", json!("x".repeat(1025))), "use 1 to 1024 bytes"; "long reason")]
+#[tokio::test(flavor = "multi_thread")]
+async fn submission_is_malformed(body: String, remedy: &str) {
+    let served = Served::plain().await;
+    let answer = served.send(Method::POST, SUBMISSIONS, body).await;
+    assert_eq!(answer.status, StatusCode::BAD_REQUEST);
+    assert!(answer.error().contains(remedy), "{}", answer.error());
+    assert_eq!(served.get("/v1/status").await.json()["seq"], 0);
+    served.close().await;
+}
+
+#[test_case("GET", "/v1/service", 404, "the paths are /v1/submissions"; "unknown path")]
+#[test_case("GET", "/v1/submissions", 405, "POST submissions"; "unknown method")]
+#[test_case("DELETE", "/v1/services/archive", 405, "POST submissions"; "delete is a submission")]
+#[test_case("GET", "/v1/services/archive", 404, "no service archive; list the services"; "unknown service")]
+#[test_case("GET", "/v1/services/Archive", 400, "use 1 to 63 of a-z"; "bad name")]
+#[test_case("GET", "/v1/services/%ff", 400, "encode it as UTF-8"; "bad encoding")]
+#[test_case("POST", "/v1/submissions", 415, "content-type: application/json"; "no content type")]
+#[test_case("PUT", "/v1/upstream", 415, "content-type: application/json"; "upstream without content type")]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_is_wrong(method: &str, path: &str, status: u16, remedy: &str) {
+    let served = Served::plain().await;
+    let method = method.parse().expect("a method");
+    let answer = served.ask(served.request(method, path), "").await;
+    assert_eq!(answer.status, status);
+    assert!(answer.error().contains(remedy), "{}", answer.error());
+    served.close().await;
+}
+
+#[test_case("schema = 1", "line 1, column 1: the document lacks \"owner\""; "incomplete")]
+#[test_case("schema = 2", "upgrade the nodes first"; "newer schema")]
+#[tokio::test(flavor = "multi_thread")]
+async fn document_is_refused_with_its_faults(text: &str, fault: &str) {
+    let served = Served::plain().await;
+    let answer = served.submit(&put("1", "court-registry", 0, text)).await;
+    assert_eq!(answer.status, StatusCode::UNPROCESSABLE_ENTITY);
+    let VerdictBody::Refused { why } = answer.verdict() else {
+        panic!("{:?}", answer.verdict());
+    };
+    assert!(why.contains(fault), "{why}");
+    served.close().await;
+}
+
+/// A body that never ends and whose length is not declared.
+struct Endless;
+
+impl Stream for Endless {
+    type Item = Result<Bytes, Infallible>;
+
+    fn poll_next(self: Pin<&mut Self>, _: &mut task::Context<'_>) -> Poll<Option<Self::Item>> {
+        Poll::Ready(Some(Ok(Bytes::from_static(&[b' '; 1024]))))
+    }
+}
+
+/// What the caller sees: 413 at once, for a declared length before any byte of it was sent, and for a body
+/// without one as soon as the bound is passed. A node that read on would hold whatever anyone sends it.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_bodies_are_cut_off() {
+    let served = Served::plain().await;
+    let head = "POST /v1/submissions HTTP/1.1\r\nhost: node\r\ncontent-type: application/json\r\n";
+    let declared = format!("{head}content-length: {}\r\n\r\n", BODY_MAX + 1);
+    let answer = served.raw(&declared, "shorten it").await;
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+
+    // Within the process: a socket may be reset while the rest of the body is still being sent.
+    let request = Request::post(SUBMISSIONS)
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Body::from_stream(Endless))
+        .expect("a request");
+    let answer = served.admin.clone().router().oneshot(request).await;
+    let status = answer.expect("infallible").status();
+    assert_eq!(status, StatusCode::PAYLOAD_TOO_LARGE);
+    served.close().await;
+}
+
+/// What the caller sees: 408 once the time for a body is over. A caller that sends one byte and goes silent
+/// would otherwise keep one of the API's places for good; 64 of them would lock every operator out.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_bodies_give_their_place_back() {
+    let bounds = Bounds {
+        arrival: Duration::from_millis(50),
+        requests: 1,
+        ..Bounds::default()
+    };
+    let served = Served::start(Arc::new(Memory::default()), bounds).await;
+    let head = "POST /v1/submissions HTTP/1.1\r\nhost: node\r\ncontent-type: application/json\r\n";
+    let slow = format!("{head}content-length: 9\r\n\r\n{{");
+    let answer = served.raw(&slow, "send it at once").await;
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert_eq!(served.get("/v1/status").await.status, StatusCode::OK);
+    served.close().await;
+}
+
+/// A platform that never answers, until it is released.
+#[derive(Default)]
+struct Silent {
+    waiting: Mutex<Vec<oneshot::Sender<()>>>,
+}
+
+impl Silent {
+    fn wait<T: Send + 'static>(&self, answer: T) -> Answer<'_, T> {
+        let (sender, receiver) = oneshot::channel();
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        waiting.push(sender);
+        Box::pin(async move {
+            let _ = receiver.await;
+            answer
+        })
+    }
+}
+
+impl Platform for Silent {
+    fn table(&self, _: TableOp) -> Answer<'_, TableAnswer> {
+        self.wait(TableAnswer::Rows(Vec::new()))
+    }
+
+    fn object(&self, _: ObjectOp) -> Answer<'_, ObjectAnswer> {
+        self.wait(ObjectAnswer::Absent)
+    }
+}
+
+/// What the caller sees: 504 with the verdict "unknown" and the id to ask again by. The platform took the
+/// write and says nothing; to answer "failed" could make the operator submit the change a second time.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_answers_are_unknown() {
+    let bounds = Bounds {
+        answer: Duration::from_millis(50),
+        ..Bounds::default()
+    };
+    let served = Served::start(Arc::new(Silent::default()), bounds).await;
+    let answer = served
+        .submit(&put("2a", "court-registry", 0, REGISTRY))
+        .await;
+    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(answer.verdict(), VerdictBody::Unknown);
+    assert_eq!(answer.json()["id"], "0000000000000000000000000000002a");
+    served.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn submitted_documents_are_listed_and_read_back() {
+    let served = Served::plain().await;
+    let answer = served
+        .submit(&put("1", "court-registry", 0, REGISTRY))
+        .await;
+    assert_eq!(answer.status, StatusCode::OK);
+    let VerdictBody::Accepted { revision, .. } = answer.verdict() else {
+        panic!("{:?}", answer.verdict());
+    };
+    assert_eq!(revision, Revision(1));
+    let answer = served.submit(&put("2", "drafting-desk", 0, DRAFTING)).await;
+    assert_eq!(answer.status, StatusCode::OK);
+
+    let list = served.get("/v1/services").await.json();
+    let expected = json!([
+        {"service": "court-registry", "revision": 1, "owner": "registry team", "routes": 3, "upstreams": 0},
+        {"service": "drafting-desk", "revision": 1, "owner": "drafting team", "routes": 5, "upstreams": 0},
+    ]);
+    assert_eq!(list["services"], expected);
+    let service = served.get("/v1/services/court-registry").await.json();
+    assert_eq!(service["text"], REGISTRY);
+    assert_eq!(service["revision"], 1);
+    assert_eq!(service["seq"], list["seq"]);
+    served.close().await;
+}
