Operators' API: outcomes by id, audit, quarantines and unknown outcomes

Cause: the kernel answers these now; operators had no way to ask.

Change: GET /v1/submissions/<id>, GET /v1/audit, quarantines listed and lifted, requests of unknown outcome listed and resolved; each with the author and reason checked and its faults typed.

--- a/crates/edge/src/api.rs
+++ b/crates/edge/src/api.rs
@@ -8,6 +8,10 @@
 //! | `GET /v1/services/<name>` | | [`ServiceBody`] |
 //! | `GET /v1/audit?service=&after=&limit=` | | [`AuditBody`] |
 //! | `GET /v1/status` | | [`StatusBody`] |
+//! | `GET /v1/quarantines` | | [`QuarantinesBody`] |
+//! | `POST /v1/quarantines/<print>/lift` | [`LiftBody`] | |
+//! | `GET /v1/unknown` | | [`UnknownBody`] |
+//! | `POST /v1/unknown/resolve` | [`ResolveBody`] | |
 //! | `PUT /v1/upstream` | [`AnnounceBody`] | |
 //!
 //! Any refusal but a [`SubmitAnswer`] is an [`ErrorBody`].
@@ -15,9 +19,12 @@
 use std::net::SocketAddr;
 
 use laburnum_kernel::{
-    accept::{Submission, Verdict},
+    Ms,
+    accept::{Page, Submission, Verdict},
+    guard,
     id::{BadSubmitId, Name, NodeId, Revision, Seq, SubmitId},
-    log::Edit,
+    log::{Change, Edit},
+    once,
     spread::Status,
 };
 use serde::{Deserialize, Serialize};
@@ -64,8 +71,7 @@
     type Error = BadSubmission;
 
     fn try_from(body: SubmitBody) -> Result<Submission, BadSubmission> {
-        line("author", &body.author, AUTHOR_MAX)?;
-        line("reason", &body.reason, REASON_MAX)?;
+        check_act(&body.author, &body.reason)?;
         Ok(Submission {
             id: body.id.parse()?,
             service: body.service,
@@ -116,6 +122,9 @@
     Unavailable { why: String },
     /// 504: it may or may not be accepted: ask again by its id, or submit it again under the same id.
     Unknown,
+    /// 404: asked by its id, and the log holds no such submission so far; submitting it again under the same
+    /// id is safe.
+    Absent,
 }
 
 impl SubmitAnswer {
@@ -135,6 +144,7 @@
             Verdict::Refused { why } => VerdictBody::Refused { why },
             Verdict::Unavailable { why } => VerdictBody::Unavailable { why },
             Verdict::Unknown { .. } => VerdictBody::Unknown,
+            Verdict::Absent { .. } => VerdictBody::Absent,
         };
         let id = id.to_string();
         SubmitAnswer { id, verdict }
@@ -209,6 +219,191 @@
     }
 }
 
+/// Answer to `GET /v1/audit`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AuditBody {
+    /// Oldest first.
+    pub changes: Vec<AuditChange>,
+    /// Ask again with `after` set to this; absent at the end of the log.
+    pub next: Option<Seq>,
+}
+
+/// One accepted change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AuditChange {
+    /// Position in the log.
+    pub seq: Seq,
+    /// When the committer took it, in ms since the Unix epoch.
+    pub time: Ms,
+    /// The submission that made it.
+    pub id: String,
+    /// The service changed.
+    pub service: Name,
+    /// The revision that the submitter had read.
+    pub base: Revision,
+    /// The revision that the change made.
+    pub revision: Revision,
+    /// Whether the document was put or deleted.
+    pub action: AuditAction,
+    /// Who submitted it.
+    pub author: String,
+    /// Why.
+    pub reason: String,
+    /// The unified diff from the document before.
+    pub diff: String,
+}
+
+/// What a change did to a service's document.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum AuditAction {
+    /// It has a new text.
+    Put,
+    /// The service is gone.
+    Delete,
+}
+
+impl AuditBody {
+    /// The page `page`, of `service` alone if it is named: one entry of the log may hold changes of others.
+    pub fn new(page: Page, service: Option<&Name>) -> AuditBody {
+        let changes = page.entries.into_iter().flat_map(|it| {
+            let seq = it.batch.seq;
+            let diffs = it.diffs.into_iter().chain(std::iter::repeat(String::new()));
+            let changes = it.batch.changes.into_iter().zip(diffs);
+            changes.map(move |(change, diff)| AuditChange::new(seq, change, diff))
+        });
+        let changes = changes.filter(|it| service.is_none_or(|name| it.service == *name));
+        AuditBody {
+            changes: changes.collect(),
+            next: page.next,
+        }
+    }
+}
+
+impl AuditChange {
+    fn new(seq: Seq, change: Change, diff: String) -> AuditChange {
+        AuditChange {
+            seq,
+            time: change.time,
+            id: change.id.to_string(),
+            service: change.service,
+            base: change.base,
+            revision: change.revision,
+            action: match change.edit {
+                Edit::Put { .. } => AuditAction::Put,
+                Edit::Delete => AuditAction::Delete,
+            },
+            author: change.author,
+            reason: change.reason,
+            diff,
+        }
+    }
+}
+
+/// Answer to `GET /v1/quarantines`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantinesBody {
+    /// Those in force and those lifted lately, as the node asked knows them.
+    pub quarantines: Vec<QuarantineBody>,
+}
+
+/// A request that crashed its upstreams.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineBody {
+    /// Fingerprint of the request, 16 hexadecimal digits.
+    pub print: String,
+    /// The service that it crashes.
+    pub service: Name,
+    /// Whether it is refused now.
+    pub held: bool,
+    /// When it was quarantined or lifted, in ms since the Unix epoch.
+    pub time: Ms,
+}
+
+impl From<guard::Record> for QuarantineBody {
+    fn from(record: guard::Record) -> QuarantineBody {
+        QuarantineBody {
+            print: format!("{:016x}", record.print.0),
+            service: record.service,
+            held: record.state == guard::Hold::Held,
+            time: record.time,
+        }
+    }
+}
+
+/// Body of `POST /v1/quarantines/<print>/lift`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LiftBody {
+    /// Who lifts it.
+    pub author: String,
+    /// Why.
+    pub reason: String,
+}
+
+/// Answer to `GET /v1/unknown`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnknownBody {
+    /// Requests that may have run and whose answer cannot be had.
+    pub unknown: Vec<UnknownItem>,
+}
+
+/// A request of unknown outcome.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnknownItem {
+    /// The service.
+    pub service: Name,
+    /// The caller's `Idempotency-Key`.
+    pub key: String,
+    /// The node that ran it, or was about to.
+    pub holder: NodeId,
+    /// When it was claimed, in ms since the Unix epoch.
+    pub time: Ms,
+}
+
+impl From<once::Entry> for UnknownItem {
+    fn from(entry: once::Entry) -> UnknownItem {
+        UnknownItem {
+            service: entry.key.service,
+            key: entry.key.text,
+            holder: entry.holder,
+            time: entry.time,
+        }
+    }
+}
+
+/// Body of `POST /v1/unknown/resolve`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ResolveBody {
+    /// The service.
+    pub service: Name,
+    /// The caller's `Idempotency-Key`.
+    pub key: String,
+    /// What the operator found out.
+    pub found: Found,
+    /// Who decides.
+    pub author: String,
+    /// Why.
+    pub reason: String,
+}
+
+/// What an operator found out about a request of unknown outcome.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Found {
+    /// It ran: it must never run again.
+    Ran,
+    /// It surely did not run: the same key may be used again.
+    NotRun,
+}
+
+/// Checks the author and the reason of an operator's act.
+pub fn check_act(author: &str, reason: &str) -> Result<(), BadSubmission> {
+    line("author", author, AUTHOR_MAX)?;
+    line("reason", reason, REASON_MAX)
+}
+
 /// Body of `PUT /v1/upstream`: an upstream announces itself to the node beside it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -3,13 +3,14 @@
 mod body;
 mod operators;
 mod refusal;
+mod requests;
 mod upstream;
 
 use std::time::Duration;
 
 use axum::{
     Router,
-    extract::State,
+    extract::{Path, State, rejection::PathRejection},
     response::{IntoResponse, Response},
     routing::{get, post, put},
 };
@@ -73,9 +74,15 @@
         let limit = GlobalConcurrencyLimitLayer::new(self.bounds.requests);
         Router::new()
             .route("/v1/submissions", post(operators::submit))
+            .route("/v1/submissions/{id}", get(operators::outcome))
+            .route("/v1/audit", get(operators::audit))
             .route("/v1/services", get(operators::list))
             .route("/v1/services/{name}", get(operators::service))
             .route("/v1/status", get(operators::status))
+            .route("/v1/quarantines", get(requests::quarantines))
+            .route("/v1/quarantines/{print}/lift", post(requests::lift))
+            .route("/v1/unknown", get(requests::unknown))
+            .route("/v1/unknown/resolve", post(requests::resolve))
             .layer(limit)
             .route("/livez", get(|| async { "ok\n" }))
             .route("/readyz", get(ready))
@@ -96,3 +103,10 @@
     let seq = admin.control.view().seq;
     format!("ok seq={seq}\n").into_response()
 }
+
+/// The variable segment of a path.
+type Segment = Result<Path<String>, PathRejection>;
+
+fn segment(path: Segment) -> Result<String, Refusal> {
+    path.map(|Path(it)| it).map_err(|_| Refusal::Segment)
+}
--- a/crates/node/src/admin/operators.rs
+++ b/crates/node/src/admin/operators.rs
@@ -1,20 +1,22 @@
-//! The operators' part: submissions, services and status.
+//! The operators' part on configuration: submissions, services, audit and status.
 
 use axum::{
     Json,
-    extract::{Path, State, rejection::PathRejection},
+    extract::{Query, State, rejection::QueryRejection},
     http::StatusCode,
 };
 use laburnum_edge::api::{
-    ListBody, ListItem, ServiceBody, StatusBody, SubmitAnswer, SubmitBody, VerdictBody,
+    AUDIT_MAX, AuditBody, BadSubmission, ListBody, ListItem, ServiceBody, StatusBody, SubmitAnswer,
+    SubmitBody, VerdictBody,
 };
 use laburnum_kernel::{
-    Call, Name, Reply, SubmitId,
+    Call, Name, Reply, Seq, SubmitId,
     accept::{self, Submission, Verdict},
     view::ServiceView,
 };
+use serde::Deserialize;
 
-use super::{Admin, Refusal, body::Bounded};
+use super::{Admin, Refusal, Segment, body::Bounded, segment};
 
 /// What became of a submission, with the status that says so.
 type Told = Result<(StatusCode, Json<SubmitAnswer>), Refusal>;
@@ -32,6 +34,52 @@
     }
 }
 
+/// `GET /v1/submissions/<id>`
+pub async fn outcome(State(admin): State<Admin>, id: Segment) -> Told {
+    let id: SubmitId = segment(id)?.parse().map_err(BadSubmission::Id)?;
+    let call = Call::Accept(accept::Call::Outcome { id });
+    told(id, admin.ask(call).await?)
+}
+
+/// Query of `GET /v1/audit`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AuditQuery {
+    /// Only changes of this service. Default: every service.
+    service: Option<Name>,
+    /// Only changes after this position. Default: from the start.
+    #[serde(default)]
+    after: Seq,
+    /// Most entries of the log. Default: 100.
+    limit: Option<u32>,
+}
+
+const AUDIT_DEFAULT: u32 = 100;
+
+/// `GET /v1/audit`
+pub async fn audit(
+    State(admin): State<Admin>,
+    query: Result<Query<AuditQuery>, QueryRejection>,
+) -> Result<Json<AuditBody>, Refusal> {
+    let Query(query) = query.map_err(|error| Refusal::Query(error.body_text()))?;
+    let limit = query.limit.unwrap_or(AUDIT_DEFAULT);
+    if !(1..=AUDIT_MAX).contains(&limit) {
+        return Err(Refusal::Limit);
+    }
+    let call = Call::Accept(accept::Call::Audit {
+        service: query.service.clone(),
+        after: query.after,
+        limit,
+    });
+    match admin.ask(call).await? {
+        Reply::Accept(accept::Reply::Audit(page)) => {
+            Ok(Json(AuditBody::new(page, query.service.as_ref())))
+        }
+        Reply::Accept(accept::Reply::Unavailable { why }) => Err(Refusal::Unavailable(why)),
+        _ => Err(Refusal::Unexpected),
+    }
+}
+
 /// `GET /v1/services`
 pub async fn list(State(admin): State<Admin>) -> Json<ListBody> {
     let view = admin.control.view();
@@ -45,7 +93,7 @@
 /// `GET /v1/services/<name>`
 pub async fn service(
     State(admin): State<Admin>,
-    name: Result<Path<String>, PathRejection>,
+    name: Segment,
 ) -> Result<Json<ServiceBody>, Refusal> {
     let name: Name = segment(name)?.parse()?;
     let view = admin.control.view();
@@ -68,10 +116,6 @@
     }
 }
 
-fn segment(path: Result<Path<String>, PathRejection>) -> Result<String, Refusal> {
-    path.map(|Path(it)| it).map_err(|_| Refusal::Segment)
-}
-
 fn item(name: &Name, view: &ServiceView) -> ListItem {
     ListItem {
         service: name.clone(),
@@ -97,6 +141,7 @@
         VerdictBody::Refused { .. } => StatusCode::UNPROCESSABLE_ENTITY,
         VerdictBody::Unavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
         VerdictBody::Unknown => StatusCode::GATEWAY_TIMEOUT,
+        VerdictBody::Absent => StatusCode::NOT_FOUND,
     };
     (status, Json(answer))
 }
--- a/crates/node/src/admin/refusal.rs
+++ b/crates/node/src/admin/refusal.rs
@@ -5,7 +5,7 @@
     http::StatusCode,
     response::{IntoResponse, Response},
 };
-use laburnum_edge::api::{BadSubmission, ErrorBody};
+use laburnum_edge::api::{AUDIT_MAX, BadSubmission, ErrorBody};
 use laburnum_kernel::{Name, id::BadName};
 
 use crate::control::Closed;
@@ -15,11 +15,14 @@
 pub enum Refusal {
     /// No such path.
     #[error(
-        "no such path; the paths are /v1/submissions, /v1/services, /v1/audit, /v1/status and /v1/upstream"
+        "no such path; the paths are /v1/submissions, /v1/services, /v1/audit, /v1/status, /v1/quarantines, \
+         /v1/unknown and /v1/upstream"
     )]
     Path,
     /// The path exists, but not with this method.
-    #[error("the path has no such method; POST submissions, PUT the upstream, GET everything else")]
+    #[error(
+        "the path has no such method; GET to read, POST to change, and delete a service by a submission"
+    )]
     Method,
     /// The body is not declared as JSON.
     #[error("the body must be JSON; send it with content-type: application/json")]
@@ -40,8 +43,11 @@
     #[error("the path is not valid; encode it as UTF-8 with '%'")]
     Segment,
     /// The query string is not valid.
-    #[error("the query is not valid: {0}; write it like {1}")]
-    Query(String, &'static str),
+    #[error("{0}; write it like ?service=archive&after=7&limit=100")]
+    Query(String),
+    /// The limit of the audit is out of bounds.
+    #[error("limit is out of bounds; choose 1 to {AUDIT_MAX}")]
+    Limit,
     /// The submission is not valid.
     #[error(transparent)]
     Submission(#[from] BadSubmission),
@@ -51,6 +57,18 @@
     /// No such service at this node.
     #[error("no service {0}; list the services with GET /v1/services")]
     NoService(Name),
+    /// The fingerprint is not valid.
+    #[error("the fingerprint is not valid; use the 16 hexadecimal digits of GET /v1/quarantines")]
+    Print,
+    /// No such quarantine at this node.
+    #[error("no such quarantine; list them with GET /v1/quarantines")]
+    NoQuarantine,
+    /// The claim cannot be resolved so.
+    #[error("{0}; list the requests of unknown outcome with GET /v1/unknown")]
+    Resolve(String),
+    /// The platform gave no answer.
+    #[error("{0}; nothing was changed, try again")]
+    Unavailable(String),
     /// The node is shutting down.
     #[error(transparent)]
     Closed(#[from] Closed),
@@ -65,7 +83,7 @@
 impl Refusal {
     fn status(&self) -> StatusCode {
         match self {
-            Refusal::Path | Refusal::NoService(_) => StatusCode::NOT_FOUND,
+            Refusal::Path | Refusal::NoService(_) | Refusal::NoQuarantine => StatusCode::NOT_FOUND,
             Refusal::Method => StatusCode::METHOD_NOT_ALLOWED,
             Refusal::Type => StatusCode::UNSUPPORTED_MEDIA_TYPE,
             Refusal::Long { .. } => StatusCode::PAYLOAD_TOO_LARGE,
@@ -73,10 +91,13 @@
             Refusal::Broken
             | Refusal::Json(_)
             | Refusal::Segment
-            | Refusal::Query(..)
+            | Refusal::Query(_)
+            | Refusal::Limit
+            | Refusal::Print
             | Refusal::Submission(_)
             | Refusal::Name(_) => StatusCode::BAD_REQUEST,
-            Refusal::Closed(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::Resolve(_) => StatusCode::CONFLICT,
+            Refusal::Closed(_) | Refusal::Unavailable(_) => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Late => StatusCode::GATEWAY_TIMEOUT,
             Refusal::Unexpected => StatusCode::INTERNAL_SERVER_ERROR,
         }
