laburnum-ctl: check, submit, read back, wait, and decide

Cause: operators had no program; an answer lost after acceptance would have been told as a failure.

Change: twelve commands over the operators' API with exit codes; a change is submitted under one id until its outcome is known. The settings table learns switches and repeated operands.

--- /dev/null
+++ b/crates/ctl/src/cli/table.rs
@@ -0,0 +1,237 @@
+//! The table of commands, operands and flags.
+
+use std::{net::SocketAddr, str::FromStr};
+
+use laburnum_edge::api::Found;
+use laburnum_flags::{Operand, Program, Row, Setting, Suite};
+use laburnum_kernel::SubmitId;
+
+use crate::report::Outcome;
+
+pub(super) const NODE: Setting<SocketAddr> = Setting::new(
+    "--node",
+    "ADDRESS",
+    "Admin address of the node to ask; any node will do.",
+)
+.default("127.0.0.1:7103");
+pub(super) const JSON: Setting<bool> =
+    Setting::switch("--json", "Print one JSON object instead of lines.");
+pub(super) const AUTHOR: Setting<String> =
+    Setting::new("--author", "NAME", "Who acts; kept in the audit.");
+pub(super) const REASON: Setting<String> =
+    Setting::new("--reason", "TEXT", "Why; kept in the audit.");
+pub(super) const BASE: Setting<u64> = Setting::new(
+    "--base",
+    "REVISION",
+    "Revision that the change is based on, as printed by get; 0 for a new service. Without it, the one in force now.",
+)
+.optional();
+pub(super) const ID: Setting<SubmitId> = Setting::new(
+    "--id",
+    "ID",
+    "Submit again under the id of a submission whose outcome is unknown; it is never applied twice. Without it, a new id.",
+)
+.optional();
+pub(super) const RETRY: Setting<u64> = Setting::new(
+    "--retry",
+    "N",
+    "How long to try again while the outcome is not known.",
+)
+.default("30")
+.unit("s");
+pub(super) const WAIT: Setting<bool> =
+    Setting::switch("--wait", "Wait until it is in force everywhere.");
+pub(super) const TIMEOUT: Setting<u64> = Setting::new("--timeout", "N", "How long --wait waits.")
+    .default("60")
+    .unit("s");
+pub(super) const AFTER: Setting<u64> = Setting::new(
+    "--after",
+    "SEQ",
+    "Only changes after this position of the log.",
+)
+.default("0");
+pub(super) const LIMIT: Setting<u32> =
+    Setting::new("--limit", "N", "Most entries of the log, 1 to 500.").default("100");
+pub(super) const FOUND: Setting<FoundText> = Setting::new(
+    "--found",
+    "ran|not-run",
+    "What you found out: it ran and must never run again, or it surely did not.",
+);
+
+const FILE: Operand = Operand {
+    name: "FILE",
+    help: "A document in TOML.",
+};
+const FILES: Operand = Operand {
+    name: "FILE...",
+    help: "Documents in TOML.",
+};
+pub(super) const SERVICE: Operand = Operand {
+    name: "SERVICE",
+    help: "Name of a service.",
+};
+pub(super) const SUBMISSION: Operand = Operand {
+    name: "ID",
+    help: "Id of a submission, as printed by submit.",
+};
+pub(super) const FINGERPRINT: Operand = Operand {
+    name: "FINGERPRINT",
+    help: "Fingerprint of a quarantined request, as printed by status.",
+};
+const KEY: Operand = Operand {
+    name: "KEY",
+    help: "Idempotency-Key of the request, as printed by status.",
+};
+
+const VERSION: &str = env!("CARGO_PKG_VERSION");
+
+const fn command(
+    name: &'static str,
+    about: &'static str,
+    operands: &'static [Operand],
+    settings: &'static [Row],
+) -> Program {
+    Program {
+        name,
+        version: VERSION,
+        about,
+        operands,
+        settings,
+        exits: Outcome::EXITS,
+    }
+}
+
+const ASK: &[Row] = &[NODE.row(), JSON.row()];
+const CHANGE: &[Row] = &[
+    NODE.row(),
+    AUTHOR.row(),
+    REASON.row(),
+    BASE.row(),
+    ID.row(),
+    RETRY.row(),
+    WAIT.row(),
+    TIMEOUT.row(),
+    JSON.row(),
+];
+const RANGE: &[Row] = &[NODE.row(), AFTER.row(), LIMIT.row(), JSON.row()];
+const ACT: &[Row] = &[NODE.row(), AUTHOR.row(), REASON.row(), JSON.row()];
+
+const CHECK: Program = command(
+    "laburnum-ctl check",
+    "Checks documents without a node, by the same code as the nodes.",
+    &[FILES],
+    &[JSON.row()],
+);
+const SUBMIT: Program = command(
+    "laburnum-ctl submit",
+    "Submits a document: a new service, or a new revision of one.",
+    &[FILE],
+    CHANGE,
+);
+const DELETE: Program = command(
+    "laburnum-ctl delete",
+    "Deletes a service that no other service uses.",
+    &[SERVICE],
+    CHANGE,
+);
+const OUTCOME: Program = command(
+    "laburnum-ctl outcome",
+    "Asks what became of a submission.",
+    &[SUBMISSION],
+    ASK,
+);
+const GET: Program = command(
+    "laburnum-ctl get",
+    "Prints the document in force.",
+    &[SERVICE],
+    ASK,
+);
+const LIST: Program = command(
+    "laburnum-ctl list",
+    "Lists the services in force.",
+    &[],
+    ASK,
+);
+const DIFF: Program = command(
+    "laburnum-ctl diff",
+    "Compares a document with the one in force; ends with 0 whether they differ or not.",
+    &[FILE],
+    ASK,
+);
+const AUDIT: Program = command(
+    "laburnum-ctl audit",
+    "Prints who changed what, when and why.",
+    &[],
+    RANGE,
+);
+const HISTORY: Program = command(
+    "laburnum-ctl history",
+    "Prints who changed one service, with the differences.",
+    &[SERVICE],
+    RANGE,
+);
+const STATUS: Program = command(
+    "laburnum-ctl status",
+    "Prints what is in force, who lags, quarantined requests and requests of unknown outcome.",
+    &[],
+    &[NODE.row(), WAIT.row(), TIMEOUT.row(), JSON.row()],
+);
+const LIFT: Program = command(
+    "laburnum-ctl lift",
+    "Lifts the quarantine of a request that crashed its upstreams.",
+    &[FINGERPRINT],
+    ACT,
+);
+const RESOLVE: Program = command(
+    "laburnum-ctl resolve",
+    "Decides on a request whose outcome is unknown.",
+    &[SERVICE, KEY],
+    &[
+        NODE.row(),
+        FOUND.row(),
+        AUTHOR.row(),
+        REASON.row(),
+        JSON.row(),
+    ],
+);
+
+/// Every command.
+pub const SUITE: Suite = Suite {
+    name: "laburnum-ctl",
+    version: VERSION,
+    about: "Checks documents, submits them and tells what is in force.",
+    commands: &[
+        ("check", CHECK),
+        ("submit", SUBMIT),
+        ("delete", DELETE),
+        ("outcome", OUTCOME),
+        ("get", GET),
+        ("list", LIST),
+        ("diff", DIFF),
+        ("audit", AUDIT),
+        ("history", HISTORY),
+        ("status", STATUS),
+        ("lift", LIFT),
+        ("resolve", RESOLVE),
+    ],
+};
+
+/// A finding on the command line.
+pub(super) struct FoundText(pub Found);
+
+/// The text is no finding.
+#[derive(Debug, thiserror::Error)]
+#[error("write ran or not-run")]
+pub(super) struct BadFound;
+
+impl FromStr for FoundText {
+    type Err = BadFound;
+
+    fn from_str(text: &str) -> Result<FoundText, BadFound> {
+        match text {
+            "ran" => Ok(FoundText(Found::Ran)),
+            "not-run" => Ok(FoundText(Found::NotRun)),
+            _ => Err(BadFound),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/commands.rs
@@ -0,0 +1,202 @@
+//! Each command: what it asks, and the report that it makes of the answers.
+
+mod change;
+mod wait;
+
+use std::{io::Write, net::SocketAddr, path::Path, path::PathBuf};
+
+use laburnum_edge::api::{Found, LiftBody, ResolveBody, VerdictBody};
+use laburnum_kernel::{Name, SubmitId, document::Document};
+use serde_json::{Value, json};
+
+use crate::{
+    cli::{Act, Command, Print, Wait},
+    client::{Client, ClientError},
+    files,
+    report::{Failure, Outcome, Report},
+    show,
+};
+
+/// Carries out `command`; progress goes to `err`.
+pub async fn run(command: Command, err: &mut dyn Write) -> Result<Report, Failure> {
+    match command {
+        Command::Check { files } => check(&files),
+        Command::Submit { file, change } => change::submit(&file, change, err).await,
+        Command::Delete { service, change } => change::delete(service, change, err).await,
+        Command::Outcome { node, id } => outcome(node, id).await,
+        Command::Get { node, service } => get(node, &service).await,
+        Command::List { node } => list(node).await,
+        Command::Diff { node, file } => diff(node, &file).await,
+        Command::Audit { node, range } => {
+            let page = Client::new(node).audit(range.after, range.limit).await?;
+            Ok(done(show::audit(&page), json!(page)))
+        }
+        Command::History {
+            node,
+            service,
+            range,
+        } => {
+            let client = Client::new(node);
+            let page = client.history(&service, range.after, range.limit).await?;
+            Ok(done(show::history(&page), json!(page)))
+        }
+        Command::Status { node, wait } => status(node, wait, err).await,
+        Command::Lift { node, print, act } => lift(node, &print, act).await,
+        Command::Resolve {
+            node,
+            service,
+            key,
+            found,
+            act,
+        } => resolve(node, service, key, found, act).await,
+    }
+}
+
+fn check(files: &[PathBuf]) -> Result<Report, Failure> {
+    let mut text = String::new();
+    let mut checked = Vec::new();
+    let mut outcome = Outcome::Done;
+    for path in files {
+        let parsed = Document::parse(&files::read(path)?);
+        if parsed.is_err() {
+            outcome = Outcome::Refused;
+        }
+        text.push_str(&show::checked(path, &parsed));
+        checked.push(checked_json(path, &parsed));
+    }
+    Ok(Report {
+        outcome,
+        text,
+        json: json!({ "files": checked }),
+    })
+}
+
+fn checked_json(
+    path: &Path,
+    parsed: &Result<Document, laburnum_kernel::document::BadDocument>,
+) -> Value {
+    let file = path.display().to_string();
+    match parsed {
+        Ok(document) => json!({"file": file, "service": document.service, "faults": []}),
+        Err(error) => {
+            let faults = error.faults.iter().map(
+                |it| json!({"line": it.line, "column": it.column, "error": it.kind.to_string()}),
+            );
+            json!({"file": file, "faults": faults.collect::<Vec<_>>()})
+        }
+    }
+}
+
+async fn outcome(node: SocketAddr, id: SubmitId) -> Result<Report, Failure> {
+    let answer = Client::new(node).outcome(id).await?;
+    let mut report = change::told(id, &answer.verdict);
+    if answer.verdict == VerdictBody::Absent {
+        // Not there yet is no verdict: the submission may still be on its way.
+        report.outcome = Outcome::Unavailable;
+    }
+    Ok(report)
+}
+
+async fn get(node: SocketAddr, service: &Name) -> Result<Report, Failure> {
+    let body = Client::new(node).service(service).await?;
+    let text = match body.text.ends_with('\n') {
+        true => body.text.clone(),
+        false => format!("{}\n", body.text),
+    };
+    Ok(done(text, json!(body)))
+}
+
+async fn list(node: SocketAddr) -> Result<Report, Failure> {
+    let body = Client::new(node).list().await?;
+    Ok(done(show::list(&body), json!(body)))
+}
+
+async fn diff(node: SocketAddr, file: &Path) -> Result<Report, Failure> {
+    let new = files::read(file)?;
+    let document = match Document::parse(&new) {
+        Ok(document) => document,
+        parsed => {
+            return Ok(Report {
+                outcome: Outcome::Refused,
+                text: show::checked(file, &parsed),
+                json: checked_json(file, &parsed),
+            });
+        }
+    };
+    let service = document.service;
+    let (revision, old) = match Client::new(node).service(&service).await {
+        Ok(body) => (body.revision.0, body.text),
+        Err(error) if change::absent(&error) => (0, String::new()),
+        Err(error) => return Err(error.into()),
+    };
+    let diff = show::diff(&service, revision, &old, file, &new);
+    let json = json!({"service": service, "revision": revision, "diff": diff});
+    Ok(done(diff, json))
+}
+
+async fn status(node: SocketAddr, wait: Wait, err: &mut dyn Write) -> Result<Report, Failure> {
+    let client = Client::new(node);
+    let mut status = client.status().await?;
+    let mut outcome = Outcome::Done;
+    if let Wait::For(patience) = wait {
+        let target = status.seq;
+        let waited = wait::everywhere(&client, target, patience, err).await?;
+        outcome = waited.outcome();
+        status = waited.status;
+    }
+    let quarantines = client.quarantines().await?;
+    // The table may be out while everything else can be told.
+    let unknown = match client.unknown().await {
+        Ok(body) => Ok(body),
+        Err(ClientError::Refused { error, .. }) => Err(error),
+        Err(error) => return Err(error.into()),
+    };
+    let mut json = json!(status);
+    json["quarantines"] = json!(quarantines.quarantines);
+    match &unknown {
+        Ok(body) => json["unknown"] = json!(body.unknown),
+        Err(error) => json["unknown_error"] = json!(error),
+    }
+    Ok(Report {
+        outcome,
+        text: show::status(&status, &quarantines, &unknown),
+        json,
+    })
+}
+
+async fn lift(node: SocketAddr, print: &Print, act: Act) -> Result<Report, Failure> {
+    let body = LiftBody {
+        author: act.author,
+        reason: act.reason,
+    };
+    Client::new(node).lift(&print.0, &body).await?;
+    let text = format!("lifted {}\n", print.0);
+    Ok(done(text, json!({"lifted": print.0})))
+}
+
+async fn resolve(
+    node: SocketAddr,
+    service: Name,
+    key: String,
+    found: Found,
+    act: Act,
+) -> Result<Report, Failure> {
+    let body = ResolveBody {
+        service,
+        key,
+        found,
+        author: act.author,
+        reason: act.reason,
+    };
+    Client::new(node).resolve(&body).await?;
+    let text = format!("resolved {} key {:?}\n", body.service, body.key);
+    Ok(done(text, json!(body)))
+}
+
+fn done(text: String, json: Value) -> Report {
+    Report {
+        outcome: Outcome::Done,
+        text,
+        json,
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/show.rs
@@ -0,0 +1,180 @@
+//! Results as lines for people.
+
+use std::{fmt::Write, path::Path};
+
+use jiff::Timestamp;
+use laburnum_edge::api::{
+    AuditAction, AuditBody, AuditChange, ListBody, QuarantinesBody, StatusBody, SubmitAnswer,
+    UnknownBody, VerdictBody,
+};
+use laburnum_kernel::{
+    Ms, Name,
+    document::{BadDocument, Document},
+};
+use similar::TextDiff;
+
+// Writing to a string cannot fail, so its results are dropped.
+
+/// A file that was checked: one line, or one a fault in the form that editors jump to.
+pub fn checked(path: &Path, parsed: &Result<Document, BadDocument>) -> String {
+    let file = path.display();
+    match parsed {
+        Ok(it) => format!(
+            "{file}: ok, service {}, {} routes\n",
+            it.service,
+            it.routes.len()
+        ),
+        Err(error) => error
+            .faults
+            .iter()
+            .map(|it| format!("{file}:{}:{}: {}\n", it.line, it.column, it.kind))
+            .collect(),
+    }
+}
+
+/// What became of a submission.
+pub fn verdict(answer: &SubmitAnswer) -> String {
+    let id = &answer.id;
+    match &answer.verdict {
+        VerdictBody::Accepted { seq, revision } => {
+            format!("accepted: revision {revision}, seq {seq}, id {id}\n")
+        }
+        VerdictBody::Conflict {
+            revision,
+            author,
+            diff,
+        } => {
+            let mut text = format!(
+                "conflict: {author} made revision {revision} first; nothing was changed\n{diff}"
+            );
+            if !text.ends_with('\n') {
+                text.push('\n');
+            }
+            text
+        }
+        VerdictBody::Refused { why } => format!("refused: {why}\n"),
+        VerdictBody::Unavailable { why } => format!("unavailable: {why}; nothing was changed\n"),
+        VerdictBody::Unknown => format!("unknown: submission {id} may or may not be accepted\n"),
+        VerdictBody::Absent => format!("absent: the log holds no submission {id} so far\n"),
+    }
+}
+
+/// The services in force.
+pub fn list(body: &ListBody) -> String {
+    let width = body.services.iter().map(|it| it.service.as_str().len());
+    let width = width.max().unwrap_or(0).max("service".len());
+    let mut text = format!("{:width$}  revision  routes  upstreams  owner\n", "service");
+    for it in &body.services {
+        let _ = writeln!(
+            text,
+            "{:width$}  {:>8}  {:>6}  {:>9}  {}",
+            it.service.as_str(),
+            it.revision.0,
+            it.routes,
+            it.upstreams,
+            it.owner
+        );
+    }
+    let _ = writeln!(text, "{} services at seq {}", body.services.len(), body.seq);
+    text
+}
+
+/// The difference between the document in force and a file; empty if there is none.
+pub fn diff(service: &Name, revision: u64, old: &str, file: &Path, new: &str) -> String {
+    let (from, to) = (format!("{service}@{revision}"), file.display().to_string());
+    let diff = TextDiff::from_lines(old, new);
+    diff.unified_diff().header(&from, &to).to_string()
+}
+
+/// Changes, a line each.
+pub fn audit(page: &AuditBody) -> String {
+    let lines = page.changes.iter().map(|it| format!("{}\n", change(it)));
+    lines.collect::<String>() + &more(page)
+}
+
+/// Changes with their differences.
+pub fn history(page: &AuditBody) -> String {
+    let entries = page.changes.iter().map(|it| {
+        let end = if it.diff.is_empty() || it.diff.ends_with('\n') {
+            ""
+        } else {
+            "\n"
+        };
+        format!("{}\n{}{end}", change(it), it.diff)
+    });
+    entries.collect::<String>() + &more(page)
+}
+
+fn change(it: &AuditChange) -> String {
+    let action = match it.action {
+        AuditAction::Put => "put",
+        AuditAction::Delete => "delete",
+    };
+    format!(
+        "seq {}  {}  {action} {} revision {} (base {})  by {}: {}  id {}",
+        it.seq,
+        time(it.time),
+        it.service,
+        it.revision,
+        it.base,
+        it.author,
+        it.reason,
+        it.id
+    )
+}
+
+fn more(page: &AuditBody) -> String {
+    match page.next {
+        Some(next) => format!("more: ask again with --after {next}\n"),
+        None => String::new(),
+    }
+}
+
+/// What is in force, who lags, and what needs an operator.
+pub fn status(
+    status: &StatusBody,
+    quarantines: &QuarantinesBody,
+    unknown: &Result<UnknownBody, String>,
+) -> String {
+    let mut text = format!(
+        "seq {} at this node; {} nodes, {} behind\n",
+        status.seq,
+        status.nodes,
+        status.behind.len()
+    );
+    for it in &status.behind {
+        let _ = writeln!(text, "behind: {} at seq {}", it.node, it.seq);
+    }
+    for it in quarantines.quarantines.iter().filter(|it| it.held) {
+        let since = time(it.time);
+        let _ = writeln!(
+            text,
+            "quarantined: {} of {} since {since}",
+            it.print, it.service
+        );
+    }
+    match unknown {
+        Ok(body) => {
+            for it in &body.unknown {
+                let since = time(it.time);
+                let _ = writeln!(
+                    text,
+                    "unknown: {} key {:?}, run by {} at {since}",
+                    it.service, it.key, it.holder
+                );
+            }
+        }
+        Err(error) => {
+            let _ = writeln!(text, "unknown outcomes cannot be read: {error}");
+        }
+    }
+    text
+}
+
+fn time(time: Ms) -> String {
+    let millis = i64::try_from(time.0).unwrap_or(i64::MAX);
+    match Timestamp::from_millisecond(millis) {
+        Ok(stamp) => stamp.to_string(),
+        Err(_) => format!("{} ms", time.0),
+    }
+}
--- a/crates/edge/src/api.rs
+++ b/crates/edge/src/api.rs
@@ -400,8 +400,18 @@
 
 /// Checks the author and the reason of an operator's act.
 pub fn check_act(author: &str, reason: &str) -> Result<(), BadSubmission> {
-    line("author", author, AUTHOR_MAX)?;
-    line("reason", reason, REASON_MAX)
+    check_author(author)?;
+    check_reason(reason)
+}
+
+/// Checks who acts.
+pub fn check_author(text: &str) -> Result<(), BadSubmission> {
+    line("author", text, AUTHOR_MAX)
+}
+
+/// Checks why.
+pub fn check_reason(text: &str) -> Result<(), BadSubmission> {
+    line("reason", text, REASON_MAX)
 }
 
 /// Body of `PUT /v1/upstream`: an upstream announces itself to the node beside it.
--- a/crates/flags/src/fault.rs
+++ b/crates/flags/src/fault.rs
@@ -45,6 +45,9 @@
     /// An argument too many.
     #[error("unexpected argument {text:?}; remove it, or see --help")]
     Extra { text: String },
+    /// An operand does not read as its type.
+    #[error("{name}: {why}")]
+    BadOperand { name: &'static str, why: String },
     /// An operand is not given.
     #[error("{name} is missing; add it after the command, or see --help")]
     NoOperand { name: &'static str },
--- a/crates/flags/src/help.rs
+++ b/crates/flags/src/help.rs
@@ -42,10 +42,14 @@
 }
 
 fn setting(text: &mut String, row: &Row) {
+    if row.is_switch() {
+        let _ = writeln!(text, "  {}\n      {}", row.flag, row.help);
+        return;
+    }
     let fallback = match row.fallback {
         Fallback::Text("") => "default: empty".to_owned(),
         Fallback::Text(default) => format!("default: {}", row.show(default)),
-        Fallback::Absent => "default: none".to_owned(),
+        Fallback::Absent | Fallback::Off => "default: none".to_owned(),
         Fallback::Required => "required".to_owned(),
     };
     let _ = writeln!(text, "  {} {}", row.flag, value(row));
--- a/crates/flags/src/program.rs
+++ b/crates/flags/src/program.rs
@@ -27,7 +27,7 @@
     pub version: &'static str,
     /// One sentence on what it does.
     pub about: &'static str,
-    /// Arguments without a flag, all required, in order.
+    /// Arguments without a flag, all required, in order; the last may be repeated.
     pub operands: &'static [Operand],
     /// Its settings.
     pub settings: &'static [Row],
@@ -51,7 +51,7 @@
 /// An argument without a flag.
 #[derive(Clone, Copy, Debug)]
 pub struct Operand {
-    /// What the help calls it, as in `SERVICE`.
+    /// What the help calls it, as in `SERVICE`; `FILE...` may be given several times.
     pub name: &'static str,
     /// One line on what it is.
     pub help: &'static str,
@@ -154,6 +154,9 @@
         args: &mut Arguments,
         variables: &BTreeMap<String, OsString>,
     ) -> Result<Option<String>, Fault> {
+        if row.is_switch() {
+            return Ok(Some(args.contains(row.flag).to_string()));
+        }
         let given = args
             .opt_value_from_fn(row.flag, |it| Ok::<_, fmt::Error>(OsString::from(it)))
             .map_err(|error| match error {
@@ -167,7 +170,7 @@
         let Some(text) = given.or_else(variable) else {
             return match row.fallback {
                 Fallback::Text(text) => Ok(Some(text.to_owned())),
-                Fallback::Absent => Ok(None),
+                Fallback::Absent | Fallback::Off => Ok(None),
                 Fallback::Required => Err(Fault::required(row)),
             };
         };
@@ -184,7 +187,7 @@
         let mut kept = Vec::new();
         let mut args = args.into_iter().peekable();
         while let Some(text) = args.next() {
-            let Some(row) = self.find(&text) else {
+            let Some(row) = self.find(&text).filter(|it| !it.is_switch()) else {
                 kept.push(text);
                 continue;
             };
@@ -211,7 +214,7 @@
             } else if after_flag {
                 // Taken to be the value of the unknown flag; it may be a secret, so it is not repeated.
                 after_flag = false;
-            } else if operands.len() == self.operands.len() {
+            } else if operands.len() == self.operands.len() && !self.repeats() {
                 faults.0.push(Fault::Extra { text });
             } else {
                 operands.push(text);
@@ -224,12 +227,22 @@
         operands
     }
 
+    /// Whether the last operand may be given several times.
+    fn repeats(&self) -> bool {
+        self.operands
+            .last()
+            .is_some_and(|it| it.name.ends_with("..."))
+    }
+
     fn left_over(&self, text: &str, faults: &mut Faults) {
         let flag = text.split('=').next().unwrap_or(text);
         if let Some(row) = self.settings.iter().find(|it| it.flag == flag) {
             // The library leaves a flag in place whose value it could not read.
             let told = faults.0.iter().any(|it| it.flag() == Some(row.flag));
-            if !told {
+            if row.is_switch() && text.contains('=') {
+                let text = text.to_owned();
+                faults.0.push(Fault::Extra { text });
+            } else if !told {
                 faults.0.push(Fault::Repeated { flag: row.flag });
             }
             return;
@@ -319,6 +332,11 @@
         &self.operands[idx]
     }
 
+    /// Every operand, in order.
+    pub fn operands(&self) -> &[String] {
+        &self.operands
+    }
+
     /// Each setting's flag and text, secrets hidden; for the log line at start.
     pub fn shown(&self) -> impl Iterator<Item = (&'static str, &str)> {
         self.settings.iter().filter_map(|row| {
--- a/crates/flags/src/setting.rs
+++ b/crates/flags/src/setting.rs
@@ -38,6 +38,8 @@
     Absent,
     /// The program does not start.
     Required,
+    /// The setting is a switch: it stands without a value, has no variable, and is off.
+    Off,
 }
 
 /// Whether a setting's value may be printed.
@@ -103,7 +105,21 @@
     }
 }
 
+impl Setting<bool> {
+    /// A flag without a value, off unless it stands in the arguments.
+    pub const fn switch(flag: &'static str, help: &'static str) -> Setting<bool> {
+        let mut switch = Setting::new(flag, "", help);
+        switch.row.fallback = Fallback::Off;
+        switch
+    }
+}
+
 impl Row {
+    /// Whether it stands without a value.
+    pub fn is_switch(&self) -> bool {
+        self.fallback == Fallback::Off
+    }
+
     /// Its environment variable: `--push-window` is `LABURNUM_PUSH_WINDOW`.
     pub fn variable(&self) -> String {
         let name = self.flag.trim_start_matches('-').replace('-', "_");
--- a/crates/flags/tests/flags.rs
+++ b/crates/flags/tests/flags.rs
@@ -185,3 +185,33 @@
     assert!(!shown.contains("4711"), "{shown}");
     assert!(shown.contains("(hidden)"), "{shown}");
 }
+
+const JSON: Setting<bool> = Setting::switch("--json", "Print JSON.");
+const CHECK: Program = Program {
+    name: "demo check",
+    operands: &[Operand {
+        name: "FILE...",
+        help: "Files.",
+    }],
+    settings: &[ZONE.row(), JSON.row()],
+    ..PROGRAM
+};
+
+#[test_case(&["a"], false, &["a"]; "off")]
+#[test_case(&["--json", "a", "b"], true, &["a", "b"]; "takes no value")]
+#[test_case(&["a", "--zone", "c", "--json"], true, &["a"]; "last")]
+fn switches_and_repeated_operands(args: &[&str], json: bool, files: &[&str]) {
+    let input = Input::new(args.iter().copied(), [("LABURNUM_JSON", "true")]);
+    let values = CHECK.parse(input).expect("no faults");
+    assert_eq!(values.get(&JSON), json);
+    assert_eq!(values.operands(), files);
+}
+
+#[test_case(&["--json=yes", "a"], "unexpected argument \"--json=yes\""; "switch with a value")]
+#[test_case(&["--json", "--json", "a"], "--json is given more than once"; "switch twice")]
+#[test_case(&["--zone", "--json", "a"], "--zone: the value is missing"; "switch in place of a value")]
+#[test_case(&["--json"], "FILE... is missing"; "no operand")]
+fn faults_of_switches_and_repeated_operands(args: &[&str], expected: &str) {
+    let found = text(&CHECK, args, &[]);
+    assert!(found.contains(expected), "{found}");
+}
