--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -24,7 +24,7 @@
         Command::Submit { file, change } => change::submit(&file, change, err).await,
         Command::Delete { service, change } => change::delete(service, change, err).await,
         Command::Outcome { node, id } => outcome(node, id).await,
-        Command::Get { node, service } => get(node, &service).await,
+        Command::Get { node, service } => get(node, &service, err).await,
         Command::List { node } => list(node).await,
         Command::Diff { node, file } => diff(node, &file).await,
         Command::Audit { node, range } => {
@@ -97,8 +97,11 @@
     Ok(report)
 }
 
-async fn get(node: SocketAddr, service: &Name) -> Result<Report, Failure> {
+async fn get(node: SocketAddr, service: &Name, err: &mut dyn Write) -> Result<Report, Failure> {
     let body = Client::new(node).service(service).await?;
+    // Beside the document, so that the output alone can be saved, changed and submitted.
+    let (revision, seq) = (body.revision, body.seq);
+    let _ = writeln!(err, "{service}: revision {revision} at seq {seq}");
     let text = match body.text.ends_with('\n') {
         true => body.text.clone(),
         false => format!("{}\n", body.text),
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -20,7 +20,7 @@
     let file = path.display();
     match parsed {
         Ok(it) => format!(
-            "{file}: ok, service {}, {} routes\n",
+            "{file}: ok, service {}, routes {}\n",
             it.service,
             it.routes.len()
         ),
--- /dev/null
+++ b/crates/ctl/tests/lost.rs
@@ -0,0 +1,237 @@
+//! Answers that are lost, late or crossed, on a node that follows a script.
+
+mod support;
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use laburnum_ctl::report::Outcome;
+use support::{Ran, ctl};
+use test_case::test_case;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+const ID: &str = "0000000000000000000000000000002a";
+
+/// What the node does with one request.
+#[derive(Clone, Copy)]
+enum Step {
+    /// Answers with this status and body.
+    Say(u16, &'static str),
+    /// Closes the connection without an answer.
+    Drop,
+}
+
+use Step::{Drop, Say};
+
+const ABSENT: Step = Say(404, r#"{"id":"2a","verdict":"absent"}"#);
+const ACCEPTED: Step = Say(
+    200,
+    r#"{"id":"2a","verdict":"accepted","seq":9,"revision":4}"#,
+);
+const UNKNOWN: Step = Say(504, r#"{"id":"2a","verdict":"unknown"}"#);
+const BUSY: Step = Say(
+    503,
+    r#"{"error":"the node is shutting down; ask another node"}"#,
+);
+const CONFLICT: Step = Say(
+    409,
+    r#"{"id":"2a","verdict":"conflict","revision":4,"author":"omar","diff":"-a\n+b\n"}"#,
+);
+const STRANGE: Step = Say(404, "<html>");
+
+/// A node that follows a script, a step a request; the last step repeats.
+struct Script {
+    address: SocketAddr,
+    seen: Arc<Mutex<Vec<String>>>,
+}
+
+impl Script {
+    async fn start(steps: &'static [Step]) -> Script {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let seen: Arc<Mutex<Vec<String>>> = Arc::default();
+        let requests = seen.clone();
+        tokio::spawn(async move {
+            for idx in 0.. {
+                let Ok((stream, _)) = listener.accept().await else {
+                    return;
+                };
+                let request = serve(stream, steps[idx.min(steps.len() - 1)]).await;
+                requests
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .push(request);
+            }
+        });
+        Script { address, seen }
+    }
+
+    /// Each request's first line, with the id in its body.
+    fn seen(&self) -> Vec<String> {
+        self.seen
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+}
+
+async fn serve(mut stream: TcpStream, step: Step) -> String {
+    let request = receive(&mut stream).await;
+    if let Say(status, body) = step {
+        let length = body.len();
+        let answer = format!(
+            "HTTP/1.1 {status} x\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}"
+        );
+        // The program may have given up meanwhile.
+        let _ = stream.write_all(answer.as_bytes()).await;
+        let _ = stream.shutdown().await;
+    }
+    let line = request.lines().next().unwrap_or_default();
+    let line = line.trim_end_matches(" HTTP/1.1");
+    match request.contains(&format!("\"id\":\"{ID}\"")) {
+        true => format!("{line} with the id"),
+        false => line.to_owned(),
+    }
+}
+
+/// Reads one request whole.
+async fn receive(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let mut chunk = [0; 4096];
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head
+                .lines()
+                .find_map(|it| it.strip_prefix("content-length: "));
+            let length = length.and_then(|it| it.parse().ok()).unwrap_or(0);
+            if body.len() >= length {
+                return text;
+            }
+        }
+        match stream.read(&mut chunk).await {
+            Ok(0) | Err(_) => return text,
+            Ok(count) => bytes.extend_from_slice(&chunk[..count]),
+        }
+    }
+}
+
+async fn submit(node: SocketAddr, retry: &str) -> Ran {
+    let node = node.to_string();
+    ctl(&[
+        "submit",
+        "tests/data/archive.toml",
+        "--author",
+        "amal",
+        "--reason",
+        "trial",
+        "--base",
+        "3",
+        "--id",
+        ID,
+        "--node",
+        &node,
+        "--retry",
+        retry,
+    ])
+    .await
+}
+
+const POST: &str = "POST /v1/submissions with the id";
+const ASK: &str = "GET /v1/submissions/0000000000000000000000000000002a";
+
+/// What the operator sees: "accepted", once, though the first answer was lost. The node took the change and
+/// its answer went missing; the program asks by the id, and submits again under the same id where the log
+/// does not hold it. To submit under a new id would be a second change.
+#[test_case(&[Drop, ACCEPTED], &[POST, ASK]; "answer lost after acceptance")]
+#[test_case(&[UNKNOWN, ACCEPTED], &[POST, ASK]; "platform lost the answer")]
+#[test_case(&[Drop, ABSENT, ACCEPTED], &[POST, ASK, POST]; "request lost before acceptance")]
+#[test_case(&[UNKNOWN, UNKNOWN, UNKNOWN, ACCEPTED], &[POST, ASK, POST, ASK]; "unknown for a while")]
+#[test_case(&[BUSY, Drop, ACCEPTED], &[POST, ASK, POST]; "node replaced")]
+#[tokio::test]
+async fn lost_answers_are_asked_for(steps: &'static [Step], seen: &[&str]) {
+    let script = Script::start(steps).await;
+    let ran = submit(script.address, "30").await;
+    assert_eq!(ran.outcome, Outcome::Done, "{ran}");
+    assert_eq!(ran.out, format!("accepted: revision 4, seq 9, id {ID}\n"));
+    assert_eq!(script.seen(), seen);
+}
+
+/// What the operator sees: neither "accepted" nor "failed", but how to learn it later. The platform stays
+/// down for longer than the operator waits.
+#[test_case(&[UNKNOWN]; "unknown")]
+#[test_case(&[Drop]; "every answer lost")]
+#[tokio::test]
+async fn unknown_outcomes_say_how_to_ask_again(steps: &'static [Step]) {
+    let script = Script::start(steps).await;
+    let ran = submit(script.address, "0").await;
+    assert_eq!(ran.outcome, Outcome::Unavailable);
+    assert!(
+        ran.err.contains(&format!("ask: laburnum-ctl outcome {ID}")),
+        "{ran}"
+    );
+    assert!(ran.err.contains(&format!("--id {ID} --base 3")), "{ran}");
+}
+
+#[tokio::test]
+async fn conflicts_show_the_winner() {
+    let script = Script::start(&[CONFLICT]).await;
+    let ran = submit(script.address, "30").await;
+    insta::assert_snapshot!("conflict", ran);
+    assert_eq!(script.seen(), [POST]);
+}
+
+/// What the operator sees: at once that nothing was sent, or that the address is no node's. Waiting would
+/// not turn a web server into a node.
+#[tokio::test]
+async fn wrong_addresses_are_told_at_once() {
+    let script = Script::start(&[STRANGE]).await;
+    let ran = submit(script.address, "30").await;
+    assert_eq!(ran.outcome, Outcome::Unavailable);
+    assert!(
+        ran.err
+            .contains("check that --node is a node's admin address"),
+        "{ran}"
+    );
+    assert_eq!(script.seen(), [POST]);
+
+    let closed = TcpListener::bind("127.0.0.1:0")
+        .await
+        .and_then(|it| it.local_addr());
+    let ran = submit(closed.expect("a free port"), "0").await;
+    assert_eq!(ran.outcome, Outcome::Unavailable);
+    assert!(
+        ran.err.contains("start it, or name another with --node"),
+        "{ran}"
+    );
+}
+
+#[test_case(r#"{"seq":3,"nodes":3,"behind":[{"node":"127.0.0.1:1","seq":2}]}"#, Outcome::Unavailable; "a node lags")]
+#[test_case(r#"{"seq":3,"nodes":3,"behind":[]}"#, Outcome::Done; "none lags")]
+fn waiting_ends_when_none_lags(status: &'static str, outcome: Outcome) {
+    let run = async move {
+        let steps: &'static [Step] = Box::leak(Box::new([
+            Say(200, status),
+            Say(200, status),
+            Say(200, r#"{"quarantines":[]}"#),
+            Say(503, r#"{"error":"the table gave no answer; retry later"}"#),
+        ]));
+        let script = Script::start(steps).await;
+        let node = script.address.to_string();
+        let ran = ctl(&["status", "--wait", "--timeout", "0", "--node", &node]).await;
+        assert_eq!(ran.outcome, outcome, "{ran}");
+        let text = ran.out + &ran.err;
+        assert!(
+            text.contains("unknown outcomes cannot be read: the table gave no answer"),
+            "{text}"
+        );
+    };
+    tokio::runtime::Runtime::new()
+        .expect("a runtime")
+        .block_on(run);
+}
