Bound a route's methods and find lines by search

Cause: a route could name 13,000 methods, compared pairwise on the control thread; each route's line was counted from the start of the text. Change: at most 16 methods a route; line starts are found once.

--- a/crates/kernel/src/document.rs
+++ b/crates/kernel/src/document.rs
@@ -21,6 +21,8 @@
 pub const DOCUMENT_MAX: usize = 64 * 1024;
 /// Most routes of one document.
 pub const ROUTES_MAX: usize = 256;
+/// Most methods of one route.
+pub const METHODS_MAX: usize = 16;
 /// Most services that one route uses.
 pub const USES_MAX: usize = 64;
 /// The longest owner, in bytes.
--- a/crates/kernel/src/document/fault.rs
+++ b/crates/kernel/src/document/fault.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use crate::{
-    document::{DOCUMENT_MAX, ROUTES_MAX, SCHEMA, USES_MAX},
+    document::{DOCUMENT_MAX, METHODS_MAX, ROUTES_MAX, SCHEMA, USES_MAX},
     id::{BadName, Name},
 };
 
@@ -113,6 +113,9 @@
     /// A route that carries nothing.
     #[error("the route has no methods; name them, such as methods = [\"GET\"]")]
     NoMethods,
+    /// A route names more than [`METHODS_MAX`] methods.
+    #[error("the route has {0} methods; name at most {METHODS_MAX}")]
+    ManyMethods(usize),
     /// A method that no request can have.
     #[error(
         "method {0:?} is not valid; use upper case letters and '-', such as \"GET\", at most 16"
@@ -167,18 +170,6 @@
     }
 }
 
-/// The line and column, both from 1, of the byte at `offset` in `text`.
-pub(super) fn place(text: &str, offset: usize) -> (usize, usize) {
-    let mut end = offset.min(text.len());
-    while !text.is_char_boundary(end) {
-        end -= 1;
-    }
-    let before = &text[..end];
-    let start = before.rfind('\n').map_or(0, |it| it + 1);
-    let line = before.matches('\n').count() + 1;
-    (line, before[start..].chars().count() + 1)
-}
-
 /// The one of `known` that `word` was probably meant to be.
 pub(super) fn nearest(word: &str, known: &[&'static str]) -> Option<&'static str> {
     let word: String = word.chars().take(GUESS_MAX).collect();
--- a/crates/kernel/src/document/read.rs
+++ b/crates/kernel/src/document/read.rs
@@ -7,8 +7,8 @@
 use crate::{
     document::{
         BODY_MAX, Class, DEADLINE_MAX, DEADLINE_MIN, DOCUMENT_MAX, Document, Drain, Limits,
-        METHOD_MAX, OWNER_MAX, PATH_MAX, ROUTES_MAX, Repeat, Retry, Route, SCHEMA, USES_MAX,
-        WAIT_MAX, Warmup,
+        METHOD_MAX, METHODS_MAX, OWNER_MAX, PATH_MAX, ROUTES_MAX, Repeat, Retry, Route, SCHEMA,
+        USES_MAX, WAIT_MAX, Warmup,
         fault::{BadDocument, FaultKind, nearest},
         table::{At, Faults, Section, clip, name, wrong},
         unit::{DURATION, SIZE},
@@ -208,6 +208,10 @@
         let offset = section.get("methods").map_or(section.offset, |it| it.0);
         faults.note(offset, FaultKind::NoMethods);
     }
+    if texts.len() > METHODS_MAX {
+        faults.note(texts[METHODS_MAX].0, FaultKind::ManyMethods(texts.len()));
+        return Vec::new();
+    }
     let valid = |it: u8| it.is_ascii_uppercase() || it == b'-';
     let mut methods: Vec<Arc<str>> = Vec::new();
     for (offset, text) in texts {
@@ -332,17 +336,21 @@
     route: &Route,
     carried: &mut BTreeMap<(Arc<str>, Arc<str>), usize>,
 ) {
+    let line = faults.line(offset);
     for method in &route.methods {
         let key = (route.path.clone(), method.clone());
-        if let Some(first) = carried.get(&key) {
-            let kind = FaultKind::DoubleRoute {
-                method: method.to_string(),
-                path: clip(&route.path),
-                line: faults.line(*first),
-            };
-            faults.note(offset, kind);
-        } else {
-            carried.insert(key, offset);
+        match carried.get(&key) {
+            Some(first) => {
+                let kind = FaultKind::DoubleRoute {
+                    method: method.to_string(),
+                    path: clip(&route.path),
+                    line: *first,
+                };
+                faults.note(offset, kind);
+            }
+            None => {
+                carried.insert(key, line);
+            }
         }
     }
 }
--- a/crates/kernel/src/document/table.rs
+++ b/crates/kernel/src/document/table.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     document::{
-        fault::{BadDocument, FAULTS_MAX, Fault, FaultKind, nearest, place},
+        fault::{BadDocument, FAULTS_MAX, Fault, FaultKind, nearest},
         unit::Quantity,
     },
     id::Name,
@@ -16,14 +16,18 @@
 /// Faults found so far in one text.
 pub(super) struct Faults<'a> {
     text: &'a str,
+    /// Where each line starts.
+    lines: Vec<usize>,
     found: Vec<(usize, FaultKind)>,
 }
 
 impl<'a> Faults<'a> {
     /// No faults in `text` yet.
     pub fn new(text: &'a str) -> Faults<'a> {
+        let breaks = text.match_indices('\n').map(|(offset, _)| offset + 1);
         Faults {
             text,
+            lines: std::iter::once(0).chain(breaks).collect(),
             found: Vec::new(),
         }
     }
@@ -33,9 +37,9 @@
         self.found.push((offset, kind));
     }
 
-    /// The line of a byte offset.
+    /// The line of a byte offset, from 1.
     pub fn line(&self, offset: usize) -> usize {
-        place(self.text, offset).0
+        self.lines.partition_point(|it| *it <= offset)
     }
 
     /// `value` if there is one and no fault was noted; otherwise the faults in the order of the text.
@@ -51,15 +55,23 @@
             self.found.truncate(FAULTS_MAX);
             self.found.push((self.text.len(), FaultKind::More(more)));
         }
-        let text = self.text;
-        let faults = self.found.into_iter().map(|(offset, kind)| {
-            let (line, column) = place(text, offset);
-            Fault { line, column, kind }
+        let found = std::mem::take(&mut self.found);
+        let faults = found.into_iter().map(|(offset, kind)| Fault {
+            line: self.line(offset),
+            column: self.column(offset),
+            kind,
         });
         Err(BadDocument {
             faults: faults.collect(),
         })
     }
+
+    /// The column of a byte offset in characters, from 1.
+    fn column(&self, offset: usize) -> usize {
+        let start = self.lines[self.line(offset) - 1];
+        let chars = self.text[start..].char_indices();
+        chars.take_while(|(idx, _)| start + idx < offset).count() + 1
+    }
 }
 
 /// One section: the document itself, a route or a table of settings.
--- a/crates/kernel/tests/document.rs
+++ b/crates/kernel/tests/document.rs
@@ -202,6 +202,12 @@
         ["3:9 \"owner\" is not valid; use 1 to 128 characters without control characters"]
     );
 
+    let methods: Vec<String> = (b'A'..=b'Q')
+        .map(|it| format!("\"{}\"", it as char))
+        .collect();
+    let text = many(1, "").replace("\"GET\"", &methods.join(","));
+    assert!(faults(&text)[0].ends_with("the route has 17 methods; name at most 16"));
+
     let used: Vec<String> = (0..=USES_MAX).map(|it| format!("\"s{it}\"")).collect();
     let found = faults(&many(1, &format!("uses = [{}]", used.join(","))));
     assert!(found[0].ends_with("the route uses 65 services; at most 64, split the route"));
