--- /dev/null
+++ b/crates/kernel/examples/overload/sim.rs
@@ -0,0 +1,666 @@
+//! A discrete-event run of entries, owners and upstreams, in microseconds.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap, VecDeque},
+    net::{Ipv4Addr, SocketAddr},
+};
+
+use laburnum_kernel::{
+    Ms, Name, NodeId,
+    admission::{Admission, AdmissionSettings, Finish, Offer, Permit, Request, Ticket, Wake},
+    document::{self, Class, Repeat},
+    members::Phase,
+    pick::{Choice, Outcome, Picker, Place},
+    refusal::Refusal,
+    retry::{Budget, Deadline, Failure, Next, Retry, Tree, Untried},
+    view::Endpoint,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Places of each class in the tables of a [`Report`].
+pub const CLASSES: [Class; 3] = [Class::Interactive, Class::Exact, Class::Background];
+
+const WARMUP: u64 = 3_000_000;
+const TICK: u64 = 5_000;
+const RETRIES: u32 = 3;
+const RAMP: u64 = 5_000;
+
+/// How requests are carried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// Round robin, a queue in the upstream, three blind retries after a quarter of the deadline each.
+    Baseline,
+    /// Admission, two choices, budgeted retries.
+    Managed,
+}
+
+/// How an upstream behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Upstreams {
+    /// All alike.
+    Equal,
+    /// Every third is three times slower.
+    Slow,
+    /// All announce three times the slots that they have processors for, and slow down beyond.
+    Oversold,
+}
+
+/// One experiment.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    pub endpoints: usize,
+    pub slots: u16,
+    pub zones: usize,
+    pub upstreams: Upstreams,
+    /// Offered slot time of each class as a share of the capacity.
+    pub load: [f64; 3],
+    /// Mean service time of each class, in us.
+    pub service: [u64; 3],
+    /// Deadline of each class, in us.
+    pub deadline: [u64; 3],
+    /// Simulated time, in us.
+    pub time: u64,
+}
+
+/// What was measured after the warm-up.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    pub offered: [u64; 3],
+    pub good: [u64; 3],
+    /// Latency of good answers, in us.
+    pub latency: [Vec<u64>; 3],
+    /// Time until a request that was not answered well was told so, in us.
+    pub given_up: Vec<u64>,
+    /// Work in good answers, in us of an uncrowded, ordinary slot.
+    pub useful: f64,
+    /// Work that the upstreams can do at best, in the same unit.
+    pub capacity: f64,
+    /// Attempts that reached an owner or upstream.
+    pub attempts: u64,
+    /// Requests that reached one at least once.
+    pub reached: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    Arrive {
+        class: usize,
+    },
+    Attempt {
+        call: usize,
+    },
+    AtOwner {
+        call: usize,
+        attempt: u32,
+        owner: usize,
+    },
+    Ended {
+        call: usize,
+        attempt: u32,
+        owner: usize,
+        work: u64,
+    },
+    AtEntry {
+        call: usize,
+        attempt: u32,
+        owner: usize,
+        answer: Answer,
+    },
+    Timeout {
+        call: usize,
+        attempt: u32,
+    },
+    Tick {
+        owner: usize,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Answer {
+    Ran {
+        work: u64,
+    },
+    Refused {
+        reason: laburnum_kernel::refusal::Reason,
+        after: u64,
+    },
+}
+
+struct Call {
+    class: usize,
+    entry: usize,
+    born: u64,
+    deadline: Deadline,
+    retry: Retry,
+    tried: Vec<NodeId>,
+    attempt: u32,
+    sent: u64,
+    open: bool,
+}
+
+struct Entry {
+    picker: Picker,
+    budget: Budget,
+    zone: usize,
+    turn: usize,
+}
+
+struct Owner {
+    admission: Admission,
+    node: NodeId,
+    zone: usize,
+    factor: f64,
+    processors: Option<f64>,
+    running: usize,
+    waiting: HashMap<Ticket, (usize, u32)>,
+    permits: HashMap<(usize, u32), Permit>,
+    backlog: VecDeque<(usize, u32)>,
+}
+
+/// One run.
+pub struct Sim {
+    scenario: Scenario,
+    policy: Policy,
+    rng: ChaCha8Rng,
+    now: u64,
+    queue: BinaryHeap<Reverse<(u64, u64, Step)>>,
+    steps: u64,
+    calls: Vec<Call>,
+    entries: Vec<Entry>,
+    owners: Vec<Owner>,
+    report: Report,
+}
+
+/// Runs `scenario` under `policy`.
+pub fn run(scenario: &Scenario, policy: Policy, settings: &AdmissionSettings, seed: u64) -> Report {
+    let mut sim = Sim::new(scenario.clone(), policy, settings, seed);
+    sim.run();
+    sim.report
+}
+
+impl Sim {
+    fn new(scenario: Scenario, policy: Policy, settings: &AdmissionSettings, seed: u64) -> Sim {
+        let owners: Vec<Owner> = (0..scenario.endpoints)
+            .map(|at| Owner::new(&scenario, settings, at))
+            .collect();
+        let endpoints: Vec<Endpoint> = owners
+            .iter()
+            .map(|it| it.endpoint(scenario.slots))
+            .collect();
+        let entries = (0..2 * scenario.zones)
+            .map(|at| Entry::new(at % scenario.zones, at, &endpoints))
+            .collect();
+        Sim {
+            report: Report {
+                capacity: owners.iter().map(Owner::capacity).sum::<f64>()
+                    * (scenario.time - WARMUP) as f64
+                    * f64::from(scenario.slots),
+                ..Report::default()
+            },
+            scenario,
+            policy,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: 0,
+            queue: BinaryHeap::new(),
+            steps: 0,
+            calls: Vec::new(),
+            entries,
+            owners,
+        }
+    }
+
+    fn run(&mut self) {
+        for class in 0..CLASSES.len() {
+            self.next_arrival(class);
+        }
+        for owner in 0..self.owners.len() {
+            self.after(TICK, Step::Tick { owner });
+        }
+        while let Some(Reverse((at, _, step))) = self.queue.pop() {
+            if at > self.scenario.time {
+                return;
+            }
+            self.now = at;
+            self.step(step);
+        }
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Arrive { class } => self.arrive(class),
+            Step::Attempt { call } => self.attempt(call),
+            Step::AtOwner {
+                call,
+                attempt,
+                owner,
+            } => self.at_owner(call, attempt, owner),
+            Step::Ended {
+                call,
+                attempt,
+                owner,
+                work,
+            } => self.ended(call, attempt, owner, work),
+            Step::AtEntry {
+                call,
+                attempt,
+                owner,
+                answer,
+            } => {
+                self.at_entry(call, attempt, owner, answer);
+            }
+            Step::Timeout { call, attempt } => self.timeout(call, attempt),
+            Step::Tick { owner } => {
+                let mut wakes = Vec::new();
+                let now = self.ms();
+                self.owners[owner].admission.tick(now, &mut wakes);
+                self.wake(owner, wakes);
+                self.after(TICK, Step::Tick { owner });
+            }
+        }
+    }
+
+    fn arrive(&mut self, class: usize) {
+        self.next_arrival(class);
+        let deadline = Deadline::after(self.ms(), self.scenario.deadline[class] / 1_000);
+        let repeat = match CLASSES[class] {
+            Class::Exact => Repeat::Never,
+            _ => Repeat::Idempotent,
+        };
+        let policy = document::Retry {
+            attempts: 3,
+            budget: 10,
+        };
+        let call = self.calls.len();
+        self.calls.push(Call {
+            class,
+            entry: self.rng.random_range(0..self.entries.len()),
+            born: self.now,
+            deadline,
+            retry: Retry::new(&policy, repeat, deadline, Tree::default()),
+            tried: Vec::new(),
+            attempt: 0,
+            sent: 0,
+            open: true,
+        });
+        if self.counts(call) {
+            self.report.offered[class] += 1;
+        }
+        self.attempt(call);
+    }
+
+    fn attempt(&mut self, id: usize) {
+        let now = self.ms();
+        let entry = &mut self.entries[self.calls[id].entry];
+        let call = &mut self.calls[id];
+        let owner = match self.policy {
+            Policy::Baseline => {
+                entry.turn += 1;
+                entry.turn % self.owners.len()
+            }
+            Policy::Managed => {
+                let class = CLASSES[call.class];
+                match entry.picker.pick(now, &mut self.rng, class, &call.tried) {
+                    Choice::Send(it) => {
+                        entry.picker.started(now, it.node);
+                        call.tried.push(it.node);
+                        call.retry.attempt();
+                        usize::from(it.node.0.port())
+                    }
+                    Choice::Refuse(_) => return self.give_up(id),
+                }
+            }
+        };
+        call.attempt += 1;
+        call.sent = self.now;
+        let attempt = call.attempt;
+        let patience = match self.policy {
+            Policy::Baseline => self.scenario.deadline[call.class] / u64::from(RETRIES + 1),
+            Policy::Managed => (call.deadline.at().0 * 1_000).saturating_sub(self.now),
+        };
+        if self.counts(id) {
+            self.report.attempts += 1;
+            self.report.reached += u64::from(attempt == 1);
+        }
+        let delay = self.delay(id, owner);
+        self.after(
+            delay,
+            Step::AtOwner {
+                call: id,
+                attempt,
+                owner,
+            },
+        );
+        self.after(patience, Step::Timeout { call: id, attempt });
+    }
+
+    fn at_owner(&mut self, call: usize, attempt: u32, owner: usize) {
+        if self.policy == Policy::Baseline {
+            self.owners[owner].backlog.push_back((call, attempt));
+            return self.run_backlog(owner);
+        }
+        let request = Request {
+            class: CLASSES[self.calls[call].class],
+            deadline: self.calls[call].deadline.shrink(2).at(),
+        };
+        let now = self.ms();
+        match self.owners[owner].admission.offer(now, request) {
+            Offer::Run(permit) => self.start(owner, call, attempt, permit),
+            Offer::Wait(ticket) => {
+                self.owners[owner].waiting.insert(ticket, (call, attempt));
+            }
+            Offer::Refuse(refusal) => self.refuse(owner, call, attempt, refusal),
+        }
+    }
+
+    fn start(&mut self, owner: usize, call: usize, attempt: u32, permit: Permit) {
+        self.owners[owner].permits.insert((call, attempt), permit);
+        self.serve(owner, call, attempt);
+    }
+
+    fn run_backlog(&mut self, owner: usize) {
+        while self.owners[owner].running < usize::from(self.scenario.slots) {
+            let Some((call, attempt)) = self.owners[owner].backlog.pop_front() else {
+                return;
+            };
+            self.serve(owner, call, attempt);
+        }
+    }
+
+    /// Half of the service time is fixed, half is exponential.
+    fn serve(&mut self, owner: usize, call: usize, attempt: u32) {
+        let mean = self.scenario.service[self.calls[call].class] as f64;
+        let draw = exponential(&mut self.rng);
+        let it = &mut self.owners[owner];
+        it.running += 1;
+        let crowd = it
+            .processors
+            .map_or(1.0, |cpus| (it.running as f64 / cpus).max(1.0).powf(1.5));
+        let work = (mean * (0.5 + 0.5 * draw)) as u64;
+        let took = (work as f64 * it.factor * crowd) as u64;
+        self.after(
+            took,
+            Step::Ended {
+                call,
+                attempt,
+                owner,
+                work,
+            },
+        );
+    }
+
+    fn ended(&mut self, call: usize, attempt: u32, owner: usize, work: u64) {
+        self.owners[owner].running -= 1;
+        let answer = Answer::Ran { work };
+        let delay = self.delay(call, owner);
+        self.after(
+            delay,
+            Step::AtEntry {
+                call,
+                attempt,
+                owner,
+                answer,
+            },
+        );
+        if self.policy == Policy::Baseline {
+            return self.run_backlog(owner);
+        }
+        let now = self.ms();
+        let mut wakes = Vec::new();
+        let it = &mut self.owners[owner];
+        if let Some(permit) = it.permits.remove(&(call, attempt)) {
+            it.admission.done(now, permit, Finish::Answered, &mut wakes);
+        }
+        self.wake(owner, wakes);
+    }
+
+    fn wake(&mut self, owner: usize, wakes: Vec<Wake>) {
+        for wake in wakes {
+            let (ticket, verdict) = match wake {
+                Wake::Run(ticket, permit) => (ticket, Ok(permit)),
+                Wake::Refuse(ticket, refusal) => (ticket, Err(refusal)),
+            };
+            let Some((call, attempt)) = self.owners[owner].waiting.remove(&ticket) else {
+                panic!("ticket {ticket:?} was answered twice");
+            };
+            match verdict {
+                Ok(permit) => self.start(owner, call, attempt, permit),
+                Err(refusal) => self.refuse(owner, call, attempt, refusal),
+            }
+        }
+    }
+
+    fn refuse(&mut self, owner: usize, call: usize, attempt: u32, refusal: Refusal) {
+        let Refusal { reason, after } = refusal;
+        let answer = Answer::Refused { reason, after };
+        let delay = self.delay(call, owner);
+        self.after(
+            delay,
+            Step::AtEntry {
+                call,
+                attempt,
+                owner,
+                answer,
+            },
+        );
+    }
+
+    fn at_entry(&mut self, id: usize, attempt: u32, owner: usize, answer: Answer) {
+        let call = &self.calls[id];
+        let current = call.open && call.attempt == attempt;
+        match answer {
+            Answer::Ran { work } => {
+                self.learn(
+                    id,
+                    owner,
+                    Outcome::Answered {
+                        latency: (self.now - self.calls[id].sent) / 1_000,
+                    },
+                );
+                if current {
+                    self.succeed(id, work);
+                }
+            }
+            Answer::Refused { reason, after } => {
+                let refusal = Refusal { reason, after };
+                self.learn(id, owner, Outcome::Refused(refusal));
+                if current {
+                    self.retry(id, Failure::NotRun(refusal));
+                }
+            }
+        }
+    }
+
+    fn learn(&mut self, id: usize, owner: usize, outcome: Outcome) {
+        let now = self.ms();
+        let call = &self.calls[id];
+        let entry = &mut self.entries[call.entry];
+        let load = self.owners[owner].admission.load();
+        let node = self.owners[owner].node;
+        entry
+            .picker
+            .finished(now, node, CLASSES[call.class], outcome, Some(load));
+    }
+
+    fn succeed(&mut self, id: usize, work: u64) {
+        let call = &mut self.calls[id];
+        call.open = false;
+        let latency = self.now - call.born;
+        let (class, entry) = (call.class, call.entry);
+        self.entries[entry].budget.success();
+        let timely = latency <= self.scenario.deadline[class];
+        if timely && self.now >= WARMUP {
+            self.report.useful += work as f64;
+        }
+        if !self.counts(id) {
+            return;
+        }
+        if !timely {
+            return self.report.given_up.push(latency);
+        }
+        self.report.good[class] += 1;
+        self.report.latency[class].push(latency);
+    }
+
+    fn timeout(&mut self, id: usize, attempt: u32) {
+        let call = &self.calls[id];
+        if !call.open || call.attempt != attempt {
+            return;
+        }
+        match self.policy {
+            Policy::Baseline if attempt <= RETRIES => self.attempt(id),
+            Policy::Baseline | Policy::Managed => self.give_up(id),
+        }
+    }
+
+    fn retry(&mut self, id: usize, failure: Failure) {
+        let now = self.ms();
+        let call = &mut self.calls[id];
+        let entry = &mut self.entries[call.entry];
+        let untried = if call.tried.len() < self.owners.len() {
+            Untried::Some
+        } else {
+            Untried::None
+        };
+        match call
+            .retry
+            .next(now, &mut self.rng, &mut entry.budget, failure, untried)
+        {
+            Next::Retry { after } => self.after(after * 1_000, Step::Attempt { call: id }),
+            Next::GiveUp(_) => self.give_up(id),
+        }
+    }
+
+    fn give_up(&mut self, id: usize) {
+        self.calls[id].open = false;
+        if self.counts(id) {
+            self.report.given_up.push(self.now - self.calls[id].born);
+        }
+    }
+
+    fn next_arrival(&mut self, class: usize) {
+        let load = self.scenario.load[class];
+        if load <= 0.0 {
+            return;
+        }
+        let slots = (self.scenario.endpoints * usize::from(self.scenario.slots)) as f64;
+        let gap = self.scenario.service[class] as f64 / (load * slots);
+        let gap = gap * exponential(&mut self.rng);
+        self.after(gap as u64, Step::Arrive { class });
+    }
+
+    fn after(&mut self, delay: u64, step: Step) {
+        self.steps += 1;
+        self.queue
+            .push(Reverse((self.now + delay, self.steps, step)));
+    }
+
+    fn counts(&self, id: usize) -> bool {
+        let latest = self.scenario.time - self.scenario.deadline[self.calls[id].class];
+        (WARMUP..latest).contains(&self.calls[id].born)
+    }
+
+    fn delay(&self, call: usize, owner: usize) -> u64 {
+        let entry = self.entries[self.calls[call].entry].zone;
+        if entry == self.owners[owner].zone {
+            50
+        } else {
+            500
+        }
+    }
+
+    fn ms(&self) -> Ms {
+        Ms(self.now / 1_000)
+    }
+}
+
+impl Owner {
+    fn new(scenario: &Scenario, settings: &AdmissionSettings, at: usize) -> Owner {
+        let mut admission = Admission::new(settings.clone(), scenario.slots);
+        admission.set_phase(Ms(0), Phase::Ready, &mut Vec::new());
+        let slow = scenario.upstreams == Upstreams::Slow && at.is_multiple_of(3);
+        let oversold = scenario.upstreams == Upstreams::Oversold;
+        let port = u16::try_from(at).expect("few endpoints");
+        Owner {
+            admission,
+            node: NodeId(SocketAddr::from((Ipv4Addr::LOCALHOST, port))),
+            zone: at % scenario.zones,
+            factor: if slow { 3.0 } else { 1.0 },
+            processors: oversold.then(|| f64::from(scenario.slots) / 3.0),
+            running: 0,
+            waiting: HashMap::new(),
+            permits: HashMap::new(),
+            backlog: VecDeque::new(),
+        }
+    }
+
+    /// Work done at best, as a share of that of ordinary slots.
+    fn capacity(&self) -> f64 {
+        let share = if self.processors.is_some() {
+            1.0 / 3.0
+        } else {
+            1.0
+        };
+        share / self.factor
+    }
+
+    fn endpoint(&self, slots: u16) -> Endpoint {
+        Endpoint {
+            node: self.node,
+            incarnation: 1,
+            traffic: self.node.0,
+            region: name("region"),
+            zone: name(&format!("zone-{}", self.zone)),
+            phase: Phase::Ready,
+            slots,
+        }
+    }
+}
+
+impl Entry {
+    fn new(zone: usize, turn: usize, endpoints: &[Endpoint]) -> Entry {
+        let place = Place {
+            region: name("region"),
+            zone: name(&format!("zone-{zone}")),
+        };
+        let mut picker = Picker::new(place);
+        picker.refresh(Ms(0), endpoints, RAMP);
+        Entry {
+            picker,
+            budget: Budget::new(Ms(0), 10),
+            zone,
+            turn,
+        }
+    }
+}
+
+impl Report {
+    /// Share of the capacity that went into answers in time.
+    pub fn goodput(&self) -> f64 {
+        self.useful / self.capacity
+    }
+
+    /// Attempts beyond the first as a share of the requests that were sent at all.
+    pub fn retries(&self) -> f64 {
+        (self.attempts - self.reached) as f64 / self.reached.max(1) as f64
+    }
+}
+
+/// The value below which `share` of `values` lie, in ms.
+pub fn quantile(values: &[u64], share: f64) -> f64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_unstable();
+    let at = (sorted.len() as f64 * share) as usize;
+    sorted
+        .get(at.min(sorted.len().saturating_sub(1)))
+        .map_or(f64::NAN, |it| *it as f64 / 1_000.0)
+}
+
+fn exponential(rng: &mut impl Rng) -> f64 {
+    -(1.0 - rng.random::<f64>()).ln()
+}
+
+fn name(text: &str) -> Name {
+    text.parse().expect("a literal name is valid")
+}
--- a/crates/kernel/src/admission.rs
+++ b/crates/kernel/src/admission.rs
@@ -31,8 +31,9 @@
     pub patience: [f64; CLASSES],
     /// Longest time without a start that background work endures while it waits, in ms. Default: 2000.
     pub aging: u64,
-    /// How long a peak of the other classes holds slots back from background work, in ms. Default: 1000.
-    pub reserve: u64,
+    /// Time over which the demand of the other classes is averaged, to hold slots back for them, in ms.
+    /// Default: 1000.
+    pub memory: u64,
 }
 
 impl Default for AdmissionSettings {
@@ -42,7 +43,7 @@
             weights: [60.0, 30.0, 10.0],
             patience: [2.0, 8.0, f64::INFINITY],
             aging: 2_000,
-            reserve: 1_000,
+            memory: 1_000,
         }
     }
 }
@@ -133,9 +134,9 @@
     queues: [Queue; CLASSES],
     /// Slot time consumed by each class divided by its weight.
     consumed: [f64; CLASSES],
-    /// Peaks of demand of the foreground classes in the current and the previous period.
-    peaks: [usize; 2],
-    period: Ms,
+    /// Mean number of foreground requests running and waiting, and when it was last brought up to date.
+    demand: f64,
+    observed: Ms,
     /// When background work last started, or began to wait after none did.
     progress: Ms,
     tickets: u64,
@@ -151,8 +152,8 @@
             running: [0; CLASSES],
             queues: Default::default(),
             consumed: [0.0; CLASSES],
-            peaks: [0; 2],
-            period: Ms(0),
+            demand: 0.0,
+            observed: Ms(0),
             progress: Ms(0),
             tickets: 0,
         }
@@ -171,7 +172,7 @@
         if late && !self.must_probe(class) {
             return Offer::Refuse(Refusal::new(Reason::Expired));
         }
-        self.count_demand(now, class);
+        self.observe(now);
         if self.queues[index(class)].is_empty() && self.has_room(class) {
             return Offer::Run(self.start(now, class));
         }
@@ -189,6 +190,7 @@
     pub fn done(&mut self, now: Ms, permit: Permit, finish: Finish, out: &mut Vec<Wake>) {
         let class = permit.class;
         let took = now.since(permit.started);
+        self.observe(now);
         self.running[index(class)] -= 1;
         self.consumed[index(class)] += took.max(1) as f64 / self.settings.weights[index(class)];
         match finish {
@@ -210,13 +212,14 @@
 
     /// Refuses what can no longer finish in time and starts what may run. Due at [`Admission::due`].
     pub fn tick(&mut self, now: Ms, out: &mut Vec<Wake>) {
+        self.observe(now);
         self.dispatch(now, out);
     }
 
     /// When [`Admission::tick`] is next needed, if anything waits.
     pub fn due(&self) -> Option<Ms> {
         let aging = self.progress + self.settings.aging;
-        let review = (self.period + self.settings.reserve).min(aging);
+        let review = (self.observed + REVIEW).min(aging);
         let background = !self.queue(Class::Background).is_empty();
         let expiry = CLASS_ORDER.into_iter().filter_map(|class| {
             let deadline = self.queue(class).first()?.deadline;
@@ -286,34 +289,24 @@
         }
     }
 
-    /// Slots that background work may hold: those that the recent peak of the other classes leaves, less one.
+    /// Slots that background work may hold: those that the usual demand of the other classes leaves.
     ///
     /// A run cannot be interrupted. Without the reserve, long background runs fill every slot in a
-    /// quiet moment, and the next interactive request waits for one of them to end.
+    /// quiet moment, and the next interactive request waits for one of them to end. Demand that arrives
+    /// independently varies by about the square root of its mean, so that much is held back on top.
     fn background_room(&self) -> usize {
-        let peak = self.peaks[0].max(self.peaks[1]);
-        self.limit.get().saturating_sub(peak + 1).max(1)
+        let reserve = (self.demand + self.demand.sqrt()).max(1.0);
+        let room = self.limit.get() as f64 - reserve;
+        (room.round().max(1.0)) as usize
     }
 
-    fn count_demand(&mut self, now: Ms, class: Class) {
-        self.roll(now);
-        let arriving = usize::from(class != Class::Background);
-        self.peaks[0] = self.peaks[0].max(self.foreground() + arriving);
-    }
-
-    fn foreground(&self) -> usize {
+    /// Brings the mean foreground demand up to `now`; called before each change of it.
+    fn observe(&mut self, now: Ms) {
+        let elapsed = now.since(self.observed) as f64 / self.settings.memory as f64;
         let held = |it: Class| self.running[index(it)] + self.queue(it).len();
-        held(Class::Interactive) + held(Class::Exact)
-    }
-
-    /// Begins a new period of demand when the present one is over.
-    fn roll(&mut self, now: Ms) {
-        if now.since(self.period) >= self.settings.reserve {
-            let quiet = now.since(self.period) >= 2 * self.settings.reserve;
-            let held = self.foreground();
-            self.peaks = [held, if quiet { held } else { self.peaks[0] }];
-            self.period = now;
-        }
+        let current = (held(Class::Interactive) + held(Class::Exact)) as f64;
+        self.demand += (1.0 - (-elapsed).exp()) * (current - self.demand);
+        self.observed = self.observed.max(now);
     }
 
     /// Refuses a request that would wait too long to be of use, with the time until it would not.
@@ -385,6 +378,7 @@
 
     fn start(&mut self, now: Ms, class: Class) -> Permit {
         self.running[index(class)] += 1;
+        self.limit.started(self.running());
         if class == Class::Background {
             self.progress = now;
         }
@@ -395,7 +389,6 @@
     }
 
     fn dispatch(&mut self, now: Ms, out: &mut Vec<Wake>) {
-        self.roll(now);
         self.expire(now, out);
         while let Some(class) = self.next_class(now) {
             let Some(entry) = self.queues[index(class)].pop() else {
@@ -439,6 +432,8 @@
     }
 }
 
+/// Time after which waiting background work looks again whether the others left it a slot, in ms.
+const REVIEW: u64 = 100;
 const CLASS_ORDER: [Class; CLASSES] = [Class::Interactive, Class::Exact, Class::Background];
 
 fn clamp(count: usize) -> u16 {
