Pick compares endpoints by pace within a class; waiting work that lost its chance is refused early

Cause: latencies of quick and long classes were averaged together, which hid slow endpoints; background work whose queue stopped moving learned it only near its deadline. Change: an endpoint's pace is its latency relative to the mean of the class; waiting requests are reviewed.

--- a/crates/kernel/src/admission.rs
+++ b/crates/kernel/src/admission.rs
@@ -214,18 +214,17 @@
     pub fn tick(&mut self, now: Ms, out: &mut Vec<Wake>) {
         self.observe(now);
         self.dispatch(now, out);
+        self.review(now, out);
     }
 
     /// When [`Admission::tick`] is next needed, if anything waits.
     pub fn due(&self) -> Option<Ms> {
-        let aging = self.progress + self.settings.aging;
-        let review = (self.observed + REVIEW).min(aging);
-        let background = !self.queue(Class::Background).is_empty();
+        let review = (self.waiting() > 0).then_some(self.observed + REVIEW);
         let expiry = CLASS_ORDER.into_iter().filter_map(|class| {
             let deadline = self.queue(class).first()?.deadline;
             Some(Ms(deadline.0.saturating_sub(self.limit.service(class))))
         });
-        expiry.chain(background.then_some(review)).min()
+        expiry.chain(review).min()
     }
 
     /// Follows the upstream's phase. Leaving [`Phase::Ready`] refuses every waiting request at once.
@@ -337,13 +336,26 @@
 
     /// Estimated wait of the request of `class` at `place`, counted from one, in its queue, in ms.
     fn wait_of(&self, class: Class, place: usize) -> u64 {
+        let service = self.limit.service(class) as f64;
+        (place as f64 * service / self.entitled(class)) as u64
+    }
+
+    /// Slots that a class can count on: its share, and for background work what the others usually leave.
+    fn entitled(&self, class: Class) -> f64 {
+        let limit = self.limit.get() as f64;
         let weight = |it: Class| self.settings.weights[index(it)];
         let rivals = CLASS_ORDER
             .into_iter()
             .filter(|it| *it == class || !self.queue(*it).is_empty());
-        let share = weight(class) / rivals.map(weight).sum::<f64>();
-        let service = self.limit.service(class) as f64;
-        (place as f64 * service / (self.limit.get() as f64 * share)) as u64
+        let share = limit * weight(class) / rivals.map(weight).sum::<f64>();
+        match class {
+            Class::Interactive | Class::Exact => share,
+            Class::Background => {
+                let all = CLASS_ORDER.into_iter().map(weight).sum::<f64>();
+                let spare = (limit - self.demand).min(self.background_room() as f64);
+                spare.max(limit * weight(class) / all)
+            }
+        }
     }
 
     fn enqueue(&mut self, now: Ms, request: Request) -> Ticket {
@@ -413,6 +425,28 @@
         }
     }
 
+    /// Refuses waiting work that would expire in its place in the queue.
+    ///
+    /// It was offered when there was more room. Left to wait, its caller would learn only near the deadline
+    /// that nothing came of it, too late to go elsewhere.
+    fn review(&mut self, now: Ms, out: &mut Vec<Wake>) {
+        for class in CLASS_ORDER {
+            let entitled = self.entitled(class);
+            let service = self.limit.service(class) as f64;
+            let mut place = 0.0;
+            let late = self.queues[index(class)].take_if(|it| {
+                place += 1.0;
+                let spare = it.deadline.since(now) as f64 - service;
+                let late = place > 1.0 && place * service / entitled > spare;
+                place -= f64::from(u8::from(late));
+                late
+            });
+            let after = self.wait_of(class, 1);
+            let refusal = Refusal::after(Reason::Overloaded, after);
+            out.extend(late.into_iter().map(|it| Wake::Refuse(it.ticket, refusal)));
+        }
+    }
+
     /// The class whose first request runs next, if a slot is free for any.
     fn next_class(&self, now: Ms) -> Option<Class> {
         let ready = |it: &Class| !self.queue(*it).is_empty() && self.has_room(*it);
@@ -432,7 +466,7 @@
     }
 }
 
-/// Time after which waiting background work looks again whether the others left it a slot, in ms.
+/// Time after which the chances of waiting work are looked at again, in ms.
 const REVIEW: u64 = 100;
 const CLASS_ORDER: [Class; CLASSES] = [Class::Interactive, Class::Exact, Class::Background];
 
--- a/crates/kernel/src/admission/queue.rs
+++ b/crates/kernel/src/admission/queue.rs
@@ -77,6 +77,15 @@
         taken
     }
 
+    /// Removes and returns the entries for which `gone` holds, asked in order.
+    pub fn take_if(&mut self, mut gone: impl FnMut(&Entry) -> bool) -> Vec<Entry> {
+        let (taken, kept) = std::mem::take(&mut self.entries)
+            .into_iter()
+            .partition(|it| gone(it));
+        self.entries = BTreeSet::from_iter::<Vec<Entry>>(kept);
+        taken
+    }
+
     /// Removes and returns every entry.
     pub fn drain(&mut self) -> Vec<Entry> {
         std::mem::take(&mut self.entries).into_iter().collect()
--- a/crates/kernel/src/pick.rs
+++ b/crates/kernel/src/pick.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, seq::index};
 
 use crate::{
-    admission::Load,
+    admission::{CLASSES, Load, class_index},
     clock::Ms,
     document::Class,
     id::{Name, NodeId},
@@ -23,10 +23,12 @@
 use experience::{Experience, State};
 
 /// Penalties on the expected time for an endpoint in the own zone, in the own region and beyond.
-const PENALTY: [f64; TIERS] = [1.0, 1.5, 3.0];
+const PENALTY: [f64; TIERS] = [1.0, 1.2, 3.0];
 const TIERS: usize = 3;
 /// Largest share of the endpoints that may be ejected at once, in percent.
 const EJECTED_SHARE: usize = 50;
+/// Share of a new sample in the mean latency of a class.
+const MEAN_GAIN: f64 = 0.02;
 /// Draws in a tier before all of it is looked through.
 const DRAWS: usize = 6;
 
@@ -73,8 +75,8 @@
     slots: HashMap<NodeId, usize>,
     /// First member of each tier, and the end of the last.
     bounds: [usize; TIERS + 1],
-    /// Mean latency over all endpoints in ms; stands in where an endpoint has none yet.
-    latency: f64,
+    /// Mean latency of each class over all endpoints, in ms.
+    latency: [Option<f64>; CLASSES],
 }
 
 #[derive(Debug)]
@@ -93,7 +95,7 @@
             members: Vec::new(),
             slots: HashMap::new(),
             bounds: [0; TIERS + 1],
-            latency: 0.0,
+            latency: [None; CLASSES],
         }
     }
 
@@ -164,10 +166,7 @@
         outcome: Outcome,
         load: Option<Load>,
     ) {
-        if let Outcome::Answered { latency } = outcome {
-            let gain = if self.latency == 0.0 { 1.0 } else { 0.02 };
-            self.latency += gain * (latency as f64 - self.latency);
-        }
+        let pace = self.pace(class, outcome);
         let ejected = self
             .members
             .iter()
@@ -178,6 +177,9 @@
             return;
         };
         it.experience.finished(now, class, outcome, load);
+        if let Some(pace) = pace {
+            it.experience.measure(now, pace);
+        }
         if may_eject && outcome == Outcome::Failed {
             it.experience.eject(now);
         }
@@ -193,6 +195,17 @@
         self.members.is_empty()
     }
 
+    /// Latency of an answer relative to the mean of its class, so that classes of different length compare.
+    fn pace(&mut self, class: Class, outcome: Outcome) -> Option<f64> {
+        let Outcome::Answered { latency } = outcome else {
+            return None;
+        };
+        let sample = latency as f64;
+        let mean = self.latency[class_index(class)].get_or_insert(sample);
+        *mean += MEAN_GAIN * (sample - *mean);
+        Some((sample + 1.0) / (*mean + 1.0))
+    }
+
     fn tier(&self, endpoint: &Endpoint) -> usize {
         if endpoint.region != self.place.region {
             return 2;
@@ -227,13 +240,13 @@
         members.iter().filter(|it| usable(it)).take(1).collect()
     }
 
-    /// Expected time of a request at `member`, in ms with penalties.
+    /// Expected time of a request at `member` relative to the mean, with penalties.
     fn cost(&self, now: Ms, member: &Member) -> f64 {
-        let latency = member.experience.latency(now).unwrap_or(self.latency) + 1.0;
+        let pace = member.experience.pace(now);
         let room =
             f64::from(member.endpoint.slots.max(1)) * member.experience.warmth(now, self.ramp);
         let load = member.experience.load(now) / room;
-        latency * (1.0 + load) * PENALTY[member.tier]
+        pace * (1.0 + load) * PENALTY[member.tier]
     }
 
     /// Every endpoint was tried, refused lately or is ejected.
--- a/crates/kernel/src/pick/experience.rs
+++ b/crates/kernel/src/pick/experience.rs
@@ -14,10 +14,10 @@
 const EJECTION: (u64, u64) = (1_000, 30_000);
 /// Time after which a load that was told counts for nothing, in ms.
 const LOAD_AGE: f64 = 1_000.0;
-/// Time in which a latency that is not measured again halves, in ms, so that a slow one is tried again.
-const LATENCY_AGE: f64 = 3_000.0;
-/// Share of a new sample in the mean latency.
-const LATENCY_GAIN: f64 = 0.1;
+/// Time in which a pace that is not measured again loses half, in ms, so that a slow endpoint is tried again.
+const PACE_AGE: f64 = 3_000.0;
+/// Share of a new sample in the pace.
+const PACE_GAIN: f64 = 0.1;
 /// Smallest share of work of an endpoint that has just started.
 const COLD: f64 = 0.1;
 /// Longest time for which a refusal keeps work away, in ms; its sender may be wrong.
@@ -44,7 +44,7 @@
     ejections: u32,
     ejected: Option<Ms>,
     held: [Ms; CLASSES],
-    latency: Option<(Ms, f64)>,
+    pace: Option<(Ms, f64)>,
     load: Option<(Ms, Load)>,
     born: Option<Ms>,
 }
@@ -73,10 +73,7 @@
             self.load = Some((now, load));
         }
         match outcome {
-            Outcome::Answered { latency } => {
-                self.recover();
-                self.measure(now, latency as f64);
-            }
+            Outcome::Answered { .. } => self.recover(),
             Outcome::Refused(refusal) => {
                 self.recover();
                 match refusal.reason {
@@ -130,10 +127,19 @@
         self.failures
     }
 
-    /// Mean latency in ms, fading while it is not measured.
-    pub fn latency(&self, now: Ms) -> Option<f64> {
-        let (at, latency) = self.latency?;
-        Some(latency * 0.5f64.powf(now.since(at) as f64 / LATENCY_AGE))
+    /// Mean latency relative to that of all endpoints; returns towards one while it is not measured.
+    pub fn pace(&self, now: Ms) -> f64 {
+        let Some((at, pace)) = self.pace else {
+            return 1.0;
+        };
+        let fresh = 0.5f64.powf(now.since(at) as f64 / PACE_AGE);
+        1.0 + fresh * (pace - 1.0)
+    }
+
+    /// Counts an answer that took `sample` times the mean latency.
+    pub fn measure(&mut self, now: Ms, sample: f64) {
+        let mean = self.pace(now);
+        self.pace = Some((now, mean + PACE_GAIN * (sample - mean)));
     }
 
     /// Requests at the endpoint: the own ones, or those that it told of lately if they are more.
@@ -161,9 +167,4 @@
         self.ejections = 0;
         self.ejected = None;
     }
-
-    fn measure(&mut self, now: Ms, sample: f64) {
-        let mean = self.latency(now).unwrap_or(sample);
-        self.latency = Some((now, mean + LATENCY_GAIN * (sample - mean)));
-    }
 }
