--- a/crates/kernel/src/admission.rs
+++ b/crates/kernel/src/admission.rs
@@ -5,10 +5,9 @@
 //! answered exactly once, by a [`Wake`], unless its caller cancels it first.
 
 mod limit;
+mod load;
 mod queue;
 
-use std::{fmt, str::FromStr};
-
 use crate::{
     clock::Ms,
     document::Class,
@@ -16,6 +15,8 @@
     refusal::{Reason, Refusal},
 };
 
+pub use load::{BadLoad, Load};
+
 use limit::Limit;
 pub(crate) use queue::{CLASSES, index as class_index};
 use queue::{Entry, Queue, index};
@@ -113,17 +114,6 @@
     Answered,
 }
 
-/// Load of an upstream, sent back with each answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Requests running.
-    pub running: u16,
-    /// Requests waiting, other than background ones.
-    pub waiting: u16,
-    /// Requests that may run at once at present.
-    pub limit: u16,
-}
-
 /// Admits work to one upstream.
 #[derive(Debug)]
 pub struct Admission {
@@ -134,6 +124,8 @@
     queues: [Queue; CLASSES],
     /// Slot time consumed by each class divided by its weight.
     consumed: [f64; CLASSES],
+    /// Highest consumption at which a run started.
+    level: f64,
     /// Mean number of foreground requests running and waiting, and when it was last brought up to date.
     demand: f64,
     observed: Ms,
@@ -152,6 +144,7 @@
             running: [0; CLASSES],
             queues: Default::default(),
             consumed: [0.0; CLASSES],
+            level: 0.0,
             demand: 0.0,
             observed: Ms(0),
             progress: Ms(0),
@@ -372,23 +365,20 @@
         ticket
     }
 
-    /// Brings a class that begins to wait level with the others, so that idling earns no credit.
+    /// Brings a class that begins to wait level with the work under way, so that idling earns no credit.
+    ///
+    /// The level is that at which the last run started, not that of the other classes: a background run
+    /// counts six times as much as an interactive one, and a class that waits behind it must not pay for it.
     fn join(&mut self, now: Ms, class: Class) {
-        let busy = CLASS_ORDER.into_iter().filter(|it| {
-            *it != class && (!self.queue(*it).is_empty() || self.running[index(*it)] > 0)
-        });
-        let floor = busy
-            .map(|it| self.consumed[index(it)])
-            .fold(f64::INFINITY, f64::min);
-        if floor.is_finite() {
-            self.consumed[index(class)] = self.consumed[index(class)].max(floor);
-        }
+        let consumed = &mut self.consumed[index(class)];
+        *consumed = consumed.max(self.level);
         if class == Class::Background {
             self.progress = self.progress.max(now);
         }
     }
 
     fn start(&mut self, now: Ms, class: Class) -> Permit {
+        self.level = self.level.max(self.charge(class));
         self.running[index(class)] += 1;
         self.limit.started(self.running());
         if class == Class::Background {
@@ -473,35 +463,3 @@
 fn clamp(count: usize) -> u16 {
     u16::try_from(count).unwrap_or(u16::MAX)
 }
-
-/// The text is not a valid [`Load`].
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("load {0:?} is not valid: use running/waiting/limit, such as 3/0/6")]
-pub struct BadLoad(pub String);
-
-impl fmt::Display for Load {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}/{}", self.running, self.waiting, self.limit)
-    }
-}
-
-impl FromStr for Load {
-    type Err = BadLoad;
-
-    fn from_str(text: &str) -> Result<Load, BadLoad> {
-        let bad = || BadLoad(text.chars().take(40).collect());
-        let mut parts = text
-            .split('/')
-            .map(|it| it.parse::<u16>().map_err(|_| bad()));
-        let mut next = || parts.next().unwrap_or_else(|| Err(bad()));
-        let load = Load {
-            running: next()?,
-            waiting: next()?,
-            limit: next()?,
-        };
-        match parts.next() {
-            None => Ok(load),
-            Some(_) => Err(bad()),
-        }
-    }
-}
