--- a/crates/kernel/src/pick.rs
+++ b/crates/kernel/src/pick.rs
@@ -25,6 +25,11 @@
 /// Penalties on the expected time for an endpoint in the own zone, in the own region and beyond.
 const PENALTY: [f64; TIERS] = [1.0, 1.2, 3.0];
 const TIERS: usize = 3;
+/// Factor below which one cost is clearly better than another; otherwise the draw decides.
+///
+/// Without it, the endpoint that was ever so slightly the slowest would never be chosen while loads are
+/// low, so it would never be measured again and its recovery would go unseen.
+const CLEARLY: f64 = 0.9;
 /// Largest share of the endpoints that may be ejected at once, in percent.
 const EJECTED_SHARE: usize = 50;
 /// Share of a new sample in the mean latency of a class.
@@ -142,9 +147,9 @@
     pub fn pick(&self, now: Ms, rng: &mut impl Rng, class: Class, tried: &[NodeId]) -> Choice {
         let usable = |it: &Member| !tried.contains(&it.endpoint.node) && it.usable(now, class);
         let candidates = (0..TIERS).flat_map(|tier| self.draw(rng, tier, &usable));
-        let best =
-            candidates.min_by(|lhs, rhs| self.cost(now, lhs).total_cmp(&self.cost(now, rhs)));
-        if let Some(member) = best {
+        let costs = candidates.map(|it| (self.cost(now, it), it));
+        let best = costs.reduce(|best, it| if it.0 < best.0 * CLEARLY { it } else { best });
+        if let Some((_, member)) = best {
             return Choice::Send(member.endpoint.clone());
         }
         self.last_resort(now, class, tried)
@@ -261,7 +266,7 @@
         };
         let held = left()
             .filter(|it| it.experience.state(now) != State::Ejected)
-            .map(|it| it.experience.held(now, class))
+            .map(|it| it.experience.held(now, class).max(BUSY))
             .min();
         if let Some(after) = held {
             return Choice::Refuse(Refusal::after(Reason::Overloaded, after));
@@ -273,6 +278,8 @@
     }
 }
 
+/// Least hint while endpoints are left: one that is being probed shows by then what it is worth, in ms.
+const BUSY: u64 = 10;
 /// When to come back if a service has no endpoint left, in ms.
 const NO_ENDPOINT: u64 = 200;
 
--- a/crates/kernel/src/retry.rs
+++ b/crates/kernel/src/retry.rs
@@ -125,11 +125,11 @@
 }
 
 impl Budget {
-    /// A budget of `percent` retries a hundred successes, with one retry to begin with.
+    /// A budget of `percent` retries a hundred successes, with one retry to begin with unless it is zero.
     pub fn new(now: Ms, percent: u32) -> Budget {
         Budget {
             percent: u64::from(percent),
-            tokens: RETRY_COST,
+            tokens: if percent > 0 { RETRY_COST } else { 0 },
             refilled: now,
         }
     }
