--- a/crates/kernel/src/once/bucket.rs
+++ b/crates/kernel/src/once/bucket.rs
@@ -126,6 +126,16 @@
     Refused(String),
 }
 
+impl Said {
+    /// Whether it tells that something is written.
+    fn promises(&self) -> bool {
+        matches!(
+            self,
+            Said::Verdict(Verdict::Granted) | Said::Settled | Said::Resolved
+        )
+    }
+}
+
 impl Bucket {
     pub(super) fn footprint(&self) -> usize {
         self.size + self.sealer.footprint()
@@ -280,7 +290,8 @@
     };
     let idle = bucket.queue.is_empty() && !bucket.sealer.stored();
     let paced = bucket.wrote != Ms(0) && cx.now.since(bucket.wrote) < PACE_MS;
-    if bucket.flight.is_some() || idle || paced {
+    let down = cx.now < bucket.down;
+    if bucket.flight.is_some() || idle || paced || down {
         return;
     }
     let Known::Row { ledger, .. } = &bucket.row else {
@@ -327,6 +338,9 @@
             continue;
         }
         match judge_ask(cx, &state.members, &bucket.sealer, &mut after, read, &ask) {
+            // A request that is sent twice meets its own change, which is not written yet: to say so now
+            // would grant a claim whose write may still collide.
+            Next::Say(said) if said.promises() && after != before => asks.push(ask),
             Next::Say(said) => says.push((ask, said)),
             Next::Write => asks.push(ask),
             Next::Reread => again.push(ask),
@@ -458,6 +472,7 @@
             let after = holder::hint(fault);
             bucket.down = cx.now + after;
             let why = fault.to_string();
+            asks.extend(std::mem::take(&mut bucket.queue));
             asks.into_iter()
                 .for_each(|it| fail(cx, state, it, after, &why));
         }
--- /dev/null
+++ b/crates/kernel/tests/common/claims.rs
@@ -0,0 +1,413 @@
+//! A few kernels, the messages between them, and a table that fails by script.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use laburnum_kernel::{
+    Action, Call, CallId, Event, Kernel, Message, Ms, Name, NodeId, Reply, Settings, Token,
+    event::UpstreamEvent,
+    guard::Fingerprint,
+    once::{self, Answer, AttemptId, Ended, Key},
+    platform::{Check, Fault, ObjectAnswer, ObjectOp, Row, TableAnswer, TableOp, Write},
+};
+
+/// Step of the fleet's clock, in ms.
+const STEP_MS: u64 = 10;
+
+/// What happens to one operation on the claim rows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// Nothing.
+    None,
+    /// It fails without effect.
+    Down,
+    /// It takes effect and its answer is lost.
+    LostAfter,
+    /// It has no effect and its answer is lost.
+    LostBefore,
+}
+
+/// The platform's table and object store.
+#[derive(Debug, Default)]
+pub struct Table {
+    pub rows: BTreeMap<String, Row>,
+    pub objects: BTreeMap<String, Vec<u8>>,
+    /// Troubles of the next commits to claim rows, in order.
+    pub script: VecDeque<Trouble>,
+    /// Whether every operation fails.
+    pub down: bool,
+    /// Commits of claim rows that took effect.
+    pub commits: u64,
+}
+
+impl Table {
+    pub fn answer(&mut self, op: &TableOp) -> TableAnswer {
+        let claims = format!("{op:?}").contains("claim/");
+        if self.down {
+            return TableAnswer::Failed(Fault::Unavailable);
+        }
+        let commit = claims && matches!(op, TableOp::Commit { .. });
+        let trouble = match commit {
+            true => self.script.pop_front().unwrap_or(Trouble::None),
+            false => Trouble::None,
+        };
+        match trouble {
+            Trouble::None => self.carry_out(op),
+            Trouble::Down => TableAnswer::Failed(Fault::Unavailable),
+            Trouble::LostBefore => TableAnswer::Failed(Fault::Unknown),
+            Trouble::LostAfter => {
+                self.carry_out(op);
+                TableAnswer::Failed(Fault::Unknown)
+            }
+        }
+    }
+
+    pub fn carry_out(&mut self, op: &TableOp) -> TableAnswer {
+        match op {
+            TableOp::Get { keys } => {
+                let rows = keys.iter().filter_map(|it| self.rows.get(it).cloned());
+                TableAnswer::Rows(rows.collect())
+            }
+            TableOp::Scan {
+                prefix,
+                after,
+                limit,
+            } => {
+                let rows = self.rows.values();
+                let rows = rows.filter(|it| it.key.starts_with(prefix) && it.key > *after);
+                TableAnswer::Rows(rows.take(*limit as usize).cloned().collect())
+            }
+            TableOp::Commit { checks, writes } => self.commit(checks, writes),
+        }
+    }
+
+    pub fn object(&mut self, op: &ObjectOp) -> ObjectAnswer {
+        if self.down {
+            return ObjectAnswer::Failed(Fault::Unavailable);
+        }
+        match op {
+            ObjectOp::Put { name, bytes } => {
+                self.objects.insert(name.clone(), bytes.clone());
+                ObjectAnswer::Done
+            }
+            ObjectOp::Get { name } => match self.objects.get(name) {
+                Some(bytes) => ObjectAnswer::Bytes(bytes.clone()),
+                None => ObjectAnswer::Absent,
+            },
+            ObjectOp::Delete { name } => {
+                self.objects.remove(name);
+                ObjectAnswer::Done
+            }
+        }
+    }
+
+    fn commit(&mut self, checks: &[Check], writes: &[Write]) -> TableAnswer {
+        let version = |key: &String| self.rows.get(key).map_or(0, |it| it.version);
+        let failed: Vec<&Check> = checks
+            .iter()
+            .filter(|it| version(&it.key) != it.version)
+            .collect();
+        if !failed.is_empty() {
+            let rows = failed.iter().filter_map(|it| self.rows.get(&it.key));
+            return TableAnswer::Conflict(rows.cloned().collect());
+        }
+        for write in writes {
+            match write {
+                Write::Put { key, value } => {
+                    self.commits += u64::from(key.starts_with("claim/"));
+                    let row = Row {
+                        key: key.clone(),
+                        version: version_of(&self.rows, key) + 1,
+                        value: value.clone(),
+                    };
+                    self.rows.insert(key.clone(), row);
+                }
+                Write::Delete { key } => {
+                    self.rows.remove(key);
+                }
+            }
+        }
+        TableAnswer::Committed
+    }
+}
+
+fn version_of(rows: &BTreeMap<String, Row>, key: &str) -> u64 {
+    rows.get(key).map_or(0, |it| it.version)
+}
+
+/// Something that is on its way.
+#[derive(Clone, Debug)]
+pub enum Item {
+    /// An event on its way to a node.
+    Event(usize, Event),
+    /// An operation on its way to the table.
+    Table(usize, CallId, TableOp),
+    /// An operation on its way to the object store.
+    Object(usize, CallId, ObjectOp),
+}
+
+/// Kernels that hear each other.
+pub struct Fleet {
+    pub now: Ms,
+    pub table: Table,
+    pub kernels: Vec<Kernel>,
+    /// What is on its way, oldest first.
+    pub items: VecDeque<Item>,
+    pub replies: BTreeMap<Token, Reply>,
+    /// Nodes that do nothing and whose events wait.
+    pub paused: BTreeSet<usize>,
+    /// Nodes that are dead.
+    pub dead: BTreeSet<usize>,
+    /// Pairs of nodes between which claims and quarantines are lost.
+    pub cut: BTreeSet<(usize, usize)>,
+    /// What happened: claims, quarantines and log lines.
+    pub trace: Vec<String>,
+    tokens: u64,
+}
+
+/// The address of node `idx`.
+pub fn address(idx: usize) -> NodeId {
+    let port = 7101 + idx as u16;
+    NodeId(([127, 0, 0, 1], port).into())
+}
+
+/// A service's name.
+pub fn service() -> Name {
+    "court-registry".parse().expect("a valid name")
+}
+
+/// A key of [`service`].
+pub fn key(text: &str) -> Key {
+    Key {
+        service: service(),
+        text: text.to_owned(),
+    }
+}
+
+/// An answer with this body.
+pub fn answer(body: &str) -> Answer {
+    Answer {
+        status: 201,
+        headers: Vec::new(),
+        body: body.as_bytes().to_vec(),
+    }
+}
+
+impl Fleet {
+    /// `count` nodes of [`service`] that know each other.
+    pub fn new(count: usize) -> Fleet {
+        let mut fleet = Fleet {
+            now: Ms(1_000_000),
+            table: Table::default(),
+            kernels: (0..count).map(|it| kernel(it, count, 1)).collect(),
+            items: VecDeque::new(),
+            replies: BTreeMap::new(),
+            paused: BTreeSet::new(),
+            dead: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            trace: Vec::new(),
+            tokens: 0,
+        };
+        for idx in 0..count {
+            fleet.begin(idx);
+        }
+        fleet.run(5_000);
+        fleet.trace.clear();
+        fleet
+    }
+
+    /// Lets `millis` pass and everything arrive in order.
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.drain();
+            self.now = self.now + STEP_MS;
+            if self.now.0.is_multiple_of(50) {
+                self.tick();
+            }
+        }
+        self.drain();
+    }
+
+    /// Lets everything that is on its way arrive in order.
+    pub fn drain(&mut self) {
+        let mut waiting = VecDeque::new();
+        while let Some(item) = self.items.pop_front() {
+            match item {
+                Item::Event(to, _) if self.paused.contains(&to) => waiting.push_back(item),
+                it => self.deliver(it),
+            }
+        }
+        self.items = waiting;
+    }
+
+    /// One tick at every node that runs.
+    pub fn tick(&mut self) {
+        for idx in 0..self.kernels.len() {
+            if !self.paused.contains(&idx) {
+                self.step(idx, Event::Tick);
+            }
+        }
+    }
+
+    /// Lets one item arrive.
+    pub fn deliver(&mut self, item: Item) {
+        match item {
+            Item::Event(to, event) => self.step(to, event),
+            Item::Table(from, call, op) => {
+                let answer = self.table.answer(&op);
+                self.items
+                    .push_back(Item::Event(from, Event::Table { call, answer }));
+            }
+            Item::Object(from, call, op) => {
+                let answer = self.table.object(&op);
+                self.items
+                    .push_back(Item::Event(from, Event::Object { call, answer }));
+            }
+        }
+    }
+
+    /// Asks node `idx`.
+    pub fn call(&mut self, idx: usize, call: Call) -> Token {
+        self.tokens += 1;
+        let token = Token(self.tokens);
+        self.step(idx, Event::Call { token, call });
+        token
+    }
+
+    /// Claims `key` at node `idx` for a request with the digest 1.
+    pub fn claim(&mut self, idx: usize, text: &str, attempt: u128) -> Token {
+        self.claim_print(idx, text, attempt, 1)
+    }
+
+    /// Claims `key` for a request with the digest `print`.
+    pub fn claim_print(&mut self, idx: usize, text: &str, attempt: u128, print: u64) -> Token {
+        let call = once::Call::Claim {
+            key: key(text),
+            attempt: AttemptId(attempt),
+            print: Fingerprint(print),
+        };
+        self.call(idx, Call::Once(call))
+    }
+
+    /// Tells node `idx` how an attempt ended.
+    pub fn settle(&mut self, idx: usize, text: &str, attempt: u128, ended: Ended) -> Token {
+        let call = once::Call::Settle {
+            key: key(text),
+            attempt: AttemptId(attempt),
+            ended,
+        };
+        self.call(idx, Call::Once(call))
+    }
+
+    /// What was said to `token`, in one word or two.
+    pub fn said(&self, token: Token) -> String {
+        match self.replies.get(&token) {
+            None => "nothing".to_owned(),
+            Some(Reply::Once(reply)) => match reply {
+                once::Reply::Replay(it) => {
+                    format!("replay {}", String::from_utf8_lossy(&it.body))
+                }
+                other => {
+                    let text = format!("{other:?}");
+                    let word = text.split([' ', '(']).next().unwrap_or_default();
+                    word.to_lowercase()
+                }
+            },
+            Some(other) => format!("{other:?}"),
+        }
+    }
+
+    /// Ends node `idx` at once, with all that it held.
+    pub fn kill(&mut self, idx: usize) {
+        self.dead.insert(idx);
+    }
+
+    /// Starts node `idx` again as a new process.
+    pub fn restart(&mut self, idx: usize) {
+        self.dead.remove(&idx);
+        self.kernels[idx] = kernel(idx, self.kernels.len(), 1 + self.now.0);
+        self.begin(idx);
+    }
+
+    /// Feeds one event to a node and puts what it does on its way.
+    pub fn step(&mut self, idx: usize, event: Event) {
+        if self.dead.contains(&idx) {
+            return;
+        }
+        let mut out = Vec::new();
+        self.kernels[idx].step(self.now, event, &mut out);
+        for action in out {
+            self.act(idx, action);
+        }
+    }
+
+    fn begin(&mut self, idx: usize) {
+        self.step(idx, Event::Start);
+        let announced = UpstreamEvent::Announced {
+            service: service(),
+            slots: 3,
+        };
+        self.step(idx, Event::Upstream(announced));
+        self.step(idx, Event::Upstream(UpstreamEvent::Ready));
+    }
+
+    fn act(&mut self, idx: usize, action: Action) {
+        match action {
+            Action::Send { to, message } => self.send(idx, to, message),
+            Action::Probe { to, packet } => {
+                let from = address(idx);
+                self.route(to, Event::Probe { from, packet });
+            }
+            Action::Table { call, op } => self.items.push_back(Item::Table(idx, call, op)),
+            Action::Object { call, op } => self.items.push_back(Item::Object(idx, call, op)),
+            Action::Reply { token, reply } => {
+                let earlier = self.replies.insert(token, reply);
+                assert_eq!(earlier, None, "a call is answered once");
+            }
+            Action::Log { event, pairs } if ours(event) => {
+                let pairs: Vec<String> = pairs.iter().map(|(k, v)| format!("{k}={v}")).collect();
+                let line = format!("node {idx} logs {event} {}", pairs.join(" "));
+                self.trace.push(line);
+            }
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, idx: usize, to: NodeId, message: Message) {
+        let ours = matches!(message, Message::Once(_) | Message::Guard(_));
+        let target = index(to);
+        let pair = (idx.min(target), idx.max(target));
+        if ours && self.cut.contains(&pair) {
+            return;
+        }
+        let from = address(idx);
+        self.route(to, Event::Message { from, message });
+    }
+
+    fn route(&mut self, to: NodeId, event: Event) {
+        let target = index(to);
+        if target < self.kernels.len() {
+            self.items.push_back(Item::Event(target, event));
+        }
+    }
+}
+
+fn ours(event: &str) -> bool {
+    event.contains("claim") || event.contains("crash") || event.contains("quarantine")
+}
+
+fn index(node: NodeId) -> usize {
+    usize::from(node.0.port()).saturating_sub(7101)
+}
+
+fn kernel(idx: usize, count: usize, incarnation: u64) -> Kernel {
+    let settings = Settings {
+        node: address(idx),
+        incarnation,
+        peers: (0..count).map(address).collect(),
+        ..Settings::default()
+    };
+    Kernel::new(settings, 7 + idx as u64)
+}
--- /dev/null
+++ b/crates/kernel/tests/once.rs
@@ -0,0 +1,379 @@
+//! Claims of requests that run at most once, under each failure of the table, the nodes and the link.
+
+#[path = "common/claims.rs"]
+mod claims;
+
+use claims::{Fleet, Trouble, answer, key};
+use laburnum_kernel::{
+    Call,
+    once::{self, Ended, GRANT_MS, OPEN_MS, Resolution, row_key},
+};
+use test_case::test_case;
+
+/// Runs granted requests and settles them, as the node's request path would.
+fn finish(fleet: &mut Fleet, idx: usize, text: &str, attempt: u128) -> String {
+    let token = fleet.settle(idx, text, attempt, Ended::Ran(answer("filed")));
+    fleet.run(3_000);
+    fleet.said(token)
+}
+
+// The caller signs once and waits; the table loses answers, collides or refuses meanwhile. Whatever the
+// table did, the claim is granted once if it says so, a second attempt is never granted beside it, and
+// the caller of a claim that could not be written hears soon that nothing was run.
+#[test_case(&[], "granted", "busy"; "nothing wrong")]
+#[test_case(&[Trouble::LostAfter], "granted", "busy"; "lost answer after the write")]
+#[test_case(&[Trouble::LostBefore], "granted", "busy"; "lost answer without the write")]
+#[test_case(&[Trouble::LostAfter, Trouble::LostAfter], "granted", "busy"; "lost twice")]
+#[test_case(&[Trouble::LostBefore, Trouble::LostAfter], "granted", "busy"; "lost before and after")]
+#[test_case(&[Trouble::Down], "unavailable", "granted"; "table down for one write")]
+#[test_case(&[Trouble::LostBefore, Trouble::Down], "unavailable", "granted"; "lost and then down")]
+fn first_and_second(script: &[Trouble], first: &str, second: &str) {
+    let mut fleet = Fleet::new(3);
+    fleet.table.script = script.iter().copied().collect();
+    let one = fleet.claim(0, "schedule-7", 1);
+    fleet.run(1_000);
+    let two = fleet.claim(1, "schedule-7", 2);
+    fleet.run(1_000);
+    assert_eq!(fleet.said(one), first);
+    assert_eq!(fleet.said(two), second);
+}
+
+// A mediator's browser sends the signature twice, through two nodes, in the same millisecond. Both claims
+// meet in one write or collide on the row; one is granted, the other hears that it is in progress, and
+// once the first has run, its answer is what everyone gets.
+#[test_case(1; "one node")]
+#[test_case(2; "two nodes")]
+#[test_case(5; "five nodes")]
+fn sent_twice_at_once(count: usize) {
+    let mut fleet = Fleet::new(count);
+    let one = fleet.claim(0, "schedule-7", 1);
+    let two = fleet.claim(count - 1, "schedule-7", 2);
+    fleet.run(1_000);
+    let said = [fleet.said(one), fleet.said(two)];
+    let granted = said.iter().filter(|it| *it == "granted").count();
+    assert_eq!(granted, 1, "{said:?}");
+    assert!(said.contains(&"busy".to_owned()), "{said:?}");
+    let winner = if said[0] == "granted" {
+        (0, 1)
+    } else {
+        (count - 1, 2)
+    };
+    assert_eq!(
+        finish(&mut fleet, winner.0, "schedule-7", winner.1),
+        "settled"
+    );
+    for idx in 0..count {
+        let again = fleet.claim(idx, "schedule-7", 10 + idx as u128);
+        fleet.run(1_000);
+        assert_eq!(fleet.said(again), "replay filed");
+    }
+}
+
+// Two nodes that cannot hear each other both take themselves for the bucket's owner. Their writes of the
+// one row collide, the loser reads it again, and only the first claim is granted.
+#[test]
+fn two_owners_at_once() {
+    let mut fleet = Fleet::new(2);
+    fleet.cut.insert((0, 1));
+    let one = fleet.claim(0, "schedule-7", 1);
+    let two = fleet.claim(1, "schedule-7", 2);
+    fleet.run(GRANT_MS + 1_000);
+    let said = [fleet.said(one), fleet.said(two)];
+    assert_eq!(
+        said.iter().filter(|it| *it == "granted").count(),
+        1,
+        "{said:?}"
+    );
+    assert!(said.contains(&"busy".to_owned()), "{said:?}");
+}
+
+// The table is down when the caller signs. It hears within the second that nothing was run; when the
+// table is back, the same key is granted.
+#[test]
+fn table_down() {
+    let mut fleet = Fleet::new(3);
+    fleet.table.down = true;
+    let one = fleet.claim(0, "schedule-7", 1);
+    fleet.run(1_000);
+    assert_eq!(fleet.said(one), "unavailable");
+    fleet.table.down = false;
+    let two = fleet.claim(0, "schedule-7", 2);
+    fleet.run(1_000);
+    assert_eq!(fleet.said(two), "granted");
+}
+
+// The node that runs a filing dies before it tells the outcome. Nobody can know whether it ran: it is
+// never granted again, also after a restart on the same address, until an operator has decided.
+#[test_case(false; "gone for good")]
+#[test_case(true; "restarted")]
+fn holder_dies(restarted: bool) {
+    let mut fleet = Fleet::new(3);
+    let one = fleet.claim(0, "filing-3", 1);
+    fleet.run(1_000);
+    assert_eq!(fleet.said(one), "granted");
+    fleet.kill(0);
+    if restarted {
+        fleet.run(500);
+        fleet.restart(0);
+    }
+    // Long enough for any node to have noticed; without a notice the claim's age decides.
+    fleet.run(OPEN_MS + 1_000);
+    let two = fleet.claim(1, "filing-3", 2);
+    fleet.run(2_000);
+    assert_eq!(fleet.said(two), "unknown");
+    let list = fleet.call(2, Call::Once(once::Call::List));
+    fleet.run(500);
+    let listed = format!("{:?}", fleet.replies.get(&list));
+    assert!(listed.contains("filing-3"), "{listed}");
+}
+
+// An operator looks a filing of unknown outcome up in the court's books. If it ran, it stays refused; if
+// it did not, the next attempt is granted. The decision is logged with its author.
+#[test_case(Resolution::Ran, "unknown"; "it ran")]
+#[test_case(Resolution::Rerun, "granted"; "it did not run")]
+fn resolved(resolution: Resolution, after: &str) {
+    let mut fleet = Fleet::new(3);
+    let one = fleet.claim(0, "filing-3", 1);
+    fleet.run(1_000);
+    assert_eq!(fleet.said(one), "granted");
+    let settled = fleet.settle(0, "filing-3", 1, Ended::Unknown);
+    fleet.run(2_000);
+    assert_eq!(fleet.said(settled), "settled");
+    let before = fleet.claim(1, "filing-3", 2);
+    fleet.run(1_000);
+    assert_eq!(fleet.said(before), "unknown");
+    let call = once::Call::Resolve {
+        key: key("filing-3"),
+        resolution,
+        author: "amal".to_owned(),
+        note: "looked up in the registry".to_owned(),
+    };
+    let done = fleet.call(2, Call::Once(call));
+    fleet.run(1_000);
+    assert_eq!(fleet.said(done), "resolved");
+    let logged = fleet
+        .trace
+        .iter()
+        .any(|it| it.contains("claim_resolved") && it.contains("amal"));
+    assert!(logged, "{:?}", fleet.trace);
+    let next = fleet.claim(1, "filing-3", 3);
+    fleet.run(1_000);
+    assert_eq!(fleet.said(next), after);
+}
+
+// A claim that is in progress is not an operator's to decide.
+#[test]
+fn resolve_of_an_open_claim_is_refused() {
+    let mut fleet = Fleet::new(3);
+    fleet.claim(0, "filing-3", 1);
+    fleet.run(1_000);
+    let call = once::Call::Resolve {
+        key: key("filing-3"),
+        resolution: Resolution::Rerun,
+        author: "amal".to_owned(),
+        note: String::new(),
+    };
+    let done = fleet.call(1, Call::Once(call));
+    fleet.run(1_000);
+    assert_eq!(fleet.said(done), "refused");
+}
+
+// A node is paused while its claim is on the way; the grant waits in its queue for longer than it is good
+// for. The node tells its caller that nothing was run and gives the grant back, so that the caller's
+// retry through another node is granted.
+#[test]
+fn holder_paused_before_the_grant() {
+    let mut fleet = Fleet::new(3);
+    let one = fleet.claim(0, "filing-3", 1);
+    fleet.paused.insert(0);
+    fleet.run(2 * GRANT_MS);
+    fleet.paused.remove(&0);
+    fleet.run(3_000);
+    assert_eq!(fleet.said(one), "unavailable");
+    let two = fleet.claim(1, "filing-3", 2);
+    fleet.run(1_000);
+    assert_eq!(fleet.said(two), "granted");
+}
+
+// A node is paused while it runs a filing. Nobody runs it meanwhile, however long the pause; when the node
+// wakes and tells the answer, that answer counts.
+#[test]
+fn holder_paused_while_it_runs() {
+    let mut fleet = Fleet::new(3);
+    let one = fleet.claim(0, "filing-3", 1);
+    fleet.run(1_000);
+    assert_eq!(fleet.said(one), "granted");
+    fleet.paused.insert(0);
+    fleet.run(OPEN_MS + 1_000);
+    let two = fleet.claim(1, "filing-3", 2);
+    fleet.run(2_000);
+    assert_eq!(fleet.said(two), "unknown");
+    fleet.paused.remove(&0);
+    fleet.run(10_000);
+    assert_eq!(finish(&mut fleet, 0, "filing-3", 1), "settled");
+    let three = fleet.claim(1, "filing-3", 3);
+    fleet.run(1_000);
+    assert_eq!(fleet.said(three), "replay filed");
+}
+
+// The table loses or refuses the write that keeps the answer. The holder sends it again until it is kept.
+#[test_case(&[Trouble::LostAfter]; "lost after the write")]
+#[test_case(&[Trouble::LostBefore]; "lost without the write")]
+#[test_case(&[Trouble::Down, Trouble::Down]; "table down")]
+fn settle_in_trouble(script: &[Trouble]) {
+    let mut fleet = Fleet::new(3);
+    fleet.claim(0, "filing-3", 1);
+    fleet.run(1_000);
+    fleet.table.script = script.iter().copied().collect();
+    assert_eq!(finish(&mut fleet, 0, "filing-3", 1), "settled");
+    let two = fleet.claim(2, "filing-3", 2);
+    fleet.run(1_000);
+    assert_eq!(fleet.said(two), "replay filed");
+}
+
+// The upstream itself said that it did not run the request: the key is free again.
+#[test]
+fn not_run_releases() {
+    let mut fleet = Fleet::new(3);
+    fleet.claim(0, "filing-3", 1);
+    fleet.run(1_000);
+    fleet.settle(0, "filing-3", 1, Ended::NotRun);
+    fleet.run(1_000);
+    let two = fleet.claim(1, "filing-3", 2);
+    fleet.run(1_000);
+    assert_eq!(fleet.said(two), "granted");
+}
+
+// A caller uses one key for two different requests. The second is refused, before and after the first
+// ran: it must not get the answer to another request.
+#[test_case(false; "while the first runs")]
+#[test_case(true; "after the first ran")]
+fn mismatch(ran: bool) {
+    let mut fleet = Fleet::new(3);
+    fleet.claim(0, "purchase-9", 1);
+    fleet.run(1_000);
+    if ran {
+        finish(&mut fleet, 0, "purchase-9", 1);
+    }
+    let two = fleet.claim_print(1, "purchase-9", 2, 99);
+    fleet.run(1_000);
+    assert_eq!(fleet.said(two), "mismatch");
+}
+
+// A large answer does not fit the row: it is kept as an object and replayed whole.
+#[test]
+fn large_answer_is_an_object() {
+    let mut fleet = Fleet::new(3);
+    let body = "page ".repeat(2_000);
+    fleet.claim(0, "filing-3", 1);
+    fleet.run(1_000);
+    fleet.settle(0, "filing-3", 1, Ended::Ran(answer(&body)));
+    fleet.run(1_000);
+    assert_eq!(fleet.table.objects.len(), 1);
+    let two = fleet.claim(1, "filing-3", 2);
+    fleet.run(1_000);
+    assert_eq!(fleet.said(two), format!("replay {body}"));
+}
+
+// Thousands of purchases pass. Their claims move from the rows to objects, the rows stay small, and the
+// oldest as well as the newest key is still recognised, also by a node that starts afterwards.
+#[test]
+fn settled_claims_move_to_objects() {
+    let mut fleet = Fleet::new(2);
+    let count = 6_000;
+    for number in 0..count {
+        let text = format!("purchase-{number}");
+        fleet.claim(0, &text, number);
+        if number % 100 == 99 {
+            fleet.run(200);
+            for done in number - 99..=number {
+                let body = format!("bought {done}");
+                fleet.settle(
+                    0,
+                    &format!("purchase-{done}"),
+                    done,
+                    Ended::Ran(answer(&body)),
+                );
+            }
+            fleet.run(200);
+        }
+    }
+    fleet.run(2_000);
+    let largest = fleet
+        .table
+        .rows
+        .iter()
+        .filter(|it| it.0.starts_with("claim/"));
+    let largest = largest.map(|it| it.1.value.len()).max().unwrap_or_default();
+    assert!(largest < 32 * 1024, "a row has {largest} bytes");
+    assert!(
+        fleet
+            .table
+            .objects
+            .keys()
+            .any(|it| it.starts_with("claim/"))
+    );
+    for idx in 0..2 {
+        fleet.kill(idx);
+    }
+    fleet.run(500);
+    fleet.restart(1);
+    fleet.run(5_000);
+    for number in [0, 1, 17, 2_000, 4_321, count - 1] {
+        let again = fleet.claim(1, &format!("purchase-{number}"), 1_000_000 + number);
+        fleet.run(2_000);
+        assert_eq!(fleet.said(again), format!("replay bought {number}"));
+    }
+}
+
+// A claim is forgotten once its retention is over, and its objects with it; before, it never is.
+#[test]
+fn retention() {
+    let mut fleet = Fleet::new(1);
+    fleet.claim(0, "preset-1", 1);
+    fleet.run(500);
+    fleet.settle(0, "preset-1", 1, Ended::Ran(answer(&"x".repeat(1_000))));
+    fleet.run(500);
+    assert_eq!(fleet.table.objects.len(), 1);
+    let day = fleet.kernels[0].settings().once.retention;
+    fleet.now = fleet.now + (day - 60_000);
+    fleet.run(5_000);
+    let before = fleet.claim(0, "preset-1", 2);
+    fleet.run(500);
+    assert!(fleet.said(before).starts_with("replay"));
+    fleet.now = fleet.now + 120_000;
+    fleet.run(5_000);
+    let after = fleet.claim(0, "preset-1", 3);
+    fleet.run(500);
+    assert_eq!(fleet.said(after), "granted");
+    assert!(
+        fleet.table.objects.is_empty(),
+        "{:?}",
+        fleet.table.objects.keys()
+    );
+}
+
+// Somebody overwrote a claim row with what is no ledger. Its bucket grants nothing, and says why.
+#[test]
+fn damaged_row() {
+    let mut fleet = Fleet::new(1);
+    fleet.claim(0, "preset-1", 1);
+    fleet.run(500);
+    let row = row_key(key("preset-1").bucket());
+    let row = fleet.table.rows.get_mut(&row).expect("the claim's row");
+    row.value = vec![0xff; 40];
+    row.version += 1;
+    let two = fleet.claim(0, "preset-1", 2);
+    fleet.run(500);
+    assert_eq!(fleet.said(two), "unavailable");
+}
+
+#[test_case("", "unavailable"; "no key")]
+#[test_case(&"k".repeat(128), "granted"; "longest key")]
+#[test_case(&"k".repeat(129), "unavailable"; "key too long")]
+fn keys(text: &str, expected: &str) {
+    let mut fleet = Fleet::new(1);
+    let token = fleet.claim(0, text, 1);
+    fleet.run(500);
+    assert_eq!(fleet.said(token), expected);
+}
