Claims in any order, and crashes: property and fault tests

A property test delivers claims, verdicts and table answers in any order, loses and doubles them, lets lost writes take effect late, restarts nodes and jumps time: no two attempts for one key run. A holder that is no member counts as dead only after 15 s: a node that started lately said so of a living one.

--- a/crates/kernel/src/guard.rs
+++ b/crates/kernel/src/guard.rs
@@ -187,6 +187,11 @@
         })
     }
 
+    /// Number of crashes that are remembered.
+    pub fn crashes(&self) -> usize {
+        self.crashes.len()
+    }
+
     /// Crashes up to this time do not count against `print`.
     fn cleared(&self, print: Fingerprint) -> Option<Ms> {
         let record = self.records.get(&print);
--- a/crates/kernel/src/once.rs
+++ b/crates/kernel/src/once.rs
@@ -43,6 +43,10 @@
 /// A claim that is open for longer counts as of unknown outcome even while its holder lives.
 pub const OPEN_MS: u64 = 10 * 60 * 1_000;
 
+/// A claim whose holder is no member counts as of unknown outcome only after this long, in ms: a node that
+/// started lately may not know the holder yet.
+pub const ABSENT_MS: u64 = 15_000;
+
 /// The longest idempotency key, in bytes.
 pub const KEY_MAX: usize = 128;
 
--- a/crates/kernel/src/once/bucket.rs
+++ b/crates/kernel/src/once/bucket.rs
@@ -14,7 +14,7 @@
     members::Members,
     once::{
         BUCKETS, Claim, GRANT_MS, Message, PACE_MS, Reply, Settlement, Verdict, holder,
-        ledger::{Decision, Effect, Entry, Ledger, judge},
+        ledger::{Decision, Effect, Entry, Ledger, Process, judge},
         reply, row_key,
         seal::Sealer,
     },
@@ -187,7 +187,7 @@
     let found = ledgers
         .into_iter()
         .flat_map(|it| it.entries)
-        .filter(|it| it.unknown(cx.now, |it| lives(members, it)))
+        .filter(|it| it.unknown(cx.now, |it| process(members, it)))
         .collect();
     reply(cx, token, Reply::Listed(found));
 }
@@ -380,7 +380,7 @@
     read: u64,
     ask: &Ask,
 ) -> Next {
-    let lives = |it: &Entry| lives(members, it);
+    let process = |it: &Entry| process(members, it);
     let stale = ask.number > read;
     match &ask.work {
         // Its holder has given up by now: a claim that is written for it would stay open for nothing.
@@ -390,7 +390,7 @@
             if sealed && let Some(name) = sealer.find(&claim.key) {
                 return Next::Lookup(name);
             }
-            match ledger.claim(cx.now, claim, lives) {
+            match ledger.claim(cx.now, claim, process) {
                 (_, Effect::Changed) => Next::Write,
                 // What an older row says may have been settled, released or resolved through another node.
                 (Verdict::Busy | Verdict::Unknown { .. } | Verdict::Mismatch, _) if stale => {
@@ -405,7 +405,7 @@
             Effect::Missing if stale && sealer.find(&it.key).is_none() => Next::Reread,
             _ => Next::Say(Said::Settled),
         },
-        Work::Resolve(_, it) => match ledger.resolve(cx.now, it, lives) {
+        Work::Resolve(_, it) => match ledger.resolve(cx.now, it, process) {
             Effect::Changed => Next::Write,
             _ if stale => Next::Reread,
             Effect::Refused(why) => Next::Say(Said::Refused(why.to_owned())),
@@ -580,7 +580,7 @@
         );
     };
     let verdict = match entries.iter().find(|it| it.key == claim.key) {
-        Some(it) => judge(cx.now, it, claim, |it| lives(&state.members, it)),
+        Some(it) => judge(cx.now, it, claim, |it| process(&state.members, it)),
         // Another key has the same hash. Refusing is safe, and at 64 bits it all but never happens.
         None => Verdict::Mismatch,
     };
@@ -648,9 +648,12 @@
     }
 }
 
-/// Whether the process that holds `entry` still runs, as far as this node knows.
-fn lives(members: &Members, entry: &Entry) -> bool {
-    members
-        .alive()
-        .any(|it| it.id == entry.holder && it.incarnation == entry.incarnation)
+/// How the process that holds `entry` is, as far as this node knows.
+fn process(members: &Members, entry: &Entry) -> Process {
+    let mut alive = members.alive();
+    match alive.find(|it| it.id == entry.holder) {
+        Some(it) if it.incarnation > entry.incarnation => Process::Restarted,
+        Some(_) => Process::Lives,
+        None => Process::Absent,
+    }
 }
--- a/crates/kernel/src/once/ledger.rs
+++ b/crates/kernel/src/once/ledger.rs
@@ -6,7 +6,7 @@
     clock::Ms,
     guard::Fingerprint,
     id::NodeId,
-    once::{Answer, AttemptId, Claim, Key, OPEN_MS, Resolution, Settlement, Verdict},
+    once::{ABSENT_MS, Answer, AttemptId, Claim, Key, OPEN_MS, Resolution, Settlement, Verdict},
 };
 
 /// The value of a bucket's row.
@@ -96,6 +96,17 @@
     pub note: String,
 }
 
+/// The process that holds a claim, as far as this node knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Process {
+    /// It is a member.
+    Lives,
+    /// Another process runs in its place.
+    Restarted,
+    /// Its node is no member: it is gone, or not known yet.
+    Absent,
+}
+
 /// What a settlement or decision did to the ledger.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Effect {
@@ -125,17 +136,17 @@
         self.entries.iter().find(|it| it.key == *key)
     }
 
-    /// Adds an open claim unless the key has one; `lives` tells whether a claim's holder still runs.
+    /// Adds an open claim unless the key has one; `process` tells how a claim's holder is.
     pub(super) fn claim(
         &mut self,
         now: Ms,
         claim: &Claim,
-        lives: impl Fn(&Entry) -> bool,
+        process: impl Fn(&Entry) -> Process,
     ) -> (Verdict, Effect) {
         let entry = self.entries.iter().position(|it| it.key == claim.key);
         if let Some(idx) = entry {
             if !matches!(self.entries[idx].phase, Phase::Released { .. }) {
-                return (judge(now, &self.entries[idx], claim, lives), Effect::Same);
+                return (judge(now, &self.entries[idx], claim, process), Effect::Same);
             }
             self.entries.remove(idx);
         }
@@ -180,12 +191,12 @@
         &mut self,
         now: Ms,
         decision: &Decision,
-        lives: impl Fn(&Entry) -> bool,
+        process: impl Fn(&Entry) -> Process,
     ) -> Effect {
         let Some(entry) = self.entries.iter_mut().find(|it| it.key == decision.key) else {
             return Effect::Missing;
         };
-        if !entry.unknown(now, lives) {
+        if !entry.unknown(now, process) {
             return Effect::Refused(
                 "its outcome is not unknown; ask for the list of those that are",
             );
@@ -228,10 +239,17 @@
     }
 
     /// Whether nobody can tell any more what became of it.
-    pub(super) fn unknown(&self, now: Ms, lives: impl Fn(&Entry) -> bool) -> bool {
+    pub(super) fn unknown(&self, now: Ms, process: impl Fn(&Entry) -> Process) -> bool {
         match self.phase {
             Phase::Unknown => true,
-            Phase::Open => now.since(self.time) > OPEN_MS || !lives(self),
+            Phase::Open => {
+                let age = now.since(self.time);
+                match process(self) {
+                    Process::Lives => age > OPEN_MS,
+                    Process::Absent => age > ABSENT_MS,
+                    Process::Restarted => true,
+                }
+            }
             _ => false,
         }
     }
@@ -242,7 +260,7 @@
     now: Ms,
     entry: &Entry,
     claim: &Claim,
-    lives: impl Fn(&Entry) -> bool,
+    process: impl Fn(&Entry) -> Process,
 ) -> Verdict {
     // A claim that is sent again, or whose write was read back, meets its own entry.
     if entry.attempt == claim.attempt && entry.phase == Phase::Open {
@@ -258,7 +276,7 @@
         Phase::Ran(kept) => Verdict::Ran(kept.clone()),
         Phase::Resolved { .. } => unknown("an operator found that it ran; its answer is not kept"),
         Phase::Unknown => unknown("an earlier attempt may have run; an operator has to resolve it"),
-        Phase::Open if entry.unknown(now, lives) => {
+        Phase::Open if entry.unknown(now, process) => {
             unknown("the node that ran it is gone; an operator has to resolve it")
         }
         Phase::Open | Phase::Released { .. } => Verdict::Busy,
--- a/crates/kernel/tests/common/claims.rs
+++ b/crates/kernel/tests/common/claims.rs
@@ -145,6 +145,8 @@
     Table(usize, CallId, TableOp),
     /// An operation on its way to the object store.
     Object(usize, CallId, ObjectOp),
+    /// A write whose answer was given up, which may still take effect.
+    Late(TableOp),
 }
 
 /// Kernels that hear each other.
@@ -163,7 +165,8 @@
     pub cut: BTreeSet<(usize, usize)>,
     /// What happened: claims, quarantines and log lines.
     pub trace: Vec<String>,
-    tokens: u64,
+    /// The tokens of all calls, in order.
+    pub asked: Vec<Token>,
 }
 
 /// The address of node `idx`.
@@ -197,17 +200,27 @@
 impl Fleet {
     /// `count` nodes of [`service`] that know each other.
     pub fn new(count: usize) -> Fleet {
+        Fleet::start((0..count).map(|it| kernel(it, count, 1)).collect())
+    }
+
+    /// `count` nodes of which each takes itself for the only one.
+    pub fn strangers(count: usize) -> Fleet {
+        Fleet::start((0..count).map(|it| kernel(it, 0, 1)).collect())
+    }
+
+    fn start(kernels: Vec<Kernel>) -> Fleet {
+        let count = kernels.len();
         let mut fleet = Fleet {
             now: Ms(1_000_000),
             table: Table::default(),
-            kernels: (0..count).map(|it| kernel(it, count, 1)).collect(),
+            kernels,
             items: VecDeque::new(),
             replies: BTreeMap::new(),
             paused: BTreeSet::new(),
             dead: BTreeSet::new(),
             cut: BTreeSet::new(),
             trace: Vec::new(),
-            tokens: 0,
+            asked: Vec::new(),
         };
         for idx in 0..count {
             fleet.begin(idx);
@@ -260,6 +273,9 @@
                 self.items
                     .push_back(Item::Event(from, Event::Table { call, answer }));
             }
+            Item::Late(op) => {
+                self.table.carry_out(&op);
+            }
             Item::Object(from, call, op) => {
                 let answer = self.table.object(&op);
                 self.items
@@ -270,8 +286,8 @@
 
     /// Asks node `idx`.
     pub fn call(&mut self, idx: usize, call: Call) -> Token {
-        self.tokens += 1;
-        let token = Token(self.tokens);
+        let token = Token(1 + self.asked.len() as u64);
+        self.asked.push(token);
         self.step(idx, Event::Call { token, call });
         token
     }
@@ -319,6 +335,12 @@
         }
     }
 
+    /// Takes the first item that `wanted` accepts off the way.
+    pub fn take(&mut self, wanted: impl Fn(&Item) -> bool) -> Option<Item> {
+        let idx = self.items.iter().position(wanted)?;
+        self.items.remove(idx)
+    }
+
     /// Ends node `idx` at once, with all that it held.
     pub fn kill(&mut self, idx: usize) {
         self.dead.insert(idx);
--- a/crates/kernel/tests/once.rs
+++ b/crates/kernel/tests/once.rs
@@ -3,9 +3,10 @@
 #[path = "common/claims.rs"]
 mod claims;
 
-use claims::{Fleet, Trouble, answer, key};
+use claims::{Fleet, Item, Trouble, answer, key};
 use laburnum_kernel::{
-    Call,
+    Call, Event, Message,
+    event::UpstreamEvent,
     once::{self, Ended, GRANT_MS, OPEN_MS, Resolution, row_key},
 };
 use test_case::test_case;
@@ -69,22 +70,103 @@
     }
 }
 
-// Two nodes that cannot hear each other both take themselves for the bucket's owner. Their writes of the
-// one row collide, the loser reads it again, and only the first claim is granted.
+// Two nodes that do not know of each other both take themselves for the bucket's owner. They read the row
+// at the same time and write it at the same time; the second write collides, its node reads the row again,
+// and only the first claim is granted.
 #[test]
 fn two_owners_at_once() {
-    let mut fleet = Fleet::new(2);
-    fleet.cut.insert((0, 1));
+    let mut fleet = Fleet::strangers(2);
     let one = fleet.claim(0, "schedule-7", 1);
     let two = fleet.claim(1, "schedule-7", 2);
-    fleet.run(GRANT_MS + 1_000);
-    let said = [fleet.said(one), fleet.said(two)];
-    assert_eq!(
-        said.iter().filter(|it| *it == "granted").count(),
-        1,
-        "{said:?}"
-    );
-    assert!(said.contains(&"busy".to_owned()), "{said:?}");
+    fleet.run(1_000);
+    assert_eq!(fleet.said(one), "granted");
+    assert_eq!(fleet.said(two), "busy");
+}
+
+// The link between two nodes loses everything. The claims that cannot reach their bucket's owner are
+// committed by another node of the region instead, soon enough for the caller.
+#[test]
+fn owner_out_of_reach() {
+    let mut fleet = Fleet::new(2);
+    fleet.cut.insert((0, 1));
+    let tokens: Vec<_> = (0..20)
+        .map(|it| fleet.claim(it % 2, &format!("preset-{it}"), it as u128))
+        .collect();
+    fleet.run(GRANT_MS);
+    assert!(tokens.iter().all(|it| fleet.said(*it) == "granted"));
+}
+
+/// A fleet whose node 0 forwards the claim of the returned key to another node.
+fn forwarded() -> (Fleet, String) {
+    let mut fleet = Fleet::new(3);
+    for number in 0..100 {
+        let text = format!("filing-{number}");
+        fleet.claim(0, &text, number);
+        if fleet.items.iter().any(is_claim) {
+            fleet.table.commits = 0;
+            return (fleet, text);
+        }
+        fleet.run(1_000);
+    }
+    panic!("no key of 100 belongs to another node");
+}
+
+fn is_claim(item: &Item) -> bool {
+    let Item::Event(_, Event::Message { message, .. }) = item else {
+        return false;
+    };
+    matches!(message, Message::Once(once::Message::Claim(_)))
+}
+
+fn is_verdict(item: &Item) -> bool {
+    let Item::Event(_, Event::Message { message, .. }) = item else {
+        return false;
+    };
+    matches!(message, Message::Once(once::Message::Verdict { .. }))
+}
+
+// A forwarded claim is delayed; another owner, asked in its place, has no table, so the caller hears that
+// nothing ran. Then the delayed claim is written and granted after all. Its node gives the grant back, or
+// the key would stay claimed for nothing and the caller's retry would never run.
+#[test]
+fn claim_arrives_after_its_refusal() {
+    let (mut fleet, text) = forwarded();
+    let token = *fleet.asked.last().expect("the claim's token");
+    let late = fleet.take(is_claim).expect("the forwarded claim");
+    fleet.table.down = true;
+    fleet.run(2_000);
+    assert_eq!(fleet.said(token), "unavailable");
+    fleet.table.down = false;
+    fleet.run(1_000);
+    fleet.deliver(late);
+    fleet.run(2_000);
+    assert_eq!(fleet.table.commits, 2, "a claim and its release");
+    let two = fleet.claim(1, &text, 1_000);
+    fleet.run(1_000);
+    assert_eq!(fleet.said(two), "granted");
+}
+
+// The grant is on its way for longer than it is good for, without a pause of the node. It is not used.
+#[test]
+fn grant_arrives_late() {
+    let (mut fleet, text) = forwarded();
+    let token = *fleet.asked.last().expect("the claim's token");
+    while fleet.items.iter().all(|it| !is_verdict(it)) {
+        let item = fleet.items.pop_front().expect("a verdict comes");
+        fleet.deliver(item);
+    }
+    let verdict = fleet.take(is_verdict).expect("the verdict");
+    for _ in 0..GRANT_MS / 10 {
+        fleet.now = fleet.now + 10;
+        fleet.step(0, Event::Upstream(UpstreamEvent::Ready));
+    }
+    fleet.now = fleet.now + 1;
+    fleet.deliver(verdict);
+    assert_eq!(fleet.said(token), "unavailable");
+    fleet.run(3_000);
+    let two = fleet.claim(1, &text, 1_000);
+    fleet.run(1_000);
+    assert_eq!(fleet.said(two), "granted");
 }
 
 // The table is down when the caller signs. It hears within the second that nothing was run; when the
@@ -115,9 +197,11 @@
     if restarted {
         fleet.run(500);
         fleet.restart(0);
+        fleet.run(5_000);
+    } else {
+        // Long enough for any node to have noticed; without a notice the claim's age decides.
+        fleet.run(OPEN_MS + 1_000);
     }
-    // Long enough for any node to have noticed; without a notice the claim's age decides.
-    fleet.run(OPEN_MS + 1_000);
     let two = fleet.claim(1, "filing-3", 2);
     fleet.run(2_000);
     assert_eq!(fleet.said(two), "unknown");
--- /dev/null
+++ b/crates/kernel/tests/once_order.rs
@@ -0,0 +1,273 @@
+//! At most once holds for any order, loss and doubling of messages and table answers.
+
+#[path = "common/claims.rs"]
+mod claims;
+
+use std::collections::BTreeMap;
+
+use claims::{Fleet, Item, answer};
+use laburnum_kernel::{
+    Event, Message, Reply, Token,
+    once::{self, Ended},
+    platform::{Fault, TableAnswer},
+};
+use proptest::prelude::*;
+
+const NODES: usize = 3;
+const KEYS: [&str; 2] = ["schedule-7", "filing-3"];
+
+/// One thing that happens; `pick` chooses among what is on its way.
+#[derive(Clone, Debug)]
+enum Step {
+    Claim { node: usize, key: usize },
+    Finish { pick: usize, ended: u8 },
+    Deliver { pick: usize },
+    Duplicate { pick: usize },
+    Lose { pick: usize },
+    LoseAnswer { pick: usize, effect: Effect },
+    Pass { millis: u64 },
+    Restart { node: usize },
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Effect {
+    Before,
+    Never,
+    Late,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let pick = 0..64usize;
+    let effect = prop_oneof![
+        Just(Effect::Before),
+        Just(Effect::Never),
+        Just(Effect::Late)
+    ];
+    prop_oneof![
+        4 => (0..NODES, 0..KEYS.len()).prop_map(|(node, key)| Step::Claim { node, key }),
+        3 => (pick.clone(), 0..3u8).prop_map(|(pick, ended)| Step::Finish { pick, ended }),
+        16 => pick.clone().prop_map(|pick| Step::Deliver { pick }),
+        2 => pick.clone().prop_map(|pick| Step::Duplicate { pick }),
+        1 => pick.clone().prop_map(|pick| Step::Lose { pick }),
+        2 => (pick, effect).prop_map(|(pick, effect)| Step::LoseAnswer { pick, effect }),
+        4 => prop_oneof![Just(10u64), Just(60), Just(900), Just(4_000)]
+            .prop_map(|millis| Step::Pass { millis }),
+        1 => (0..NODES).prop_map(|node| Step::Restart { node }),
+    ]
+}
+
+/// What callers and upstreams see.
+struct World {
+    fleet: Fleet,
+    asked: BTreeMap<Token, Attempt>,
+    running: Vec<Attempt>,
+    /// Attempts that reached an upstream and were not refused by it, by key.
+    ran: BTreeMap<usize, Vec<Attempt>>,
+    attempts: u128,
+    granted: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Attempt {
+    id: u128,
+    node: usize,
+    key: usize,
+}
+
+impl World {
+    fn new() -> World {
+        World {
+            fleet: Fleet::new(NODES),
+            asked: BTreeMap::new(),
+            running: Vec::new(),
+            ran: BTreeMap::new(),
+            attempts: 0,
+            granted: 0,
+        }
+    }
+
+    fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Claim { node, key } => {
+                self.attempts += 1;
+                let id = self.attempts;
+                let token = self.fleet.claim(node, KEYS[key], id);
+                self.asked.insert(token, Attempt { id, node, key });
+            }
+            Step::Finish { pick, ended } => self.finish(pick, ended),
+            Step::Deliver { pick } => {
+                if let Some(item) = self.take(pick, |_| true) {
+                    self.fleet.deliver(item);
+                }
+            }
+            Step::Duplicate { pick } => {
+                if let Some(item) = self.take(pick, is_message) {
+                    self.fleet.items.push_back(item.clone());
+                    self.fleet.items.push_back(item);
+                }
+            }
+            Step::Lose { pick } => {
+                self.take(pick, is_message);
+            }
+            Step::LoseAnswer { pick, effect } => self.lose_answer(pick, effect),
+            Step::Pass { millis } => {
+                self.fleet.now = self.fleet.now + millis;
+                self.fleet.tick();
+            }
+            Step::Restart { node } => {
+                self.running.retain(|it| it.node != node);
+                self.asked.retain(|_, it| it.node != node);
+                self.fleet.items.retain(|it| !is_answer(it, node));
+                self.fleet.restart(node);
+            }
+        }
+        self.pass_others();
+        self.check();
+    }
+
+    /// Takes one claim message or table operation off the way.
+    fn take(&mut self, pick: usize, wanted: impl Fn(&Item) -> bool) -> Option<Item> {
+        let found = self.fleet.items.iter().enumerate();
+        let found: Vec<usize> = found
+            .filter(|(_, it)| wanted(it))
+            .map(|(idx, _)| idx)
+            .collect();
+        let idx = *found.get(pick.checked_rem(found.len())?)?;
+        self.fleet.items.remove(idx)
+    }
+
+    fn lose_answer(&mut self, pick: usize, effect: Effect) {
+        let Some(Item::Table(from, call, op)) = self.take(pick, |it| matches!(it, Item::Table(..)))
+        else {
+            return;
+        };
+        match effect {
+            Effect::Before => {
+                self.fleet.table.carry_out(&op);
+            }
+            Effect::Never => {}
+            Effect::Late => self.fleet.items.push_back(Item::Late(op)),
+        }
+        let answer = TableAnswer::Failed(Fault::Unknown);
+        self.fleet
+            .items
+            .push_back(Item::Event(from, Event::Table { call, answer }));
+    }
+
+    fn finish(&mut self, pick: usize, ended: u8) {
+        let Some(idx) = pick.checked_rem(self.running.len()) else {
+            return;
+        };
+        let it = self.running.remove(idx);
+        let ended = match ended {
+            0 => Ended::Ran(answer(&it.id.to_string())),
+            1 => Ended::Unknown,
+            _ => Ended::NotRun,
+        };
+        if ended == Ended::NotRun {
+            self.ran.entry(it.key).or_default().retain(|ran| *ran != it);
+        }
+        self.fleet.settle(it.node, KEYS[it.key], it.id, ended);
+    }
+
+    /// Lets everything arrive that has to do with neither claims nor the table.
+    fn pass_others(&mut self) {
+        while let Some(item) = self.take(0, |it| !is_ours(it)) {
+            self.fleet.deliver(item);
+        }
+    }
+
+    fn check(&mut self) {
+        for (token, reply) in std::mem::take(&mut self.fleet.replies) {
+            let Some(it) = self.asked.remove(&token) else {
+                continue;
+            };
+            let earlier = self.ran.entry(it.key).or_default();
+            match reply {
+                Reply::Once(once::Reply::Granted { .. }) => {
+                    assert!(earlier.is_empty(), "{it:?} runs beside {earlier:?}");
+                    earlier.push(it);
+                    self.running.push(it);
+                    self.granted += 1;
+                }
+                Reply::Once(once::Reply::Replay(found)) => {
+                    let ids = earlier.iter().map(|it| it.id.to_string().into_bytes());
+                    assert!(ids.clone().any(|it| it == found.body), "{found:?}");
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Ends every trouble; then each key is granted if nothing ran, and otherwise never again.
+    fn heal(&mut self) {
+        while !self.running.is_empty() {
+            self.finish(0, 0);
+        }
+        self.fleet.run(10_000);
+        self.check();
+        while !self.running.is_empty() {
+            self.finish(0, 0);
+        }
+        for key in 0..KEYS.len() {
+            self.step(&Step::Claim { node: 0, key });
+            self.fleet.run(5_000);
+            self.check();
+        }
+    }
+}
+
+fn is_message(item: &Item) -> bool {
+    let Item::Event(_, Event::Message { message, .. }) = item else {
+        return false;
+    };
+    matches!(message, Message::Once(_))
+}
+
+fn is_ours(item: &Item) -> bool {
+    let answer = matches!(
+        item,
+        Item::Event(_, Event::Table { .. } | Event::Object { .. })
+    );
+    answer || is_message(item) || !matches!(item, Item::Event(..))
+}
+
+/// An answer for a process that is no more.
+fn is_answer(item: &Item, node: usize) -> bool {
+    let Item::Event(to, event) = item else {
+        return matches!(item, Item::Table(from, ..) | Item::Object(from, ..) if *from == node);
+    };
+    *to == node && matches!(event, Event::Table { .. } | Event::Object { .. })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        failure_persistence: None,
+        rng_seed: prop::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
+    // Callers sign the same schedules again and again through three nodes, while messages and answers are
+    // lost, doubled, late and crossed, nodes restart and time jumps. No two attempts for one key ever run.
+    #[test]
+    fn never_twice(steps in prop::collection::vec(step(), 1..160)) {
+        let mut world = World::new();
+        for it in &steps {
+            world.step(it);
+        }
+        world.heal();
+    }
+}
+
+// The property would hold of a kernel that grants nothing: this schedule with no trouble grants each key.
+#[test]
+fn grants_without_trouble() {
+    let mut world = World::new();
+    for key in 0..KEYS.len() {
+        world.step(&Step::Claim { node: key, key });
+        world.fleet.run(1_000);
+        world.check();
+    }
+    assert_eq!(world.granted, KEYS.len());
+}
