--- a/crates/kernel/src/once/bucket.rs
+++ b/crates/kernel/src/once/bucket.rs
@@ -6,6 +6,8 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use rand::Rng;
+
 use crate::{
     clock::Ms,
     event,
@@ -27,6 +29,9 @@
 /// Most requests that one write of a row carries.
 const BATCH_MAX: usize = 128;
 
+/// The longest time between two writes of a row whose writes collide, in ms.
+const PACE_MAX_MS: u64 = 800;
+
 /// A row of more bytes takes no new claims: too many are open or of unknown outcome.
 const ROW_MAX: usize = 128 * 1024;
 
@@ -42,14 +47,63 @@
     /// Number of the newest request.
     newest: u64,
     flight: Option<Flight>,
-    /// When the last write began.
-    wrote: Ms,
+    /// When the next write may begin.
+    due: Ms,
+    pace: Pace,
     /// Until when the table counts as down.
     down: Ms,
     sealer: Sealer,
     lookups: BTreeMap<CallId, Ask>,
 }
 
+/// Time between two writes, in ms. It doubles with each collision or throttled write and shrinks with each
+/// success.
+///
+/// While views differ, or regions have lost each other, a bucket has several owners. At full pace each, with
+/// the row as they wrote it last, nearly every write would collide and the table's rate would go into
+/// collisions. So an owner that met one waits longer, at random, and reads the row right before it writes:
+/// only writes within one round trip of each other still collide, and the batches grow instead.
+#[derive(Clone, Copy, Debug)]
+struct Pace(u64);
+
+impl Default for Pace {
+    fn default() -> Pace {
+        Pace(PACE_MS)
+    }
+}
+
+impl Pace {
+    fn slower(self) -> Pace {
+        Pace((self.0 * 2).min(PACE_MAX_MS))
+    }
+
+    fn faster(self) -> Pace {
+        Pace((self.0 - self.0 / 8).max(PACE_MS))
+    }
+
+    fn contended(self) -> Contended {
+        match self.0 > PACE_MS {
+            true => Contended::Yes,
+            false => Contended::No,
+        }
+    }
+
+    /// Time until the next write.
+    fn wait(self, rng: &mut impl Rng) -> u64 {
+        match self.contended() {
+            Contended::Yes => rng.random_range(self.0 / 2..self.0 * 3 / 2),
+            Contended::No => self.0,
+        }
+    }
+}
+
+/// Whether other nodes write the row too.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Contended {
+    Yes,
+    No,
+}
+
 /// What this node knows of the row.
 #[derive(Debug, Default)]
 enum Known {
@@ -230,10 +284,14 @@
                     read,
                 };
                 bucket.size = size;
+                if bucket.pace.contended() == Contended::Yes {
+                    bucket.row = Known::Nothing;
+                }
+                bucket.pace = bucket.pace.faster();
                 bucket.sealer.written(cx, &dropped);
                 asks.into_iter().for_each(|it| confirm(cx, state, it));
             } else {
-                failed_write(cx, state, id, (read, asks), answer);
+                failed_write(cx, state, id, asks, answer);
             }
         }
         Some(Flight::Read { read, .. }) => loaded(cx, state, id, read, answer),
@@ -289,9 +347,8 @@
         return;
     };
     let idle = bucket.queue.is_empty() && !bucket.sealer.stored();
-    let paced = bucket.wrote != Ms(0) && cx.now.since(bucket.wrote) < PACE_MS;
-    let down = cx.now < bucket.down;
-    if bucket.flight.is_some() || idle || paced || down {
+    let early = cx.now < bucket.due.max(bucket.down);
+    if bucket.flight.is_some() || idle || early {
         return;
     }
     let Known::Row { ledger, .. } = &bucket.row else {
@@ -427,7 +484,10 @@
 ) {
     let value = ledger.encode();
     let size = value.len();
-    bucket.sealer.consider(cx, id, &ledger, size);
+    // Of several owners that seal the same claims only one succeeds; they leave it until it is pressing.
+    if bucket.pace.contended() == Contended::No || size > ROW_MAX / 2 {
+        bucket.sealer.consider(cx, id, &ledger, size);
+    }
     let key = row_key(id);
     let read = bucket.newest;
     let call = cx.table(TableOp::Commit {
@@ -437,7 +497,7 @@
         }],
         writes: vec![Write::Put { key, value }],
     });
-    bucket.wrote = cx.now;
+    bucket.due = cx.now + bucket.pace.wait(cx.rng);
     bucket.flight = Some(Flight::Write {
         call,
         version,
@@ -454,7 +514,7 @@
     cx: &mut Context<'_>,
     state: &mut State,
     id: u16,
-    (read, mut asks): (u64, Vec<Ask>),
+    mut asks: Vec<Ask>,
     answer: &TableAnswer,
 ) {
     let Some(bucket) = state.once.buckets.get_mut(&id) else {
@@ -471,15 +531,18 @@
         TableAnswer::Failed(fault) => {
             let after = holder::hint(fault);
             bucket.down = cx.now + after;
+            bucket.pace = bucket.pace.slower();
             let why = fault.to_string();
             asks.extend(std::mem::take(&mut bucket.queue));
             asks.into_iter()
                 .for_each(|it| fail(cx, state, it, after, &why));
         }
         // Another owner wrote first.
-        TableAnswer::Conflict(rows) => {
+        TableAnswer::Conflict(_) => {
+            bucket.pace = bucket.pace.slower();
+            bucket.due = cx.now + bucket.pace.wait(cx.rng);
+            bucket.row = Known::Nothing;
             requeue(bucket, asks);
-            load(cx, bucket, id, read, rows);
         }
         TableAnswer::Committed | TableAnswer::Rows(_) => requeue(bucket, asks),
     }
--- a/crates/kernel/src/once/holder.rs
+++ b/crates/kernel/src/once/holder.rs
@@ -16,8 +16,15 @@
     utils::rendezvous,
 };
 
-/// An outcome that is not acknowledged is sent again after this long, in ms.
-const RESEND_MS: u64 = 1_000;
+/// An outcome that is not acknowledged is sent again after this long, in ms, and then after ever longer.
+const RESEND_MS: u64 = 700;
+
+/// The longest time until an outcome is sent again, in ms.
+const RESEND_MAX_MS: u64 = 8_000;
+
+/// Every so many times an outcome is sent to another owner than the first choice. It is seldom: when the
+/// table is slow, second writers of a row would only slow it further.
+const DEPUTY_TURNS: u32 = 3;
 
 /// Most claims that wait for a verdict; more are refused.
 const ASKING_MAX: usize = 4_096;
@@ -66,10 +73,23 @@
     token: Option<Token>,
     settlement: Settlement,
     sent: Ms,
-    turn: Turn,
+    turns: u32,
     store: Store,
 }
 
+impl Settling {
+    fn turn(&self) -> Turn {
+        match self.turns % DEPUTY_TURNS {
+            2 => Turn::Deputy,
+            _ => Turn::Owner,
+        }
+    }
+
+    fn due(&self) -> Ms {
+        self.sent + (RESEND_MS << self.turns.min(3)).min(RESEND_MAX_MS)
+    }
+}
+
 /// Whether a large answer is an object yet.
 #[derive(Debug)]
 enum Store {
@@ -212,7 +232,7 @@
             outcome,
         },
         sent: cx.now,
-        turn: Turn::Owner,
+        turns: 0,
         store,
     };
     state.once.holder.settling.insert(attempt, settling);
@@ -257,12 +277,9 @@
     }
     let mut resend = Vec::new();
     for (attempt, it) in &mut holder.settling {
-        if now.since(it.sent) > RESEND_MS {
+        if now > it.due() {
             it.sent = now;
-            it.turn = match it.turn {
-                Turn::Owner => Turn::Deputy,
-                Turn::Deputy => Turn::Owner,
-            };
+            it.turns += 1;
             resend.push(*attempt);
         }
     }
@@ -313,7 +330,7 @@
             outcome: Outcome::NotRun,
         },
         sent: cx.now,
-        turn: Turn::Owner,
+        turns: 0,
         store: Store::Done,
     };
     state.once.holder.settling.insert(attempt, settling);
@@ -345,7 +362,7 @@
         state.once.holder.storing.insert(call, attempt);
         return;
     }
-    let (settlement, turn) = (it.settlement.clone(), it.turn);
+    let (settlement, turn) = (it.settlement.clone(), it.turn());
     match target(cx, state, &settlement.key, turn) {
         to if to == cx.settings.node => bucket::settle(cx, state, to, settlement),
         to => cx.send(to, event::Message::Once(Message::Settle(settlement))),
