--- a/crates/kernel/src/guard.rs
+++ b/crates/kernel/src/guard.rs
@@ -43,8 +43,11 @@
 pub struct Fingerprint(pub u64);
 
 impl Fingerprint {
-    /// The digest of a request to `service`. `path` includes the query; `caller` is the caller's idempotency
-    /// key, or empty; `body` is the BLAKE3 hash of the whole body.
+    /// The digest of a request to `service`. `path` includes the query; `caller` names the caller, or is empty
+    /// where callers are not told apart; `body` is the BLAKE3 hash of the whole body.
+    ///
+    /// The idempotency key is no part of it: a caller whose request crashed an upstream is told that the
+    /// outcome is unknown, and may well send the same request under a new key.
     pub fn of(
         service: &Name,
         method: &str,
--- a/crates/kernel/src/guard/spread.rs
+++ b/crates/kernel/src/guard/spread.rs
@@ -33,8 +33,7 @@
 /// Sends `message` to nodes of `service`.
 pub(super) fn tell_service(cx: &mut Context<'_>, state: &State, service: &Name, message: &Message) {
     let peers = peers(cx, state, |it| serves(it, service));
-    let some: Vec<NodeId> = peers.choose_multiple(cx.rng, REPORT_MAX).copied().collect();
-    for to in some {
+    for to in some(cx, &peers, REPORT_MAX) {
         cx.send(to, event::Message::Guard(message.clone()));
     }
 }
@@ -46,8 +45,7 @@
     }
     cx.raise(Notice::Quarantine);
     let peers = peers(cx, state, |_| true);
-    let some: Vec<NodeId> = peers.choose_multiple(cx.rng, FANOUT).copied().collect();
-    for to in some {
+    for to in some(cx, &peers, FANOUT) {
         let records = records.clone();
         cx.send(to, event::Message::Guard(Message::Records { records }));
     }
@@ -101,6 +99,13 @@
     cx.send(from, event::Message::Guard(Message::Records { records }));
 }
 
+/// Up to `count` random ones of `peers`, in order.
+fn some(cx: &mut Context<'_>, peers: &[NodeId], count: usize) -> Vec<NodeId> {
+    let mut some: Vec<NodeId> = peers.choose_multiple(cx.rng, count).copied().collect();
+    some.sort_unstable();
+    some
+}
+
 fn digest(state: &State) -> u64 {
     let records: Vec<&Record> = state.guard.records.values().collect();
     let bytes = postcard::to_stdvec(&records).expect("records encode");
--- a/crates/kernel/tests/common/claims.rs
+++ b/crates/kernel/tests/common/claims.rs
@@ -7,7 +7,7 @@
 use laburnum_kernel::{
     Action, Call, CallId, Event, Kernel, Message, Ms, Name, NodeId, Reply, Settings, Token,
     event::UpstreamEvent,
-    guard::Fingerprint,
+    guard::{self, Fingerprint},
     once::{self, Answer, AttemptId, Ended, Key},
     platform::{Check, Fault, ObjectAnswer, ObjectOp, Row, TableAnswer, TableOp, Write},
 };
@@ -382,9 +382,15 @@
                 let from = address(idx);
                 self.route(to, Event::Probe { from, packet });
             }
-            Action::Table { call, op } => self.items.push_back(Item::Table(idx, call, op)),
+            Action::Table { call, op } => {
+                self.trace_table(idx, &op);
+                self.items.push_back(Item::Table(idx, call, op));
+            }
             Action::Object { call, op } => self.items.push_back(Item::Object(idx, call, op)),
             Action::Reply { token, reply } => {
+                let text = short(&format!("{reply:?}"));
+                self.trace
+                    .push(format!("node {idx} answers call {}: {text}", token.0));
                 let earlier = self.replies.insert(token, reply);
                 assert_eq!(earlier, None, "a call is answered once");
             }
@@ -401,6 +407,7 @@
         let ours = matches!(message, Message::Once(_) | Message::Guard(_));
         let target = index(to);
         let pair = (idx.min(target), idx.max(target));
+        self.trace_send(idx, target, &message);
         if ours && self.cut.contains(&pair) {
             return;
         }
@@ -408,6 +415,34 @@
         self.route(to, Event::Message { from, message });
     }
 
+    fn trace_send(&mut self, idx: usize, target: usize, message: &Message) {
+        let text = match message {
+            Message::Once(it) => short(&format!("{it:?}")),
+            Message::Guard(guard::Message::Digest { .. }) => return,
+            Message::Guard(it) => short(&format!("{it:?}")),
+            _ => return,
+        };
+        self.trace
+            .push(format!("node {idx} -> node {target}: {text}"));
+    }
+
+    fn trace_table(&mut self, idx: usize, op: &TableOp) {
+        match op {
+            TableOp::Get { keys } if keys.len() == 1 && keys[0].starts_with("claim/") => {
+                self.trace.push(format!("node {idx} reads {}", keys[0]));
+            }
+            TableOp::Commit { checks, .. }
+                if checks.iter().any(|it| it.key.starts_with("claim/")) =>
+            {
+                for it in checks {
+                    let line = format!("node {idx} writes {} if at version {}", it.key, it.version);
+                    self.trace.push(line);
+                }
+            }
+            _ => {}
+        }
+    }
+
     fn route(&mut self, to: NodeId, event: Event) {
         let target = index(to);
         if target < self.kernels.len() {
@@ -416,6 +451,12 @@
     }
 }
 
+/// A message without what every line would repeat.
+fn short(text: &str) -> String {
+    let text = text.replace("service: Name(\"court-registry\"), ", "");
+    text.replace("holder: NodeId(127.0.0.1:", "holder: (")
+}
+
 fn ours(event: &str) -> bool {
     event.contains("claim") || event.contains("crash") || event.contains("quarantine")
 }
