Guard: a crash counts also when the upstream's announcement lapsed first

Cause: a node whose upstream is found dead takes its offer back before it tells the crash, and the guard asked the offer for the service: such a crash was dropped. Change: the guard remembers the service.

--- a/crates/kernel/src/guard.rs
+++ b/crates/kernel/src/guard.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     clock::Ms,
-    event::{self, Event, Notice},
+    event::{self, Event, Notice, UpstreamEvent},
     id::{Name, NodeId, Token},
     kernel::{Context, Plugin, State},
     utils::hash64,
@@ -170,6 +170,9 @@
     /// Requests that ran without a crash; crashes before that time no longer count.
     survived: BTreeMap<Fingerprint, Ms>,
     records: BTreeMap<Fingerprint, Record>,
+    /// The service of the upstream beside this node, also after it died: a death is often noticed, and the
+    /// announcement taken back, before the crash is told.
+    service: Option<Name>,
     spread: spread::Spread,
 }
 
@@ -264,6 +267,9 @@
             from,
             message: event::Message::Guard(message),
         } => received(cx, state, *from, message),
+        Event::Upstream(UpstreamEvent::Announced { service, .. }) => {
+            state.guard.service = Some(service.clone());
+        }
         Event::Tick => {
             if state.guard.expire(cx.now) {
                 cx.raise(Notice::Quarantine);
@@ -281,7 +287,7 @@
             Reply::Noted
         }
         Call::Survived { print } => {
-            if let Some(service) = own_service(state) {
+            if let Some(service) = state.guard.service.clone() {
                 survived(cx, state, *print, cx.now);
                 let (print, time) = (*print, cx.now);
                 spread::tell_service(cx, state, &service, &Message::Survived { print, time });
@@ -300,7 +306,7 @@
 
 fn received(cx: &mut Context<'_>, state: &mut State, from: NodeId, message: &Message) {
     match message {
-        Message::Crashes { service, crashes } if own_service(state).as_ref() == Some(service) => {
+        Message::Crashes { service, crashes } if state.guard.service.as_ref() == Some(service) => {
             for crash in crashes.iter().take(CRASHES_MAX) {
                 count(cx, state, service, crash);
             }
@@ -321,7 +327,7 @@
 }
 
 fn crashed(cx: &mut Context<'_>, state: &mut State, prints: &[Fingerprint]) {
-    let Some(service) = own_service(state) else {
+    let Some(service) = state.guard.service.clone() else {
         return;
     };
     let crash = Crash {
@@ -420,8 +426,3 @@
 fn current(now: Ms, time: Ms) -> bool {
     now.since(time) <= HOLD_MS && time.since(now) <= HOLD_MS
 }
-
-fn own_service(state: &State) -> Option<Name> {
-    let offer = state.members.own().offer.as_ref()?;
-    Some(offer.service.clone())
-}
--- a/crates/kernel/src/guard/spread.rs
+++ b/crates/kernel/src/guard/spread.rs
@@ -64,7 +64,7 @@
         let digest = digest(state);
         cx.send(to, event::Message::Guard(Message::Digest { digest }));
     }
-    let Some(service) = super::own_service(state) else {
+    let Some(service) = state.guard.service.clone() else {
         return;
     };
     let newest = state.guard.crashes.iter().rev().take(REPAIR_CRASHES);
--- a/crates/kernel/tests/guard.rs
+++ b/crates/kernel/tests/guard.rs
@@ -5,7 +5,8 @@
 
 use claims::Fleet;
 use laburnum_kernel::{
-    Call, Reply,
+    Call, Event, Reply,
+    event::UpstreamEvent,
     guard::{self, Fingerprint, HOLD_MS, PRINTS_MAX},
 };
 use test_case::test_case;
@@ -64,6 +65,20 @@
     held_everywhere(&fleet, expected);
 }
 
+// The upstream's death is noticed and its announcement lapses before its node tells what was in flight. The
+// crash counts all the same, and so does another node's report to a node without its upstream.
+#[test]
+fn upstream_gone_before_the_report() {
+    let mut fleet = Fleet::new(3);
+    for idx in 0..2 {
+        fleet.step(idx, Event::Upstream(UpstreamEvent::Gone));
+        fleet.run(500);
+        crash(&mut fleet, idx, &[CULPRIT, idx as u64 + 1]);
+    }
+    fleet.run(30_000);
+    held_everywhere(&fleet, &[CULPRIT]);
+}
+
 // A popular read is in flight in every crash of its neighbours. It ran well in between, so the crash
 // before that does not count, and it is never refused; the culprit is.
 #[test]
