--- a/crates/kernel/examples/claims.rs
+++ b/crates/kernel/examples/claims.rs
@@ -39,8 +39,12 @@
     let seconds = args.next().unwrap_or(30);
     println!("{nodes} nodes in {REGIONS} regions, {seconds} s, table takes {WRITES} row writes/s");
     println!(
-        "scheme  table_ms claims/s granted% settled% rows/s rows/claim conflicts/s throttled/s objects/s p50_ms p99_ms worst_node_KB/s row_KB/s us/claim max_row_KB max_node_KB"
+        "scheme  table_ms claims/s granted% settled% rows/s rows/claim conflicts/s throttled/s objects/s p50_ms p99_ms worst_node_KB/s row_KB/s us/claim max_row_KB max_node_KB kept_B"
     );
+    for rate in [1, 10, 50] {
+        let world = World::new(12, 10, rate, Views::Site);
+        println!("{}", world.run(seconds * 1_000));
+    }
     for delay in [10, 60] {
         for rate in [100, 500, 1_300, 2_600] {
             for views in [Views::Whole, Views::Split] {
@@ -117,6 +121,8 @@
     Whole,
     /// Nodes know their region only: a bucket has an owner in each, whose writes collide.
     Split,
+    /// All nodes are in one region.
+    Site,
 }
 
 enum Item {
@@ -129,6 +135,7 @@
 struct World {
     now: u64,
     stop: u64,
+    regions: usize,
     name: &'static str,
     delay: u64,
     rate: u64,
@@ -165,9 +172,11 @@
         let mut world = World {
             now: 1_000_000,
             stop: 0,
+            regions: regions(views),
             name: match views {
                 Views::Whole => "buckets",
                 Views::Split => "split",
+                Views::Site => "site",
             },
             delay,
             rate,
@@ -415,7 +424,7 @@
     }
 
     fn distance(&self, lhs: usize, rhs: usize) -> u64 {
-        match lhs % REGIONS == rhs % REGIONS {
+        match lhs % self.regions == rhs % self.regions {
             true => NEAR_MS,
             false => FAR_MS,
         }
@@ -436,9 +445,14 @@
         let counts = &self.counts;
         let share = |it: u64| 100.0 * it as f64 / counts.asked.max(1) as f64;
         let worst = self.sent.iter().max().copied().unwrap_or_default();
+        let kept = self.objects.iter().filter(|it| it.0.starts_with("claim/"));
+        let (kept, claims) = kept.fold((0, 0), |(bytes, claims), (_, it)| {
+            let entries: Vec<once::Entry> = postcard::from_bytes(it).unwrap_or_default();
+            (bytes + it.len(), claims + entries.len())
+        });
         let memory = self.kernels.iter().map(|it| it.state().once.footprint());
         format!(
-            "{:7} {:8} {:8} {:8.1} {:8.1} {:6.0} {:10.2} {:11.1} {:11.1} {:9.1} {:6} {:6} {:15.1} {:8.1} {:8.1} {:10.1} {:11.1}",
+            "{:7} {:8} {:8} {:8.1} {:8.1} {:6.0} {:10.2} {:11.1} {:11.1} {:9.1} {:6} {:6} {:15.1} {:8.1} {:8.1} {:10.1} {:11.1} {:6.0}",
             self.name,
             self.delay,
             self.rate,
@@ -456,10 +470,18 @@
             counts.nanos as f64 / 1_000.0 / counts.granted.max(1) as f64,
             counts.largest as f64 / 1_000.0,
             memory.max().unwrap_or_default() as f64 / 1_000.0,
+            kept as f64 / claims.max(1) as f64,
         )
     }
 }
 
+fn regions(views: Views) -> usize {
+    match views {
+        Views::Site => 1,
+        Views::Whole | Views::Split => REGIONS,
+    }
+}
+
 fn address(idx: usize) -> NodeId {
     NodeId(([127, 0, 0, 1], 7_101 + idx as u16).into())
 }
@@ -469,8 +491,9 @@
 }
 
 fn kernel(idx: usize, nodes: usize, views: Views) -> Kernel {
-    let known = |it: &usize| views == Views::Whole || it % REGIONS == idx % REGIONS;
-    let region = format!("region-{}", idx % REGIONS);
+    let regions = regions(views);
+    let known = |it: &usize| views == Views::Whole || it % regions == idx % regions;
+    let region = format!("region-{}", idx % regions);
     let settings = Settings {
         node: address(idx),
         region: region.parse().expect("a valid name"),
--- a/crates/kernel/src/once.rs
+++ b/crates/kernel/src/once.rs
@@ -284,6 +284,7 @@
             bucket::tick(cx, state);
         }
         Event::Notice(Notice::Paused { .. }) => holder::paused(cx, state),
+        Event::Notice(Notice::Members | Notice::Own) => holder::forget_targets(state),
         _ => {}
     }
 }
--- a/crates/kernel/src/once/bucket.rs
+++ b/crates/kernel/src/once/bucket.rs
@@ -38,6 +38,10 @@
 /// A bucket with more sealed claims within the retention takes no new ones: 8 bytes of memory each.
 const INDEX_MAX: usize = 1_000_000;
 
+/// From this share on a bucket that fills up is logged, every so often.
+const WARN_PERCENT: usize = 70;
+const WARN_MS: u64 = 60_000;
+
 /// One bucket that this node commits for.
 #[derive(Debug, Default)]
 pub(super) struct Bucket {
@@ -47,6 +51,8 @@
     /// Number of the newest request.
     newest: u64,
     flight: Option<Flight>,
+    /// When a bucket that fills up was last logged.
+    warned: Ms,
     /// When the next write may begin.
     due: Ms,
     pace: Pace,
@@ -195,6 +201,22 @@
         self.size + self.sealer.footprint()
     }
 
+    /// Whether the bucket takes no new claims. Operators are told well before that.
+    fn full(&mut self, cx: &mut Context<'_>, id: u16) -> bool {
+        let used = (self.size * 100 / ROW_MAX).max(self.sealer.keys() * 100 / INDEX_MAX);
+        if used >= WARN_PERCENT && cx.now.since(self.warned) > WARN_MS {
+            self.warned = cx.now;
+            let pairs = vec![
+                ("row", row_key(id)),
+                ("percent", used.to_string()),
+                ("row_bytes", self.size.to_string()),
+                ("kept", self.sealer.keys().to_string()),
+            ];
+            cx.log("claims_filling", pairs);
+        }
+        used >= 100
+    }
+
     fn call(&self) -> Option<CallId> {
         match self.flight.as_ref()? {
             Flight::Read { call, .. } | Flight::Write { call, .. } | Flight::Index(call, _) => {
@@ -385,7 +407,7 @@
     dropped.extend(bucket.sealer.apply(&mut after));
     let count = bucket.queue.len().min(BATCH_MAX);
     let batch: Vec<Ask> = bucket.queue.drain(..count).collect();
-    let full = bucket.size > ROW_MAX || bucket.sealer.keys() > INDEX_MAX;
+    let full = bucket.full(cx, id);
     let (mut asks, mut says, mut again) = (Vec::new(), Vec::new(), Vec::new());
     for ask in batch {
         let claims = matches!(ask.work, Work::Claim(..));
--- a/crates/kernel/src/once/holder.rs
+++ b/crates/kernel/src/once/holder.rs
@@ -8,6 +8,7 @@
     guard::Fingerprint,
     id::{CallId, NodeId, Token},
     kernel::{Context, State},
+    members::Record,
     once::{
         Answer, AttemptId, Claim, Ended, FORWARD_MS, GRANT_MS, INLINE_MAX, KEY_MAX, Kept, Key,
         Message, Outcome, Reply, Settlement, Verdict, bucket, reply, row_key,
@@ -51,6 +52,9 @@
     /// Attempts of which a caller was told that they were not run. A grant that still arrives for one is
     /// given back; a grant for an attempt that is not here is left alone, so that forgetting is safe.
     abandoned: VecDeque<(AttemptId, Key)>,
+    /// Owners by bucket, until the members change: a ranking hashes every member, which for each claim would
+    /// cost more than the claim.
+    targets: BTreeMap<(u16, Turn), NodeId>,
 }
 
 #[derive(Debug)]
@@ -62,7 +66,7 @@
 }
 
 /// Whom the claim was sent to last.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Turn {
     Owner,
     Deputy,
@@ -376,24 +380,34 @@
     }
 }
 
+/// The members changed.
+pub(super) fn forget_targets(state: &mut State) {
+    state.once.holder.targets.clear();
+}
+
 /// The node to commit for a bucket. The first choice is the same for the whole fleet, so that a row has
 /// one writer; the second is a node of this region, in case the regions have lost each other.
-fn target(cx: &Context<'_>, state: &State, key: &Key, turn: Turn) -> NodeId {
-    let row = row_key(key.bucket());
-    let ready = state.members.ready();
-    let owner = rendezvous(&row, ready.map(|it| it.id)).first().copied();
+fn target(cx: &Context<'_>, state: &mut State, key: &Key, turn: Turn) -> NodeId {
+    let place = (key.bucket(), turn);
+    if let Some(known) = state.once.holder.targets.get(&place) {
+        return *known;
+    }
+    let row = row_key(place.0);
     let found = match turn {
-        Turn::Owner => owner,
+        Turn::Owner => {
+            let ready = state.members.ready().map(|it| it.id);
+            rendezvous(&row, ready).first().copied()
+        }
         Turn::Deputy => {
-            let near = state
-                .members
-                .ready()
-                .filter(|it| it.region == cx.settings.region);
-            let ranked = rendezvous(&row, near.map(|it| it.id));
-            ranked.into_iter().find(|it| Some(*it) != owner)
+            let owner = target(cx, state, key, Turn::Owner);
+            let near = |it: &&Record| it.region == cx.settings.region && it.id != owner;
+            let ready = state.members.ready().filter(near).map(|it| it.id);
+            rendezvous(&row, ready).first().copied()
         }
     };
-    found.unwrap_or(cx.settings.node)
+    let node = found.unwrap_or(cx.settings.node);
+    state.once.holder.targets.insert(place, node);
+    node
 }
 
 fn replay(cx: &mut Context<'_>, token: Token, answer: &ObjectAnswer) {
