--- a/crates/kernel/tests/common/claims.rs
+++ b/crates/kernel/tests/common/claims.rs
@@ -165,6 +165,11 @@
     pub cut: BTreeSet<(usize, usize)>,
     /// What happened: claims, quarantines and log lines.
     pub trace: Vec<String>,
+    /// Of the messages about crashes and quarantines every so many is lost; none if zero.
+    pub loss: u64,
+    sent: u64,
+    /// Messages and bytes about crashes and quarantines that each node sent.
+    pub spent: Vec<(u64, u64)>,
     /// The tokens of all calls, in order.
     pub asked: Vec<Token>,
 }
@@ -220,6 +225,9 @@
             dead: BTreeSet::new(),
             cut: BTreeSet::new(),
             trace: Vec::new(),
+            loss: 0,
+            sent: 0,
+            spent: vec![(0, 0); count],
             asked: Vec::new(),
         };
         for idx in 0..count {
@@ -408,6 +416,15 @@
         let target = index(to);
         let pair = (idx.min(target), idx.max(target));
         self.trace_send(idx, target, &message);
+        if let Message::Guard(it) = &message {
+            let bytes = postcard::to_stdvec(it).map_or(0, |it| it.len());
+            self.spent[idx].0 += 1;
+            self.spent[idx].1 += bytes as u64;
+            self.sent += 1;
+            if self.loss > 0 && self.sent.is_multiple_of(self.loss) {
+                return;
+            }
+        }
         if ours && self.cut.contains(&pair) {
             return;
         }
