--- a/crates/kernel/src/accept.rs
+++ b/crates/kernel/src/accept.rs
@@ -1,35 +1,33 @@
 //! Acceptance: submissions become batches of the log in the platform's table.
 //!
-//! Rows: `head` holds the last [`Seq`]; `log/<seq>` holds a [`Batch`]; `service/<name>` holds the
-//! revision and the document. One transaction checks `head` and writes them all.
+//! Rows: `head` holds the last [`Seq`]; `log/<seq>` holds an [`Entry`]; `service/<name>` holds the newest
+//! document; `snapshot` names the newest snapshot. One transaction writes a whole batch, on the condition
+//! that `log/<seq>` is absent and the entry before it is there. Every writer of these rows fulfils the same
+//! condition, so it stands for the versions of them all, and whoever commits at a position has read, and
+//! decided on, everything before it.
 
-use std::{collections::BTreeMap, sync::Arc};
+mod audit;
+mod commit;
+mod decide;
+mod forward;
+pub mod rows;
+mod snapshots;
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    document::Document,
-    event::{self, Event, Notice},
-    id::{CallId, Name, NodeId, Revision, Seq, SubmitId, Token},
+    event::{self, Event},
+    id::{Name, NodeId, Revision, Seq, SubmitId, Token},
     kernel::{Context, Plugin, State},
-    log::{Batch, Change, Edit},
-    platform::{ABSENT, Check, TableAnswer, TableOp, Write},
+    log::{Batch, Edit, Progress, Recovery},
+    platform::COMMIT_MAX,
 };
 
-inventory::submit! { Plugin { name: "accept", order: 20, handle } }
-
-/// Key of the row that holds the last sequence number.
-pub const HEAD_KEY: &str = "head";
+use self::{audit::Audits, commit::Queue, forward::Forwards, snapshots::Snapshots};
 
-/// Key of the row that holds the batch at `seq`; keys sort by sequence number.
-pub fn log_key(seq: Seq) -> String {
-    format!("log/{:016x}", seq.0)
-}
+pub use self::rows::{HEAD_KEY, log_key, service_key};
 
-/// Key of the row that holds the newest revision of `service`.
-pub fn service_key(service: &Name) -> String {
-    format!("service/{service}")
-}
+inventory::submit! { Plugin { name: "accept", order: 20, handle } }
 
 /// A change that somebody wants made.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -125,105 +123,150 @@
     Verdict { id: SubmitId, verdict: Verdict },
 }
 
+/// Most changes in one transaction: each writes one row, beside two checks, `head` and the entry.
+pub const CHANGES_MAX: usize = COMMIT_MAX - 4;
+
+/// Most bytes of a document; with its diff it fits one row of the table.
+pub const TEXT_MAX: usize = 64 * 1024;
+
+/// Most bytes of a diff in the log; a longer one is left out, and both texts are in the log anyway.
+pub const DIFF_MAX: usize = 64 * 1024;
+
+/// Most bytes of an author's name.
+pub const AUTHOR_MAX: usize = 128;
+
+/// Most bytes of a reason.
+pub const REASON_MAX: usize = 2048;
+
+/// Most submissions that wait on one node.
+pub const QUEUE_MAX: usize = 4096;
+
+/// Most bytes of submissions that wait on one node.
+pub const QUEUE_BYTES: usize = 8 << 20;
+
+/// Longest time until a submission has a verdict, in ms.
+pub const VERDICT_TIMEOUT: u64 = 6_000;
+
+/// Longest time that a committer in another node has for a verdict, in ms.
+pub const FORWARD_TIMEOUT: u64 = 2_000;
+
 /// Submissions on their way into the table.
 #[derive(Debug, Default)]
 pub struct Accept {
-    commits: BTreeMap<CallId, (Arc<Batch>, Token)>,
+    queue: Queue,
+    forwards: Forwards,
+    reader: Recovery,
+    asks: Vec<(SubmitId, Origin)>,
+    audits: Audits,
+    snapshots: Snapshots,
+}
+
+/// Who waits for a verdict.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    Call(Token),
+    Node(NodeId),
+}
+
+impl Origin {
+    fn answer(self, cx: &mut Context<'_>, id: SubmitId, verdict: Verdict) {
+        match self {
+            Origin::Call(token) => {
+                cx.reply(token, event::Reply::Accept(Reply::Verdict(verdict)));
+            }
+            Origin::Node(to) => {
+                cx.send(to, event::Message::Accept(Message::Verdict { id, verdict }));
+            }
+        }
+    }
 }
 
 fn handle(cx: &mut Context<'_>, state: &mut State, event: &Event) {
     match event {
         Event::Call {
             token,
-            call: event::Call::Accept(Call::Submit(submission)),
-        } => submit(cx, state, *token, submission),
-        Event::Call {
-            token,
-            call: event::Call::Accept(Call::Outcome { id }),
-        } => reply(cx, *token, Verdict::Unknown { id: *id }),
-        Event::Call {
-            token,
-            call: event::Call::Accept(Call::Audit { .. }),
-        } => {
-            let why = "the audit is not readable on this node yet".to_owned();
-            cx.reply(*token, event::Reply::Accept(Reply::Unavailable { why }));
+            call: event::Call::Accept(call),
+        } => called(cx, state, *token, call),
+        Event::Message {
+            from,
+            message: event::Message::Accept(message),
+        } => forward::received(cx, state, *from, message),
+        Event::Tick => {
+            forward::expire(cx, state);
+            commit::expire(cx, state);
+            snapshots::begin(cx, state);
         }
-        Event::Table { call, answer } => answered(cx, state, *call, answer),
-        _ => {}
+        Event::Table { call, answer } => {
+            commit::answered(cx, state, *call, answer);
+            audit::answered(cx, state, *call, answer);
+            snapshots::table(cx, state, *call, answer);
+        }
+        Event::Object { call, answer } => snapshots::object(cx, state, *call, answer),
+        _ => return,
+    }
+    match state.accept.reader.answer(cx, &mut state.log, event) {
+        Progress::Done => read(cx, state),
+        Progress::Failed => unread(cx, state),
+        Progress::Same | Progress::Busy => {}
+    }
+    commit::advance(cx, state);
+}
+
+fn called(cx: &mut Context<'_>, state: &mut State, token: Token, call: &Call) {
+    let origin = Origin::Call(token);
+    match call {
+        Call::Submit(submission) => forward::submit(cx, state, origin, submission),
+        Call::Outcome { id } => ask(cx, state, origin, *id),
+        Call::Audit {
+            service,
+            after,
+            limit,
+        } => audit::begin(cx, state, token, service.clone(), *after, *limit),
     }
 }
 
-fn submit(cx: &mut Context<'_>, state: &mut State, token: Token, submission: &Submission) {
-    if let Edit::Put { text } = &submission.edit
-        && let Err(error) = Document::parse(text)
-    {
-        let why = error.to_string();
-        return reply(cx, token, Verdict::Refused { why });
+/// Answers from what is known here, or else from the table.
+fn ask(cx: &mut Context<'_>, state: &mut State, origin: Origin, id: SubmitId) {
+    if let Some(seq) = state.log.accepted(id) {
+        return origin.answer(cx, id, accepted(seq));
     }
-    let seq = Seq(state.log.seq().0 + 1);
-    let change = Change {
-        id: submission.id,
-        service: submission.service.clone(),
-        base: submission.base,
-        revision: Revision(submission.base.0 + 1),
-        edit: submission.edit.clone(),
-        author: submission.author.clone(),
-        reason: submission.reason.clone(),
-        time: cx.now,
-    };
-    let batch = Arc::new(Batch {
-        seq,
-        changes: vec![change],
-    });
-    let value = postcard::to_stdvec(&*batch).expect("a batch encodes");
-    let op = TableOp::Commit {
-        checks: vec![Check {
-            key: log_key(seq),
-            version: ABSENT,
-        }],
-        writes: vec![
-            Write::Put {
-                key: log_key(seq),
-                value,
-            },
-            Write::Put {
-                key: HEAD_KEY.to_owned(),
-                value: seq.0.to_le_bytes().to_vec(),
-            },
-        ],
-    };
-    let call = cx.table(op);
-    state.accept.commits.insert(call, (batch, token));
-}
-
-fn answered(cx: &mut Context<'_>, state: &mut State, call: CallId, answer: &TableAnswer) {
-    let Some((batch, token)) = state.accept.commits.remove(&call) else {
+    if state.accept.queue.join(id, origin) || state.accept.forwards.join(id, origin) {
         return;
-    };
-    let verdict = match answer {
-        TableAnswer::Committed => Verdict::Accepted {
-            seq: batch.seq,
-            revision: batch.changes[0].revision,
-        },
-        TableAnswer::Failed(fault) => Verdict::Unavailable {
-            why: fault.to_string(),
-        },
-        TableAnswer::Conflict(_) | TableAnswer::Rows(_) => Verdict::Conflict {
-            revision: batch.changes[0].revision,
-            author: String::new(),
-            diff: String::new(),
-        },
-    };
-    if let Verdict::Accepted { seq, .. } = verdict {
-        state.log.apply(batch);
-        cx.raise(Notice::Applied { seq });
-        cx.raise(Notice::Accepted { seq });
     }
-    reply(cx, token, verdict);
+    state.accept.asks.push((id, origin));
+    follow(cx, state);
+}
+
+/// Reads what the table's log has more than this node's.
+fn follow(cx: &mut Context<'_>, state: &mut State) {
+    let State { accept, log, .. } = state;
+    match log.seq() {
+        Seq(0) => accept.reader.start(cx),
+        _ => accept.reader.follow(cx, log),
+    }
+}
+
+fn read(cx: &mut Context<'_>, state: &mut State) {
+    for (id, origin) in std::mem::take(&mut state.accept.asks) {
+        let verdict = state
+            .log
+            .accepted(id)
+            .map_or(Verdict::Absent { id }, accepted);
+        origin.answer(cx, id, verdict);
+    }
+    commit::read(cx, state);
+}
+
+fn unread(cx: &mut Context<'_>, state: &mut State) {
+    for (id, origin) in std::mem::take(&mut state.accept.asks) {
+        origin.answer(cx, id, Verdict::Unknown { id });
+    }
+    commit::unread(cx, state);
 }
 
-fn reply(cx: &mut Context<'_>, token: Token, verdict: Verdict) {
-    cx.reply(token, event::Reply::Accept(Reply::Verdict(verdict)));
+fn accepted(seq: Seq) -> Verdict {
+    let revision = Revision(seq.0);
+    Verdict::Accepted { seq, revision }
 }
 
 /// The node that commits for a region at present, if any member is ready.
--- /dev/null
+++ b/crates/kernel/src/accept/decide.rs
@@ -0,0 +1,317 @@
+//! What one transaction makes of the submissions that wait.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
+
+use similar::TextDiff;
+
+use crate::{
+    accept::{
+        AUTHOR_MAX, CHANGES_MAX, DIFF_MAX, Entry, REASON_MAX, Submission, TEXT_MAX, Verdict,
+        accepted,
+    },
+    clock::Ms,
+    document::Document,
+    id::{Name, Revision, Seq},
+    log::{Batch, Change, Edit, Log},
+    platform::VALUE_MAX,
+};
+
+/// A submission whose document was checked.
+#[derive(Clone, Debug)]
+pub(super) struct Checked {
+    pub submission: Submission,
+    /// Absent for a deletion.
+    document: Option<Arc<Document>>,
+}
+
+/// What becomes of one submission.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Fate {
+    /// It is part of the batch.
+    Chosen,
+    /// It is decided after the batch.
+    Later,
+    /// Its verdict holds whatever the table's log has more than this one.
+    Final(Verdict),
+    /// Its verdict holds if the table's log has no more than this one.
+    Doubtful(Verdict),
+}
+
+/// A batch and the fates of the submissions that it was made from.
+#[derive(Debug)]
+pub(super) struct Draft {
+    pub entry: Entry,
+    pub fates: Vec<Fate>,
+}
+
+/// Room that a row's value leaves for what is not counted submission by submission.
+const ROW_SPARE: usize = 4 * 1024;
+
+/// Bytes of a change beside its texts.
+const CHANGE_SPARE: usize = 512;
+
+impl Checked {
+    /// Checks everything that needs no other service. The error names the remedy.
+    pub fn new(submission: &Submission) -> Result<Checked, String> {
+        let (author, reason) = (submission.author.len(), submission.reason.len());
+        if author == 0 || author > AUTHOR_MAX {
+            return Err(format!("name an author in 1 to {AUTHOR_MAX} bytes"));
+        }
+        if reason > REASON_MAX {
+            return Err(format!("shorten the reason to {REASON_MAX} bytes"));
+        }
+        let document = match &submission.edit {
+            Edit::Put { text } => Some(Arc::new(check_text(&submission.service, text)?)),
+            Edit::Delete => None,
+        };
+        Ok(Checked {
+            submission: submission.clone(),
+            document,
+        })
+    }
+
+    /// Upper bound of the bytes that it adds to an entry of the log.
+    pub fn weight(&self, log: &Log) -> usize {
+        let old = log.latest().get(&self.submission.service);
+        let diff = 2 * (self.len() + old.map_or(0, |it| it.text.len()));
+        self.len() + diff.min(DIFF_MAX) + self.submission.reason.len() + CHANGE_SPARE
+    }
+
+    /// Bytes of the document.
+    pub fn len(&self) -> usize {
+        match &self.submission.edit {
+            Edit::Put { text } => text.len(),
+            Edit::Delete => 0,
+        }
+    }
+
+    fn uses(&self) -> impl Iterator<Item = &Name> {
+        self.document.iter().flat_map(|it| uses(it))
+    }
+}
+
+fn check_text(service: &Name, text: &str) -> Result<Document, String> {
+    if text.len() > TEXT_MAX {
+        return Err(format!("shorten the document to {TEXT_MAX} bytes"));
+    }
+    let document = Document::parse(text).map_err(|it| it.to_string())?;
+    if document.service != *service {
+        let found = &document.service;
+        return Err(format!(
+            "the document describes {found}; submit it as that service"
+        ));
+    }
+    Ok(document)
+}
+
+fn uses(document: &Document) -> impl Iterator<Item = &Name> {
+    document.routes.iter().flat_map(|it| &it.uses)
+}
+
+/// How many of `waiting`, from the first on, fit one transaction. At least one.
+pub(super) fn fitting<'a>(log: &Log, waiting: impl Iterator<Item = &'a Checked>) -> usize {
+    let mut bytes = 0;
+    let fits = |it: &&Checked| {
+        bytes += it.weight(log);
+        bytes <= VALUE_MAX - ROW_SPARE
+    };
+    waiting.take(CHANGES_MAX).take_while(fits).count().max(1)
+}
+
+/// Decides `waiting`, in order, on top of `log`.
+pub(super) fn draft(log: &Log, waiting: &[&Checked], now: Ms) -> Draft {
+    let mut plan = Plan::new(log, waiting);
+    plan.settle();
+    let chosen = plan.heads().into_values().collect::<Vec<usize>>();
+    let mut fates = plan.fates;
+    for it in &chosen {
+        fates[*it] = Fate::Chosen;
+    }
+    let seq = Seq(log.seq().0 + 1);
+    let submissions = chosen.iter().map(|it| &waiting[*it].submission);
+    let changes: Vec<Change> = submissions.map(|it| change(it, seq, now)).collect();
+    let diffs = changes.iter().map(|it| diff(log, it)).collect();
+    let batch = Batch { seq, changes };
+    Draft {
+        entry: Entry { batch, diffs },
+        fates,
+    }
+}
+
+/// The submissions that may still be chosen, for each service in order of arrival.
+struct Plan<'a> {
+    log: &'a Log,
+    waiting: &'a [&'a Checked],
+    lanes: BTreeMap<&'a Name, VecDeque<usize>>,
+    fates: Vec<Fate>,
+}
+
+impl<'a> Plan<'a> {
+    fn new(log: &'a Log, waiting: &'a [&'a Checked]) -> Plan<'a> {
+        let mut plan = Plan {
+            log,
+            waiting,
+            lanes: BTreeMap::new(),
+            fates: vec![Fate::Later; waiting.len()],
+        };
+        for (index, it) in waiting.iter().enumerate() {
+            match check_base(log, &it.submission) {
+                Some(fate) => plan.fates[index] = fate,
+                None => {
+                    let lane = plan.lanes.entry(&it.submission.service).or_default();
+                    lane.push_back(index);
+                }
+            }
+        }
+        plan
+    }
+
+    /// Takes out every submission whose result would not resolve, until all do.
+    ///
+    /// The result must not depend on the order of arrival between services, or a wrong submission could
+    /// make a right one fail. So puts are settled as if nothing were deleted, and deletions after them:
+    /// either step only takes out, which has one outcome.
+    fn settle(&mut self) {
+        while let Some((index, why)) = self.dangling_put().or_else(|| self.dangling_delete()) {
+            self.fates[index] = Fate::Doubtful(Verdict::Refused { why });
+            let service = &self.waiting[index].submission.service;
+            if let Some(lane) = self.lanes.get_mut(service) {
+                lane.pop_front();
+            }
+        }
+    }
+
+    /// The first of each lane.
+    fn heads(&self) -> BTreeMap<&'a Name, usize> {
+        let heads = self.lanes.iter();
+        heads
+            .filter_map(|(name, lane)| Some((*name, *lane.front()?)))
+            .collect()
+    }
+
+    fn dangling_put(&self) -> Option<(usize, String)> {
+        let heads = self.heads();
+        let put = |it: &Name| {
+            heads
+                .get(it)
+                .is_some_and(|it| self.waiting[*it].document.is_some())
+        };
+        let exists = |it: &Name| put(it) || self.log.latest().contains_key(it);
+        heads.values().find_map(|index| {
+            let lacking = self.waiting[*index].uses().find(|it| !exists(it))?;
+            let why =
+                format!("it routes to {lacking}, which does not exist; submit {lacking} first");
+            Some((*index, why))
+        })
+    }
+
+    fn dangling_delete(&self) -> Option<(usize, String)> {
+        let heads = self.heads();
+        let mut deletes = heads
+            .iter()
+            .filter(|it| self.waiting[*it.1].document.is_none());
+        deletes.find_map(|(name, index)| Some((*index, self.user(name, &heads)?)))
+    }
+
+    /// Why `name` cannot be deleted.
+    fn user(&self, name: &Name, heads: &BTreeMap<&Name, usize>) -> Option<String> {
+        let submitted = heads.iter().find(|(user, index)| {
+            **user != name && self.waiting[**index].uses().any(|it| it == name)
+        });
+        if let Some((user, _)) = submitted {
+            return Some(in_use(user));
+        }
+        let mut rest = self
+            .log
+            .latest()
+            .iter()
+            .filter(|it| !heads.contains_key(it.0));
+        rest.find_map(|(user, latest)| match &latest.document {
+            Ok(document) => uses(document).any(|it| it == name).then(|| in_use(user)),
+            Err(_) => Some(format!(
+                "this node cannot read {user}, which may route to it; submit through an upgraded node"
+            )),
+        })
+    }
+}
+
+fn in_use(user: &Name) -> String {
+    format!("{user} routes to it; change {user} first")
+}
+
+/// Decides what needs no other submission.
+fn check_base(log: &Log, submission: &Submission) -> Option<Fate> {
+    if let Some(seq) = log.accepted(submission.id) {
+        return Some(Fate::Final(accepted(seq)));
+    }
+    let latest = log.latest().get(&submission.service);
+    let current = latest.map_or(Revision(0), |it| it.revision);
+    if submission.base == current {
+        let why = "no such service; there is nothing to delete".to_owned();
+        let void = current == Revision(0) && submission.edit == Edit::Delete;
+        return void.then_some(Fate::Doubtful(Verdict::Refused { why }));
+    }
+    let verdict = conflict(log, submission);
+    match submission.base < current {
+        // Revisions only grow: the base has passed for good.
+        true => Some(Fate::Final(verdict)),
+        false => Some(Fate::Doubtful(verdict)),
+    }
+}
+
+/// Names who came first, and what changed from the submitter's base as far as it is still known.
+fn conflict(log: &Log, submission: &Submission) -> Verdict {
+    let service = &submission.service;
+    let base = log.text_at(service, submission.base).unwrap_or_default();
+    let (revision, author, text) = match log.latest().get(service) {
+        Some(it) => (it.revision, it.author.to_string(), &*it.text),
+        None => (Revision(0), log.last_author(service), ""),
+    };
+    let diff = unified(base, text, submission.base, revision);
+    Verdict::Conflict {
+        revision,
+        author,
+        diff,
+    }
+}
+
+fn change(submission: &Submission, seq: Seq, now: Ms) -> Change {
+    Change {
+        id: submission.id,
+        service: submission.service.clone(),
+        base: submission.base,
+        revision: Revision(seq.0),
+        edit: submission.edit.clone(),
+        author: submission.author.clone(),
+        reason: submission.reason.clone(),
+        time: now,
+    }
+}
+
+fn diff(log: &Log, change: &Change) -> String {
+    let old = log.latest().get(&change.service);
+    let new = match &change.edit {
+        Edit::Put { text } => text,
+        Edit::Delete => "",
+    };
+    unified(
+        old.map_or("", |it| &it.text),
+        new,
+        change.base,
+        change.revision,
+    )
+}
+
+fn unified(old: &str, new: &str, base: Revision, revision: Revision) -> String {
+    let (old_name, new_name) = (format!("revision {base}"), format!("revision {revision}"));
+    let diff = TextDiff::from_lines(old, new);
+    let mut diff = diff.unified_diff();
+    let text = diff.header(&old_name, &new_name).to_string();
+    match text.len() <= DIFF_MAX {
+        true => text,
+        false => format!("{} bytes; compare {old_name} with {new_name}\n", text.len()),
+    }
+}
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -12,7 +12,7 @@
     event::{Action, Call, Event, Message, Notice, Reply, TICK_MS},
     guard::Guard,
     id::{CallId, NodeId, Token},
-    log::Log,
+    log::{Log, Recovery},
     members::Members,
     once::Once,
     platform::{ObjectOp, TableOp},
@@ -37,6 +37,8 @@
 pub struct State {
     /// The applied configuration.
     pub log: Log,
+    /// Catching up with the log in the table.
+    pub recovery: Recovery,
     /// Submissions on their way into the table.
     pub accept: Accept,
     /// Configuration on its way to the nodes.
@@ -135,6 +137,7 @@
         Kernel {
             state: State {
                 log: Log::default(),
+                recovery: Recovery::default(),
                 accept: Accept::default(),
                 spread: Spread::default(),
                 members: Members::new(&settings),
