Tests of acceptance and the log under faults of the table

Cause: the committer's promises (accepted is in the log once, refused is not, nothing dangles) had no test of failures.

--- /dev/null
+++ b/crates/kernel/tests/common/driver.rs
@@ -0,0 +1,451 @@
+//! A few kernels over one table in memory. Faults of the table follow a script; one script always gives
+//! the same run.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    net::SocketAddr,
+};
+
+use laburnum_kernel::{
+    Action, Call, Event, Kernel, Ms, Name, NodeId, Reply, Revision, Settings, SubmitId, Token,
+    accept::{self, Entry, Submission, Verdict, rows},
+    log::Edit,
+    platform::{ABSENT, Check, Fault, ObjectAnswer, ObjectOp, Row, TableAnswer, TableOp, Write},
+};
+
+/// What happens to a commit of the log.
+#[derive(Clone, Debug)]
+pub enum Mishap {
+    /// Nothing: it is carried out.
+    Fine,
+    /// It is not carried out, and the answer says so.
+    Fails(Fault),
+    /// It is carried out and its answer is lost.
+    AnswerLost,
+    /// It is lost on the way.
+    WriteLost,
+    /// It is reported lost at once, and arrives at the table this many ms later.
+    WriteLate(u64),
+    /// It is carried out and answered this many ms later.
+    Slow(u64),
+}
+
+/// Ms between two ticks, and from a question to its answer or a message to its arrival.
+const TICK: u64 = 50;
+const DELAY: u64 = 2;
+
+enum Due {
+    Event(usize, Event),
+    Write(TableOp),
+}
+
+/// The kernels, the table and what is on its way.
+pub struct Driver {
+    pub now: Ms,
+    pub kernels: Vec<Kernel>,
+    pub rows: BTreeMap<String, Row>,
+    pub objects: BTreeMap<String, Vec<u8>>,
+    /// What happens to the next commits of the log, first to last; [`Mishap::Fine`] afterwards.
+    pub mishaps: VecDeque<Mishap>,
+    /// The table and the object store answer nothing.
+    pub down: bool,
+    /// Messages to these kernels vanish.
+    pub deaf: BTreeSet<usize>,
+    pub replies: BTreeMap<Token, Vec<Reply>>,
+    pub logs: Vec<(usize, &'static str, String)>,
+    /// Operations on the log, as a golden session shows them.
+    pub session: Vec<String>,
+    pub reads: usize,
+    pub commits: usize,
+    due: BTreeMap<(Ms, u64), Due>,
+    count: u64,
+    ticked: Ms,
+}
+
+pub fn name(text: &str) -> Name {
+    text.parse().expect("a literal name is valid")
+}
+
+fn node(index: usize) -> NodeId {
+    NodeId(SocketAddr::from(([127, 0, 0, 1], 7200 + index as u16)))
+}
+
+impl Driver {
+    /// Kernels in these regions, started; every one knows the others.
+    pub fn new(regions: &[&str]) -> Driver {
+        let mut driver = Driver {
+            now: Ms(1_000_000),
+            kernels: Vec::new(),
+            rows: BTreeMap::new(),
+            objects: BTreeMap::new(),
+            mishaps: VecDeque::new(),
+            down: false,
+            deaf: BTreeSet::new(),
+            replies: BTreeMap::new(),
+            logs: Vec::new(),
+            session: Vec::new(),
+            reads: 0,
+            commits: 0,
+            due: BTreeMap::new(),
+            count: 0,
+            ticked: Ms(1_000_000),
+        };
+        for region in regions {
+            driver.add(region);
+        }
+        driver
+    }
+
+    /// Starts one more kernel.
+    pub fn add(&mut self, region: &str) -> usize {
+        let index = self.kernels.len();
+        let settings = Settings {
+            node: node(index),
+            incarnation: self.now.0,
+            region: name(region),
+            peers: (0..index).map(node).collect(),
+            ..Settings::default()
+        };
+        self.kernels.push(Kernel::new(settings, index as u64 + 1));
+        self.step(index, Event::Start);
+        index
+    }
+
+    /// Asks a kernel.
+    pub fn call(&mut self, index: usize, call: accept::Call) -> Token {
+        self.count += 1;
+        let token = Token(self.count);
+        let call = Call::Accept(call);
+        self.step(index, Event::Call { token, call });
+        token
+    }
+
+    pub fn submit(&mut self, index: usize, submission: &Submission) -> Token {
+        self.call(index, accept::Call::Submit(submission.clone()))
+    }
+
+    /// Asks a kernel and lets up to 10 s pass until it answers.
+    pub fn ask(&mut self, index: usize, call: accept::Call) -> accept::Reply {
+        let token = self.call(index, call);
+        for _ in 0..100 {
+            if self.replies.contains_key(&token) {
+                break;
+            }
+            self.run(100);
+        }
+        self.reply(token)
+    }
+
+    /// The one answer to `token`.
+    pub fn reply(&self, token: Token) -> accept::Reply {
+        match self.replies.get(&token).map(Vec::as_slice) {
+            Some([Reply::Accept(reply)]) => reply.clone(),
+            other => panic!("one reply expected, not {other:?}"),
+        }
+    }
+
+    pub fn verdict(&self, token: Token) -> Verdict {
+        match self.reply(token) {
+            accept::Reply::Verdict(verdict) => verdict,
+            other => panic!("a verdict expected, not {other:?}"),
+        }
+    }
+
+    /// Lets `millis` pass.
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        loop {
+            let tick = self.ticked + TICK;
+            let next = self.due.first_key_value().map(|it| *it.0);
+            match next {
+                Some(key) if key.0 <= tick.min(end) => self.arrive(key),
+                _ if tick <= end => self.tick(tick),
+                _ => break,
+            }
+        }
+        self.now = end;
+    }
+
+    /// The log in the table. Panics if an entry is missing or misplaced.
+    pub fn entries(&self) -> Vec<Entry> {
+        let log = self.rows.range("log/".to_owned().."log0".to_owned());
+        let entries: Vec<Entry> = log
+            .map(|it| rows::read_entry(it.1).expect("decodes"))
+            .collect();
+        let numbers = entries.iter().map(|it| it.batch.seq.0);
+        assert!(numbers.eq(1..=entries.len() as u64), "the log has gaps");
+        entries
+    }
+
+    /// How often the log holds `id`.
+    pub fn applied(&self, id: SubmitId) -> usize {
+        let entries = self.entries();
+        let changes = entries.iter().flat_map(|it| &it.batch.changes);
+        changes.filter(|it| it.id == id).count()
+    }
+
+    fn tick(&mut self, tick: Ms) {
+        self.now = tick;
+        self.ticked = tick;
+        for index in 0..self.kernels.len() {
+            self.step(index, Event::Tick);
+        }
+    }
+
+    fn arrive(&mut self, key: (Ms, u64)) {
+        self.now = self.now.max(key.0);
+        match self.due.remove(&key) {
+            Some(Due::Event(index, event)) => self.step(index, event),
+            Some(Due::Write(op)) => {
+                self.carry_out(&op);
+            }
+            None => {}
+        }
+    }
+
+    fn after(&mut self, millis: u64, due: Due) {
+        self.count += 1;
+        self.due.insert((self.now + millis, self.count), due);
+    }
+
+    fn step(&mut self, index: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.kernels[index].step(self.now, event, &mut actions);
+        for action in actions {
+            self.act(index, action);
+        }
+    }
+
+    fn act(&mut self, index: usize, action: Action) {
+        match action {
+            Action::Send { to, message } => {
+                let from = node(index);
+                self.deliver(to, Event::Message { from, message });
+            }
+            Action::Probe { to, packet } => {
+                let from = node(index);
+                self.deliver(to, Event::Probe { from, packet });
+            }
+            Action::Table { call, op } => {
+                let (answer, delay) = self.table(index, &op);
+                self.after(delay, Due::Event(index, Event::Table { call, answer }));
+            }
+            Action::Object { call, op } => {
+                let answer = self.object(op);
+                self.after(DELAY, Due::Event(index, Event::Object { call, answer }));
+            }
+            Action::Reply { token, reply } => self.replies.entry(token).or_default().push(reply),
+            Action::Log { event, pairs } => {
+                let pairs = pairs.iter().map(|(key, value)| format!("{key}={value:?}"));
+                self.logs
+                    .push((index, event, pairs.collect::<Vec<_>>().join(" ")));
+            }
+            _ => {}
+        }
+    }
+
+    fn deliver(&mut self, to: NodeId, event: Event) {
+        let index = (0..self.kernels.len()).find(|it| node(*it) == to);
+        if let Some(index) = index.filter(|it| !self.deaf.contains(it)) {
+            self.after(DELAY, Due::Event(index, event));
+        }
+    }
+
+    /// The answer, and how long it takes.
+    fn table(&mut self, index: usize, op: &TableOp) -> (TableAnswer, u64) {
+        let shown = show(op);
+        let mishap = match shown {
+            Some(_) if matches!(op, TableOp::Commit { .. }) => self.mishaps.pop_front(),
+            _ => None,
+        };
+        let (answer, delay) = match mishap {
+            _ if self.down => (TableAnswer::Failed(Fault::Unavailable), DELAY),
+            None | Some(Mishap::Fine) => (self.carry_out(op), DELAY),
+            Some(Mishap::Slow(millis)) => (self.carry_out(op), millis),
+            Some(Mishap::Fails(fault)) => (TableAnswer::Failed(fault), DELAY),
+            Some(Mishap::AnswerLost) => {
+                self.carry_out(op);
+                (TableAnswer::Failed(Fault::Unknown), DELAY)
+            }
+            Some(Mishap::WriteLost) => (TableAnswer::Failed(Fault::Unknown), DELAY),
+            Some(Mishap::WriteLate(millis)) => {
+                self.after(millis, Due::Write(op.clone()));
+                (TableAnswer::Failed(Fault::Unknown), DELAY)
+            }
+        };
+        if let Some(shown) = shown {
+            self.session
+                .push(format!("node {index}: {shown} -> {}", show_answer(&answer)));
+        }
+        (answer, delay)
+    }
+
+    fn carry_out(&mut self, op: &TableOp) -> TableAnswer {
+        match op {
+            TableOp::Get { keys } => {
+                self.reads += 1;
+                TableAnswer::Rows(
+                    keys.iter()
+                        .filter_map(|it| self.rows.get(it).cloned())
+                        .collect(),
+                )
+            }
+            TableOp::Scan {
+                prefix,
+                after,
+                limit,
+            } => {
+                self.reads += 1;
+                let rows = self.rows.values().filter(|it| it.key.starts_with(prefix));
+                let rows = rows.filter(|it| it.key > *after).take(*limit as usize);
+                TableAnswer::Rows(rows.cloned().collect())
+            }
+            TableOp::Commit { checks, writes } => self.commit(checks, writes),
+        }
+    }
+
+    fn commit(&mut self, checks: &[Check], writes: &[Write]) -> TableAnswer {
+        assert!(checks.len() + writes.len() <= laburnum_kernel::platform::COMMIT_MAX);
+        self.commits += 1;
+        let version = |it: &Check| self.rows.get(&it.key).map_or(ABSENT, |row| row.version);
+        let failed: Vec<&Check> = checks
+            .iter()
+            .filter(|it| version(it) != it.version)
+            .collect();
+        if !failed.is_empty() {
+            let rows = failed
+                .iter()
+                .filter_map(|it| self.rows.get(&it.key).cloned());
+            return TableAnswer::Conflict(rows.collect());
+        }
+        for write in writes {
+            self.write(write);
+        }
+        TableAnswer::Committed
+    }
+
+    fn write(&mut self, write: &Write) {
+        match write {
+            Write::Put { key, value } => {
+                assert!(value.len() <= laburnum_kernel::platform::VALUE_MAX);
+                let version = self.rows.get(key).map_or(ABSENT, |it| it.version) + 1;
+                let (key, value) = (key.clone(), value.clone());
+                self.rows.insert(
+                    key.clone(),
+                    Row {
+                        key,
+                        version,
+                        value,
+                    },
+                );
+            }
+            Write::Delete { key } => {
+                self.rows.remove(key);
+            }
+        }
+    }
+
+    fn object(&mut self, op: ObjectOp) -> ObjectAnswer {
+        if self.down {
+            return ObjectAnswer::Failed(Fault::Unavailable);
+        }
+        match op {
+            ObjectOp::Put { name, bytes } => {
+                self.objects.insert(name, bytes);
+                ObjectAnswer::Done
+            }
+            ObjectOp::Get { name } => match self.objects.get(&name) {
+                Some(bytes) => ObjectAnswer::Bytes(bytes.clone()),
+                None => ObjectAnswer::Absent,
+            },
+            ObjectOp::Delete { name } => {
+                self.objects.remove(&name);
+                ObjectAnswer::Done
+            }
+        }
+    }
+}
+
+/// An operation on the log; nothing for the rows of other modules.
+fn show(op: &TableOp) -> Option<String> {
+    match op {
+        TableOp::Scan { prefix, after, .. } if prefix == "log/" => {
+            Some(format!("read the log after {after}"))
+        }
+        TableOp::Commit { checks, writes }
+            if checks.iter().any(|it| it.key.starts_with("log/")) =>
+        {
+            let keys = writes.iter().map(|it| match it {
+                Write::Put { key, .. } => format!("put {key}"),
+                Write::Delete { key } => format!("delete {key}"),
+            });
+            Some(format!("commit {}", keys.collect::<Vec<_>>().join(", ")))
+        }
+        _ => None,
+    }
+}
+
+fn show_answer(answer: &TableAnswer) -> String {
+    match answer {
+        TableAnswer::Rows(rows) => format!("{} rows", rows.len()),
+        TableAnswer::Committed => "committed".to_owned(),
+        TableAnswer::Conflict(rows) => format!("conflict with {} rows", rows.len()),
+        TableAnswer::Failed(fault) => fault.to_string(),
+    }
+}
+
+/// A document of `service` whose only route uses `uses`.
+pub fn document(service: &str, owner: &str, uses: &[&str]) -> String {
+    format!(
+        r#"schema = 1
+service = "{service}"
+owner = "{owner}"
+
+[limits]
+queue = 64
+caller = 0
+body = 1048576
+
+[retry]
+attempts = 3
+budget = 10
+
+[drain]
+grace = 30000
+
+[warmup]
+ramp = 5000
+
+[[routes]]
+path = "/"
+methods = ["GET"]
+class = "interactive"
+deadline = 1000
+repeat = "idempotent"
+uses = {uses:?}
+"#
+    )
+}
+
+pub fn put(id: u128, service: &str, base: u64, uses: &[&str]) -> Submission {
+    let author = format!("operator-{id}");
+    Submission {
+        id: SubmitId(id),
+        service: name(service),
+        base: Revision(base),
+        edit: Edit::Put {
+            text: document(service, &author, uses),
+        },
+        author,
+        reason: "test".to_owned(),
+    }
+}
+
+pub fn delete(id: u128, service: &str, base: u64) -> Submission {
+    Submission {
+        edit: Edit::Delete,
+        ..put(id, service, base, &[])
+    }
+}
--- /dev/null
+++ b/crates/kernel/tests/log.rs
@@ -0,0 +1,354 @@
+//! The log on one node: versions that it must refuse, snapshots, and recovery.
+
+#[path = "common/driver.rs"]
+mod driver;
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use laburnum_kernel::{
+    Ms, Revision, Seq, SubmitId,
+    accept::{Call, Entry, Reply, Submission, Verdict, rows},
+    log::{Applied, BadSnapshot, Batch, Change, Edit, IDS_MAX, Log, Snapshot},
+    platform::Row,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, TestRunner},
+};
+use test_case::test_case;
+
+use driver::{Driver, Mishap, delete, name, put};
+
+/// A document that this build cannot read.
+const NEWER: &str = "schema = 2\nservice = \"b\"\nshape = { kind = \"mesh\" }\n";
+
+fn batch(seq: u64, submissions: &[Submission]) -> Arc<Batch> {
+    let change = |it: &Submission| Change {
+        id: it.id,
+        service: it.service.clone(),
+        base: it.base,
+        revision: Revision(seq),
+        edit: it.edit.clone(),
+        author: it.author.clone(),
+        reason: it.reason.clone(),
+        time: Ms(seq),
+    };
+    let changes = submissions.iter().map(change).collect();
+    Arc::new(Batch {
+        seq: Seq(seq),
+        changes,
+    })
+}
+
+fn newer(id: u128) -> Submission {
+    let text = NEWER.to_owned();
+    Submission {
+        edit: Edit::Put { text },
+        ..put(id, "b", 0, &[])
+    }
+}
+
+/// The services in force with their revisions, after checking that they resolve.
+fn in_force(log: &Log) -> String {
+    let services = log.services();
+    for (name, service) in services {
+        let mut uses = service.document.routes.iter().flat_map(|it| &it.uses);
+        assert!(uses.all(|it| services.contains_key(it)), "{name} dangles");
+    }
+    let shown = services
+        .iter()
+        .map(|(name, it)| format!("{name}{}", it.revision));
+    shown.collect::<Vec<_>>().join(" ")
+}
+
+// Callers of this node see whole, resolving versions only. A batch holds a version that the node's build
+// cannot read; the old one stays in force, with those of every service whose new version was written for it.
+// The rest of the batch is applied, and a later readable version brings all of them up.
+#[test_case(&[newer(3)], "a1 b1 c1"; "old version stays")]
+#[test_case(&[newer(3), put(4, "a", 1, &["b"])], "a1 b1 c1"; "its user's new version waits")]
+#[test_case(&[newer(3), put(4, "a", 1, &["b"]), put(5, "d", 0, &["a"])], "a1 b1 c1"; "so does a user of that")]
+#[test_case(&[newer(3), put(4, "c", 1, &[]), put(5, "d", 0, &["c"])], "a1 b1 c2 d2"; "the rest goes on")]
+#[test_case(&[newer(3), put(4, "a", 1, &["b"]), delete(5, "c", 1)], "a1 b1 c1"; "a deletion waits for a held user")]
+#[test_case(&[newer(3), put(4, "a", 1, &[])], "a2 b1 c1"; "a user that no longer needs it")]
+#[test_case(&[delete(3, "c", 1), put(4, "a", 1, &["b"])], "a2 b1"; "nothing refused")]
+fn a_refused_version_holds_what_needs_it(second: &[Submission], expected: &str) {
+    let mut log = Log::default();
+    let first = [
+        put(1, "a", 0, &["b", "c"]),
+        put(2, "b", 0, &[]),
+        put(9, "c", 0, &[]),
+    ];
+    assert_eq!(log.apply(batch(1, &first)), Applied::Yes);
+    assert_eq!(log.apply(batch(2, second)), Applied::Yes);
+    assert_eq!(in_force(&log), expected);
+    assert_eq!(log.seq(), Seq(2));
+    let reported = log.take_reports().len();
+    assert_eq!(reported, log.held().len());
+    assert_eq!(log.apply(batch(3, &[put(6, "e", 0, &[])])), Applied::Yes);
+    assert!(log.take_reports().is_empty(), "reported twice");
+    assert_eq!(log.apply(batch(4, &[put(7, "b", 2, &[])])), Applied::Yes);
+    assert!(log.held().is_empty());
+    let accepted: Vec<_> = log
+        .latest()
+        .iter()
+        .map(|it| format!("{}{}", it.0, it.1.revision))
+        .collect();
+    assert_eq!(in_force(&log), accepted.join(" "));
+}
+
+// An upgraded committer accepts a document that an older node cannot read. The operators see the older node
+// report it once, keep serving the old versions, and catch up when a version for its build is accepted.
+#[test]
+fn a_bad_version_from_a_newer_schema() {
+    let mut driver = Driver::new(&["cairo"]);
+    let mut session = Vec::new();
+    let batches = [
+        batch(1, &[put(1, "a", 0, &["b"]), put(2, "b", 0, &[])]),
+        batch(2, &[newer(3), put(4, "a", 1, &["b"]), put(5, "d", 0, &[])]),
+        batch(3, &[put(6, "e", 0, &["d"])]),
+        batch(4, &[put(7, "b", 2, &[])]),
+    ];
+    for batch in batches {
+        let seq = batch.seq;
+        write_entry(&mut driver, &batch);
+        driver.ask(0, Call::Outcome { id: SubmitId(99) });
+        let log = &driver.kernels[0].state().log;
+        assert_eq!(log.seq(), seq);
+        session.push(format!("at {seq} in force: {}", in_force(log)));
+        let held = std::mem::take(&mut driver.logs)
+            .into_iter()
+            .filter(|it| it.1 == "version-held");
+        session.extend(held.map(|it| format!("  {} {}", it.1, first_line(&it.2))));
+    }
+    insta::assert_snapshot!("newer_schema", session.join("\n"));
+}
+
+/// The report up to where the parser's own words begin.
+fn first_line(report: &str) -> &str {
+    let end = report.find("why=").map_or(report.len(), |it| it);
+    let routed = report.contains("routes to");
+    if routed { report } else { &report[..end] }
+}
+
+fn write_entry(driver: &mut Driver, batch: &Batch) {
+    let diffs = batch.changes.iter().map(|_| String::new()).collect();
+    let entry = Entry {
+        batch: batch.clone(),
+        diffs,
+    };
+    let key = rows::log_key(batch.seq);
+    let value = postcard::to_stdvec(&entry).expect("encodes");
+    let version = 1;
+    driver.rows.insert(
+        key.clone(),
+        Row {
+            key,
+            version,
+            value,
+        },
+    );
+}
+
+#[test]
+fn a_snapshot_stands_for_the_log_and_only_moves_it_forward() {
+    let mut log = Log::default();
+    log.apply(batch(1, &[put(1, "a", 0, &["b"]), put(2, "b", 0, &[])]));
+    let old = log.snapshot();
+    log.apply(batch(2, &[put(3, "b", 1, &[]), newer(4)]));
+    let snapshot = Snapshot::decode(&log.snapshot().encode()).expect("decodes");
+    let mut other = Log::default();
+    assert_eq!(other.install(&snapshot), Applied::Yes);
+    assert_eq!(other.digest(), log.digest());
+    assert_eq!(other.accepted(SubmitId(3)), Some(Seq(2)));
+    assert_eq!(other.install(&old), Applied::Old);
+    assert_eq!(other.seq(), Seq(2));
+    // It never held the version before, so it has neither the refused one nor its user.
+    assert_eq!(in_force(&other), "");
+    assert_eq!(other.after(Seq(1)), None);
+}
+
+#[test_case(|it| it.truncate(it.len() - 1), BadSnapshot::Malformed; "cut off")]
+#[test_case(|it| it.push(0), BadSnapshot::Malformed; "too long")]
+#[test_case(|it| { let at = it.len() / 2; it[at] ^= 1 }, BadSnapshot::Digest; "a bit of the text")]
+#[test_case(|it| *it = vec![0xff; 64], BadSnapshot::Malformed; "noise")]
+#[test_case(|it| *it = vec![0; (16 << 20) + 1], BadSnapshot::Oversized((16 << 20) + 1); "oversized")]
+fn a_damaged_snapshot_is_refused(damage: fn(&mut Vec<u8>), expected: BadSnapshot) {
+    let mut log = Log::default();
+    log.apply(batch(1, &[put(1, "a", 0, &[])]));
+    let mut bytes = log.snapshot().encode();
+    damage(&mut bytes);
+    assert_eq!(Snapshot::decode(&bytes), Err(expected));
+}
+
+#[test]
+fn ids_of_submissions_are_bounded() {
+    let mut log = Log::default();
+    for seq in 1..=IDS_MAX as u64 + 5 {
+        log.apply(batch(seq, &[put(u128::from(seq), "a", seq - 1, &[])]));
+    }
+    assert_eq!(log.accepted(SubmitId(5)), None);
+    assert_eq!(log.accepted(SubmitId(6)), Some(Seq(6)));
+}
+
+// A node starts long after the others, alone or with its peers gone. It reads the newest snapshot and the
+// few entries after it; where the snapshot is damaged or missing it reads the whole log instead. While the
+// store is down it retries, and it never holds less than it held.
+#[test_case(|_| {}; "from the snapshot")]
+#[test_case(|it| it.objects.clear(); "snapshot missing")]
+#[test_case(|it| it.objects.values_mut().for_each(|it| it.truncate(9)); "snapshot damaged")]
+#[test_case(|it| it.down = true; "store down at first")]
+fn a_starting_node_recovers(prepare: fn(&mut Driver)) {
+    let mut driver = Driver::new(&["cairo"]);
+    driver.run(100);
+    for seq in 0..150 {
+        let token = driver.submit(0, &put(u128::from(seq), "a", seq, &[]));
+        driver.run(150);
+        assert!(matches!(driver.verdict(token), Verdict::Accepted { .. }));
+    }
+    assert_eq!(
+        driver.objects.len(),
+        2,
+        "the newest snapshot and the one before"
+    );
+    prepare(&mut driver);
+    driver.deaf = BTreeSet::from([0, 1]);
+    let reads = driver.reads;
+    let late = driver.add("cairo");
+    driver.run(6_000);
+    driver.down = false;
+    driver.run(20_000);
+    let log = &driver.kernels[late].state().log;
+    assert_eq!(log.seq(), Seq(150));
+    assert_eq!(log.digest(), driver.kernels[0].state().log.digest());
+    assert!(driver.reads - reads < 40, "{} reads", driver.reads - reads);
+}
+
+/// What a random session does next.
+#[derive(Clone, Debug)]
+enum Step {
+    Put(usize, u8, u8, bool),
+    Delete(usize, u8),
+    Again(usize, usize),
+    Mishap(u8),
+    Outage(u64),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0..2_usize, 0..4_u8, 0..4_u8, any::<bool>()).prop_map(|it| Step::Put(it.0, it.1, it.2, it.3)),
+        2 => (0..2_usize, 0..4_u8).prop_map(|it| Step::Delete(it.0, it.1)),
+        2 => (0..2_usize, 0..40_usize).prop_map(|it| Step::Again(it.0, it.1)),
+        3 => (0..5_u8).prop_map(Step::Mishap),
+        1 => (0..3_000_u64).prop_map(Step::Outage),
+        4 => (0..400_u64).prop_map(Step::Wait),
+    ]
+}
+
+fn mishap(kind: u8) -> Mishap {
+    match kind {
+        0 => Mishap::AnswerLost,
+        1 => Mishap::WriteLost,
+        2 => Mishap::WriteLate(40),
+        3 => Mishap::WriteLate(900),
+        _ => Mishap::Slow(700),
+    }
+}
+
+/// Plays `steps` over two committers and returns every submission with its verdicts.
+fn play(driver: &mut Driver, steps: &[Step]) -> Vec<(Submission, Vec<Verdict>)> {
+    let mut sent: Vec<(Submission, Vec<laburnum_kernel::Token>)> = Vec::new();
+    for step in steps {
+        let id = sent.len() as u128 + 1;
+        let service = |it: u8| format!("s{it}");
+        let base = |driver: &Driver, index: usize, it: u8| {
+            let latest = driver.kernels[index]
+                .state()
+                .log
+                .latest()
+                .get(&name(&service(it)));
+            latest.map_or(0, |it| it.revision.0)
+        };
+        match *step {
+            Step::Put(index, it, target, routed) => {
+                let target = service(target);
+                let uses: &[&str] = if routed { &[&target] } else { &[] };
+                let submission = put(id, &service(it), base(driver, index, it), uses);
+                let token = driver.submit(index, &submission);
+                sent.push((submission, vec![token]));
+            }
+            Step::Delete(index, it) => {
+                let submission = delete(id, &service(it), base(driver, index, it));
+                let token = driver.submit(index, &submission);
+                sent.push((submission, vec![token]));
+            }
+            Step::Again(index, which) => {
+                if let Some((submission, tokens)) = sent.get_mut(which) {
+                    tokens.push(driver.submit(index, submission));
+                }
+            }
+            Step::Mishap(kind) => driver.mishaps.push_back(mishap(kind)),
+            Step::Outage(millis) => {
+                driver.down = true;
+                driver.run(millis);
+                driver.down = false;
+            }
+            Step::Wait(millis) => driver.run(millis),
+        }
+    }
+    driver.run(10_000);
+    let verdicts = |tokens: &[_]| tokens.iter().map(|it| driver.verdict(*it)).collect();
+    sent.iter()
+        .map(|(it, tokens)| (it.clone(), verdicts(tokens)))
+        .collect()
+}
+
+// Operators submit, delete and send again through two committers while commits and answers are lost, late
+// or slow. What was accepted is in the log once and where the verdict said; what was refused by every
+// verdict is not in it; and no prefix of the log has a route to nothing.
+#[test]
+fn random_sessions_keep_the_invariants() {
+    let config = Config {
+        cases: 60,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = proptest::test_runner::TestRng::deterministic_rng(config.rng_algorithm);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let run = |steps: Vec<Step>| {
+        let mut driver = Driver::new(&["cairo", "oregon"]);
+        driver.run(3_000);
+        let sent = play(&mut driver, &steps);
+        for (submission, verdicts) in sent {
+            let id = submission.id;
+            let applied = driver.applied(id);
+            prop_assert!(applied <= 1, "{id} was applied {applied} times");
+            let unsure = |it: &Verdict| matches!(it, Verdict::Unknown { .. });
+            let accepted = |it: &Verdict| matches!(it, Verdict::Accepted { .. });
+            if verdicts.iter().any(accepted) {
+                prop_assert_eq!(applied, 1, "{} was said to be accepted", id);
+            } else if !verdicts.iter().any(unsure) {
+                prop_assert_eq!(applied, 0, "{} was said not to be accepted", id);
+            }
+        }
+        let mut log = Log::default();
+        for entry in driver.entries() {
+            prop_assert_eq!(log.apply(Arc::new(entry.batch)), Applied::Yes);
+            in_force(&log);
+            prop_assert!(log.held().is_empty());
+        }
+        Ok(())
+    };
+    runner
+        .run(&prop::collection::vec(step(), 5..60), run)
+        .expect("the invariants hold");
+}
+
+// Unused by the random sessions, but part of what the reply may be.
+#[test]
+fn an_outcome_never_heard_of_is_absent() {
+    let mut driver = Driver::new(&["cairo"]);
+    let id = SubmitId(7);
+    let reply = driver.ask(0, Call::Outcome { id });
+    assert_eq!(reply, Reply::Verdict(Verdict::Absent { id }));
+}
