Tests for what may still arrive and for lagging committers

Change: a case for each: a write that arrives after the verdict, a refusal while it may arrive, work taken back while the table is down, a committer that lags, a submission found by recovery.

--- a/crates/kernel/tests/accept.rs
+++ b/crates/kernel/tests/accept.rs
@@ -5,7 +5,7 @@
 
 use laburnum_kernel::{
     Ms, Revision, Seq, SubmitId,
-    accept::{Call, Reply, Submission, Verdict},
+    accept::{self, Call, Reply, Submission, Verdict},
     platform::Fault,
 };
 use test_case::test_case;
@@ -209,6 +209,16 @@
     }
 }
 
+/// Of two nodes of Cairo.
+fn committer_and_other(driver: &Driver) -> (usize, usize) {
+    let kernel = &driver.kernels[0];
+    let committer = accept::committer(kernel.state(), &name("cairo"));
+    match committer == Some(kernel.settings().node) {
+        true => (0, 1),
+        false => (1, 0),
+    }
+}
+
 // The operator asks a node that is not the committer. The committer hears nothing (and never commits), or
 // commits and its verdict is lost on the way back; the node then takes the work back, and the log decides.
 #[test_case(true; "the committer hears nothing")]
@@ -216,10 +226,7 @@
 fn a_silent_committer_is_replaced(unheard: bool) {
     let mut driver = Driver::new(&["cairo", "cairo"]);
     driver.run(5_000);
-    let state = driver.kernels[0].state();
-    let committer = laburnum_kernel::accept::committer(state, &name("cairo"));
-    let committer = usize::from(committer != Some(driver.kernels[0].settings().node));
-    let entry = 1 - committer;
+    let (committer, entry) = committer_and_other(&driver);
     driver.deaf.insert(if unheard { committer } else { entry });
     let token = driver.submit(entry, &put(1, "desk", 0, &[]));
     driver.run(1_500);
@@ -234,6 +241,102 @@
     assert_eq!(driver.applied(ID), 1);
 }
 
+// The operator may not be told "unavailable" once another node may have committed: the committer commits, its
+// verdict is lost, and the table goes down before the node that took the submission can read the log.
+#[test]
+fn work_taken_back_from_a_committer_is_unknown_while_the_table_is_down() {
+    let mut driver = Driver::new(&["cairo", "cairo"]);
+    driver.run(5_000);
+    let (committer, entry) = committer_and_other(&driver);
+    driver.deaf.insert(entry);
+    let token = driver.submit(entry, &put(1, "desk", 0, &[]));
+    driver.run(1_500);
+    assert_eq!(driver.applied(ID), 1);
+    driver.down = true;
+    driver.run(6_000);
+    assert_eq!(driver.verdict(token), Verdict::Unknown { id: ID });
+    let log = &driver.kernels[committer].state().log;
+    assert_eq!(log.seq(), Seq(1));
+}
+
+// The first write is reported lost and arrives long after the operator has a verdict; the log read in between
+// does not hold it yet. Whatever the later attempts end in, the operator may not read "unavailable".
+#[test]
+fn a_write_that_may_still_arrive_is_unknown() {
+    let mut driver = Driver::new(&["cairo"]);
+    driver.run(100);
+    driver.mishaps.push_back(Mishap::WriteLate(9_000));
+    driver
+        .mishaps
+        .extend(vec![Mishap::Fails(Fault::Unavailable); 300]);
+    let token = driver.submit(0, &put(1, "desk", 0, &[]));
+    driver.run(8_000);
+    assert_eq!(driver.verdict(token), Verdict::Unknown { id: ID });
+    driver.run(8_000);
+    let reply = driver.ask(0, Call::Outcome { id: ID });
+    assert!(matches!(reply, Reply::Verdict(Verdict::Accepted { .. })));
+}
+
+// Two submissions share a write that is reported lost and arrives late. The one that the other routes to is
+// given up first; the other now routes to nothing as far as the log says, but may not be told "refused".
+#[test]
+fn a_refusal_is_unknown_while_the_write_may_still_arrive() {
+    let mut driver = Driver::new(&["cairo"]);
+    driver.run(100);
+    driver.down = true;
+    driver.submit(0, &put(2, "registry", 0, &[]));
+    driver.run(2_900);
+    let token = driver.submit(0, &put(1, "desk", 0, &["registry"]));
+    driver.run(100);
+    driver.down = false;
+    driver.mishaps.push_back(Mishap::WriteLate(9_000));
+    driver
+        .mishaps
+        .extend(vec![Mishap::Fails(Fault::Unavailable); 300]);
+    driver.run(6_500);
+    assert_eq!(driver.verdict(token), Verdict::Unknown { id: ID });
+    driver.run(9_000);
+    assert_eq!(driver.applied(ID), 1);
+}
+
+// A committer has not heard of the newest batches. A submission that is right on top of them would be refused
+// by the log it holds; it reads the table's first, and the operator reads "accepted".
+#[test_case(put(1, "desk", 0, &["registry"]); "routes to a service it has not heard of")]
+#[test_case(put(1, "registry", 1, &[]); "base that it has not heard of")]
+#[test_case(delete(1, "registry", 1); "deletion of a service it has not heard of")]
+fn a_lagging_committer_reads_before_it_refuses(submission: Submission) {
+    let mut driver = Driver::new(&["cairo", "oregon"]);
+    driver.run(5_000);
+    driver.deaf = [0, 1].into();
+    let first = driver.submit(0, &put(2, "registry", 0, &[]));
+    driver.run(200);
+    assert_eq!(kind(&driver.verdict(first)), "accepted");
+    let token = driver.submit(1, &submission);
+    driver.run(5_000);
+    assert_eq!(kind(&driver.verdict(token)), "accepted");
+}
+
+// The operator sends a submission again through a node that has just started. Its commits fail while it
+// recovers; the recovered log holds the submission, so it is accepted and not a conflict with itself.
+#[test]
+fn a_submission_found_by_recovery_is_accepted() {
+    let mut driver = Driver::new(&["cairo"]);
+    driver.run(100);
+    assert_eq!(
+        submit_all(&mut driver, &[put(1, "desk", 0, &[])]),
+        ["accepted"]
+    );
+    driver.deaf = [0, 1].into();
+    driver
+        .mishaps
+        .extend(vec![Mishap::Fails(Fault::Unavailable); 300]);
+    let late = driver.add("oregon");
+    let token = driver.submit(late, &put(1, "desk", 0, &[]));
+    driver.run(7_000);
+    assert_eq!(kind(&driver.verdict(token)), "accepted");
+    assert_eq!(driver.applied(ID), 1);
+}
+
 // An auditor reads who changed what, when, why and how, page by page, of all services or of one.
 #[test]
 fn the_audit_is_read_back_whole() {
--- a/crates/kernel/tests/common/driver.rs
+++ b/crates/kernel/tests/common/driver.rs
@@ -257,6 +257,7 @@
     fn table(&mut self, index: usize, op: &TableOp) -> (TableAnswer, u64) {
         let shown = show(op);
         let mishap = match shown {
+            Some(_) if self.down => None,
             Some(_) if matches!(op, TableOp::Commit { .. }) => self.mishaps.pop_front(),
             _ => None,
         };
