Keep groups of new services in one transaction and batches within one frame

Cause: where a window holds more than one transaction takes, two new services that route to each other could fall on either side of the bound and be refused; and a batch of 250 KB fits no frame of the link (64 KiB). Change: a submission brings along the waiting ones that it needs; documents are bounded to 48 KiB, batches to 56 KiB and diffs in verdicts to 32 KiB.

--- a/crates/kernel/src/accept.rs
+++ b/crates/kernel/src/accept.rs
@@ -126,12 +126,18 @@
 /// Most changes in one transaction: each writes one row, beside two checks, `head` and the entry.
 pub const CHANGES_MAX: usize = COMMIT_MAX - 4;
 
-/// Most bytes of a document; with its diff it fits one row of the table.
-pub const TEXT_MAX: usize = 64 * 1024;
+/// Most bytes of a document. With author and reason it fits one frame of the link, to be forwarded.
+pub const TEXT_MAX: usize = 48 * 1024;
+
+/// Most bytes of a batch, which so fits one frame of the link; its diffs are only in the table.
+pub const BATCH_MAX: usize = 56 * 1024;
 
 /// Most bytes of a diff in the log; a longer one is left out, and both texts are in the log anyway.
 pub const DIFF_MAX: usize = 64 * 1024;
 
+/// Most bytes of a diff in a verdict, which so fits one frame of the link.
+pub const VERDICT_DIFF_MAX: usize = 32 * 1024;
+
 /// Most bytes of an author's name.
 pub const AUTHOR_MAX: usize = 128;
 
--- a/crates/kernel/src/accept/commit.rs
+++ b/crates/kernel/src/accept/commit.rs
@@ -304,10 +304,10 @@
 
 fn attempt(cx: &mut Context<'_>, state: &mut State) {
     while !state.accept.queue.waiting.is_empty() {
+        let count = bring_forward(state);
         let queue = &state.accept.queue;
-        let checked = queue.waiting.iter().map(|it| &it.checked);
-        let count = decide::fitting(&state.log, checked.clone());
-        let waiting: Vec<&Checked> = checked.take(count).collect();
+        let waiting = queue.waiting.iter().map(|it| &it.checked).take(count);
+        let waiting: Vec<&Checked> = waiting.collect();
         let draft = decide::draft(&state.log, &waiting, cx.now);
         let fates = queue.waiting.iter().zip(&draft.fates);
         let unread = |(it, fate): (&Waiting, &Fate)| {
@@ -325,6 +325,17 @@
     }
 }
 
+/// Moves those that go into the next transaction to the front, in their order, and counts them.
+fn bring_forward(state: &mut State) -> usize {
+    let queue = &mut state.accept.queue;
+    let waiting: Vec<&Checked> = queue.waiting.iter().map(|it| &it.checked).collect();
+    let picked = decide::fitting(&state.log, &waiting);
+    let all = std::mem::take(&mut queue.waiting).into_iter().enumerate();
+    let (front, rest): (Vec<_>, Vec<_>) = all.partition(|it| picked.contains(&it.0));
+    queue.waiting = front.into_iter().chain(rest).map(|it| it.1).collect();
+    picked.len()
+}
+
 /// Answers those of the first `fates.len()` that have a verdict.
 fn decided(cx: &mut Context<'_>, queue: &mut Queue, fates: Vec<Fate>) {
     let mut rest = VecDeque::new();
--- a/crates/kernel/src/accept/decide.rs
+++ b/crates/kernel/src/accept/decide.rs
@@ -1,7 +1,7 @@
 //! What one transaction makes of the submissions that wait.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
 };
 
@@ -9,8 +9,8 @@
 
 use crate::{
     accept::{
-        AUTHOR_MAX, CHANGES_MAX, DIFF_MAX, Entry, REASON_MAX, Submission, TEXT_MAX, Verdict,
-        accepted,
+        AUTHOR_MAX, BATCH_MAX, CHANGES_MAX, DIFF_MAX, Entry, REASON_MAX, Submission, TEXT_MAX,
+        VERDICT_DIFF_MAX, Verdict, accepted,
     },
     clock::Ms,
     document::Document,
@@ -50,8 +50,30 @@
 /// Room that a row's value leaves for what is not counted submission by submission.
 const ROW_SPARE: usize = 4 * 1024;
 
-/// Bytes of a change beside its texts.
-const CHANGE_SPARE: usize = 512;
+/// Bytes of a change beside its texts, and of a diff beside its lines.
+const CHANGE_SPARE: usize = 160;
+
+/// What some submissions add to a transaction.
+#[derive(Clone, Copy, Debug, Default)]
+struct Weight {
+    changes: usize,
+    batch: usize,
+    row: usize,
+}
+
+impl Weight {
+    fn plus(self, other: Weight) -> Weight {
+        Weight {
+            changes: self.changes + other.changes,
+            batch: self.batch + other.batch,
+            row: self.row + other.row,
+        }
+    }
+
+    fn fits(self) -> bool {
+        self.changes <= CHANGES_MAX && self.batch <= BATCH_MAX && self.row <= VALUE_MAX - ROW_SPARE
+    }
+}
 
 impl Checked {
     /// Checks everything that needs no other service. The error names the remedy.
@@ -73,11 +95,17 @@
         })
     }
 
-    /// Upper bound of the bytes that it adds to an entry of the log.
-    pub fn weight(&self, log: &Log) -> usize {
-        let old = log.latest().get(&self.submission.service);
-        let diff = 2 * (self.len() + old.map_or(0, |it| it.text.len()));
-        self.len() + diff.min(DIFF_MAX) + self.submission.reason.len() + CHANGE_SPARE
+    /// Upper bound of the bytes that it adds to a batch and to its row.
+    fn weight(&self, log: &Log) -> Weight {
+        let it = &self.submission;
+        let batch = self.len() + it.author.len() + it.reason.len() + CHANGE_SPARE;
+        let old = log.latest().get(&it.service);
+        let diff = 2 * (self.len() + old.map_or(0, |it| it.text.len())) + CHANGE_SPARE;
+        Weight {
+            changes: 1,
+            batch,
+            row: batch + diff.min(DIFF_MAX),
+        }
     }
 
     /// Bytes of the document.
@@ -111,14 +139,54 @@
     document.routes.iter().flat_map(|it| &it.uses)
 }
 
-/// How many of `waiting`, from the first on, fit one transaction. At least one.
-pub(super) fn fitting<'a>(log: &Log, waiting: impl Iterator<Item = &'a Checked>) -> usize {
-    let mut bytes = 0;
-    let fits = |it: &&Checked| {
-        bytes += it.weight(log);
-        bytes <= VALUE_MAX - ROW_SPARE
-    };
-    waiting.take(CHANGES_MAX).take_while(fits).count().max(1)
+/// Which of `waiting` go into the next transaction: the first ones, with all that they need.
+///
+/// Services that route to each other can only be created together. Were the bound to fall between them,
+/// one would be refused for want of the other, which waits right behind it.
+pub(super) fn fitting(log: &Log, waiting: &[&Checked]) -> BTreeSet<usize> {
+    let mut first: BTreeMap<&Name, usize> = BTreeMap::new();
+    for (index, it) in waiting.iter().enumerate() {
+        first.entry(&it.submission.service).or_insert(index);
+    }
+    let mut picked = BTreeSet::new();
+    let mut weight = Weight::default();
+    for index in 0..waiting.len() {
+        let group = needed(log, waiting, &first, index, &picked);
+        let group_weight = group.iter().map(|it| waiting[*it].weight(log));
+        let sum = group_weight.fold(weight, Weight::plus);
+        if sum.fits() {
+            weight = sum;
+            picked.extend(group);
+        } else if picked.is_empty() {
+            // Too many that need each other: each gets its verdict alone.
+            return BTreeSet::from([index]);
+        } else {
+            break;
+        }
+    }
+    picked
+}
+
+/// `index` and the submissions of services that do not exist yet and that it routes to, over any number of
+/// steps; without those in `picked`.
+fn needed(
+    log: &Log,
+    waiting: &[&Checked],
+    first: &BTreeMap<&Name, usize>,
+    index: usize,
+    picked: &BTreeSet<usize>,
+) -> BTreeSet<usize> {
+    let mut group = BTreeSet::new();
+    let mut open = vec![index];
+    while let Some(index) = open.pop() {
+        if picked.contains(&index) || !group.insert(index) {
+            continue;
+        }
+        let uses = waiting[index].uses();
+        let lacking = uses.filter(|it| !log.latest().contains_key(*it));
+        open.extend(lacking.filter_map(|it| first.get(it)));
+    }
+    group
 }
 
 /// Decides `waiting`, in order, on top of `log`.
@@ -270,7 +338,8 @@
         Some(it) => (it.revision, it.author.to_string(), &*it.text),
         None => (Revision(0), log.last_author(service), ""),
     };
-    let diff = unified(base, text, submission.base, revision);
+    let revisions = (submission.base, revision);
+    let diff = unified(base, text, revisions, VERDICT_DIFF_MAX);
     Verdict::Conflict {
         revision,
         author,
@@ -297,20 +366,17 @@
         Edit::Put { text } => text,
         Edit::Delete => "",
     };
-    unified(
-        old.map_or("", |it| &it.text),
-        new,
-        change.base,
-        change.revision,
-    )
+    let revisions = (change.base, change.revision);
+    unified(old.map_or("", |it| &it.text), new, revisions, DIFF_MAX)
 }
 
-fn unified(old: &str, new: &str, base: Revision, revision: Revision) -> String {
-    let (old_name, new_name) = (format!("revision {base}"), format!("revision {revision}"));
+fn unified(old: &str, new: &str, revisions: (Revision, Revision), most: usize) -> String {
+    let old_name = format!("revision {}", revisions.0);
+    let new_name = format!("revision {}", revisions.1);
     let diff = TextDiff::from_lines(old, new);
     let mut diff = diff.unified_diff();
     let text = diff.header(&old_name, &new_name).to_string();
-    match text.len() <= DIFF_MAX {
+    match text.len() <= most {
         true => text,
         false => format!("{} bytes; compare {old_name} with {new_name}\n", text.len()),
     }
--- a/crates/kernel/tests/accept.rs
+++ b/crates/kernel/tests/accept.rs
@@ -6,6 +6,7 @@
 use laburnum_kernel::{
     Ms, Revision, Seq, SubmitId,
     accept::{self, Call, Reply, Submission, Verdict},
+    log::Edit,
     platform::Fault,
 };
 use test_case::test_case;
@@ -337,6 +338,34 @@
     assert_eq!(driver.applied(ID), 1);
 }
 
+// A quarter's changes arrive in one window: more than one transaction takes, and pairs of new services that
+// route to each other lie far apart. Every operator reads "accepted", after few transactions.
+#[test_case(240, ""; "bounded by rows")]
+#[test_case(60, "#"; "bounded by bytes")]
+fn pairs_are_not_torn_apart(pairs: u128, filler: &str) {
+    let mut driver = Driver::new(&["cairo"]);
+    driver.run(100);
+    let mut submissions: Vec<Submission> = Vec::new();
+    for half in 0..2 {
+        for pair in 0..pairs {
+            let other = format!("s{pair}-{}", 1 - half);
+            let id = half * pairs + pair;
+            let mut it = put(id, &format!("s{pair}-{half}"), 0, &[&other]);
+            if let Edit::Put { text } = &mut it.edit {
+                text.push_str(&filler.repeat(20_000));
+            }
+            submissions.push(it);
+        }
+    }
+    let verdicts = submit_all(&mut driver, &submissions);
+    assert!(verdicts.iter().all(|it| *it == "accepted"), "{verdicts:?}");
+    assert!(driver.commits <= submissions.len() / 2);
+    for entry in driver.entries() {
+        let bytes = postcard::to_stdvec(&entry.batch).expect("encodes");
+        assert!(bytes.len() <= accept::BATCH_MAX);
+    }
+}
+
 // An auditor reads who changed what, when, why and how, page by page, of all services or of one.
 #[test]
 fn the_audit_is_read_back_whole() {
