--- a/crates/kernel/tests/accept.rs
+++ b/crates/kernel/tests/accept.rs
@@ -1,6 +1,6 @@
 //! Acceptance: what operators are told, whatever the table does meanwhile.
 
-#[path = "common/driver.rs"]
+#[path = "common/table.rs"]
 mod driver;
 
 use laburnum_kernel::{
--- a/crates/kernel/tests/log.rs
+++ b/crates/kernel/tests/log.rs
@@ -1,6 +1,6 @@
 //! The log on one node: versions that it must refuse, snapshots, and recovery.
 
-#[path = "common/driver.rs"]
+#[path = "common/table.rs"]
 mod driver;
 
 use std::{collections::BTreeSet, sync::Arc};
