Bound documents alike offline and at submission, place dangling routes

Cause: Document::parse allowed 64 KiB, which with author and reason fits no frame between nodes, so a document could pass the offline check and be refused at submission. Change: DOCUMENT_MAX is 48 KiB and the only bound; its test states the new figure. A route to a service that does not exist is refused with its line and column.

--- a/crates/kernel/src/accept.rs
+++ b/crates/kernel/src/accept.rs
@@ -126,9 +126,6 @@
 /// Most changes in one transaction: each writes one row, beside two checks, `head` and the entry.
 pub const CHANGES_MAX: usize = COMMIT_MAX - 4;
 
-/// Most bytes of a document. With author and reason it fits one frame of the link, to be forwarded.
-pub const TEXT_MAX: usize = 48 * 1024;
-
 /// Most bytes of a batch, which so fits one frame of the link; its diffs are only in the table.
 pub const BATCH_MAX: usize = 56 * 1024;
 
--- a/crates/kernel/src/accept/decide.rs
+++ b/crates/kernel/src/accept/decide.rs
@@ -9,11 +9,11 @@
 
 use crate::{
     accept::{
-        AUTHOR_MAX, BATCH_MAX, CHANGES_MAX, DIFF_MAX, Entry, REASON_MAX, Submission, TEXT_MAX,
+        AUTHOR_MAX, BATCH_MAX, CHANGES_MAX, DIFF_MAX, Entry, REASON_MAX, Submission,
         VERDICT_DIFF_MAX, Verdict, accepted,
     },
     clock::Ms,
-    document::Document,
+    document::{Document, check_uses},
     id::{Name, Revision, Seq},
     log::{Batch, Change, Edit, Log},
     platform::VALUE_MAX,
@@ -116,15 +116,20 @@
         }
     }
 
+    /// Which of its routes name a service that does not exist, and where in the text.
+    fn dangling(&self, exists: impl Fn(&Name) -> bool) -> Option<String> {
+        match &self.submission.edit {
+            Edit::Put { text } => Some(check_uses(text, exists).err()?.to_string()),
+            Edit::Delete => None,
+        }
+    }
+
     fn uses(&self) -> impl Iterator<Item = &Name> {
-        self.document.iter().flat_map(|it| uses(it))
+        self.document.iter().flat_map(|it| it.uses())
     }
 }
 
 fn check_text(service: &Name, text: &str) -> Result<Document, String> {
-    if text.len() > TEXT_MAX {
-        return Err(format!("shorten the document to {TEXT_MAX} bytes"));
-    }
     let document = Document::parse(text).map_err(|it| it.to_string())?;
     if document.service != *service {
         let found = &document.service;
@@ -135,10 +140,6 @@
     Ok(document)
 }
 
-fn uses(document: &Document) -> impl Iterator<Item = &Name> {
-    document.routes.iter().flat_map(|it| &it.uses)
-}
-
 /// Which of `waiting` go into the next transaction: the first ones, with all that they need.
 ///
 /// Services that route to each other can only be created together. Were the bound to fall between them,
@@ -269,10 +270,13 @@
         };
         let exists = |it: &Name| put(it) || self.log.latest().contains_key(it);
         heads.values().find_map(|index| {
-            let lacking = self.waiting[*index].uses().find(|it| !exists(it))?;
-            let why =
-                format!("it routes to {lacking}, which does not exist; submit {lacking} first");
-            Some((*index, why))
+            let it = self.waiting[*index];
+            let lacking = it.uses().find(|it| !exists(it))?;
+            let why = it.dangling(exists);
+            Some((
+                *index,
+                why.unwrap_or_else(|| format!("{lacking} does not exist; submit it first")),
+            ))
         })
     }
 
@@ -298,7 +302,7 @@
             .iter()
             .filter(|it| !heads.contains_key(it.0));
         rest.find_map(|(user, latest)| match &latest.document {
-            Ok(document) => uses(document).any(|it| it == name).then(|| in_use(user)),
+            Ok(document) => document.uses().contains(name).then(|| in_use(user)),
             Err(_) => Some(format!(
                 "this node cannot read {user}, which may route to it; submit through an upgraded node"
             )),
--- a/crates/kernel/src/document.rs
+++ b/crates/kernel/src/document.rs
@@ -18,7 +18,7 @@
 /// The newest schema that this build understands.
 pub const SCHEMA: u32 = 1;
 /// The longest document, in bytes.
-pub const DOCUMENT_MAX: usize = 64 * 1024;
+pub const DOCUMENT_MAX: usize = 48 * 1024;
 /// Most routes of one document.
 pub const ROUTES_MAX: usize = 256;
 /// Most methods of one route.
--- a/crates/kernel/src/log/hold.rs
+++ b/crates/kernel/src/log/hold.rs
@@ -74,7 +74,7 @@
             Ok(document) => document,
             Err(why) => return Some(why.to_string()),
         };
-        let mut uses = document.routes.iter().flat_map(|it| &it.uses);
+        let mut uses = document.uses().into_iter();
         let lacking = uses.find(|it| match (self.latest.get(*it), held.contains_key(*it)) {
             (None, _) => true,
             (Some(_), false) => false,
@@ -92,8 +92,7 @@
         self.services.get(name)?;
         let user = held.keys().find(|it| {
             let service = self.services.get(*it);
-            let mut routes = service.into_iter().flat_map(|it| &it.document.routes);
-            *it != name && routes.any(|it| it.uses.contains(name))
+            *it != name && service.is_some_and(|it| it.document.uses().contains(name))
         })?;
         Some(format!(
             "deleted, but {user} of this node still routes to it"
--- a/crates/kernel/tests/common/driver.rs
+++ b/crates/kernel/tests/common/driver.rs
@@ -11,7 +11,6 @@
 use laburnum_kernel::{
     Action, Call, Event, Kernel, Ms, Name, NodeId, Reply, Revision, Settings, SubmitId, Token,
     accept::{self, Entry, Submission, Verdict, rows},
-    document::Document,
     log::Edit,
     platform::{ABSENT, Check, Fault, ObjectAnswer, ObjectOp, Row, TableAnswer, TableOp, Write},
 };
@@ -420,20 +419,19 @@
 
 /// A document of `service` whose only route uses `uses`.
 pub fn document(service: &str, owner: &str, uses: &[&str]) -> String {
-    let head = format!(
-        "schema = 1\nservice = \"{service}\"\nowner = \"{owner}\"\n\n# Made for a test.\n# It has one route.\n"
-    );
-    let route = format!(
-        "[[routes]]\npath = \"/\"\nmethods = [\"GET\"]\nclass = \"interactive\"\nuses = {uses:?}\n"
-    );
-    let text = format!("{head}\n{route}deadline = \"1s\"\n");
-    if Document::parse(&text).is_ok() {
-        return text;
-    }
-    // The format before durations had units and sections had defaults.
     format!(
-        "{head}\n[limits]\nqueue = 64\ncaller = 0\nbody = 1048576\n\n[retry]\nattempts = 3\nbudget = 10\n\n\
-         [drain]\ngrace = 30000\n\n[warmup]\nramp = 5000\n\n{route}deadline = 1000\nrepeat = \"idempotent\"\n"
+        r#"schema = 1
+service = "{service}"
+owner = "{owner}"
+
+# Made for a test.
+# It has one route.
+
+[[routes]]
+path = "/"
+methods = ["GET"]
+uses = {uses:?}
+"#
     )
 }
 
--- a/crates/kernel/tests/document.rs
+++ b/crates/kernel/tests/document.rs
@@ -193,7 +193,7 @@
     let found = faults(&many(1, &format!("{padding}#")));
     assert_eq!(
         found,
-        ["1:1 the document has 65537 bytes; shorten it to at most 65536"]
+        ["1:1 the document has 49153 bytes; shorten it to at most 49152"]
     );
 
     let owner = many(1, "").replace("drafting team", &"x".repeat(OWNER_MAX + 1));
