Members: probes, suspicion, anti-entropy, zone loss, leases and drain

Cause: the thin version broadcast its whole view on each change and never noticed a dead member. Change: SWIM-style probes with piggybacked news, indirect probes, suspicion refuted by stamp, joins in chunks, digest comparison, contact rows in the table, one record for a lost zone, no removal while cut off, trust after a pause, a lease for the upstream's offer, drain as a state machine; the view is published at most once a tick. A refutation grows the version, not the incarnation, so that an endpoint that was only suspected keeps its identity.

--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -37,6 +37,8 @@
     Upstream(UpstreamEvent),
     /// The process was told to stop: begin draining.
     Stop,
+    /// After [`Event::Stop`]: no request is in progress any more.
+    Idle,
     /// Raised by one plug-in for the others, within the same step.
     Notice(Notice),
 }
@@ -115,6 +117,8 @@
     Reply { token: Token, reply: Reply },
     /// Make this view the one that traffic threads read.
     Publish(Arc<View>),
+    /// The node has left: close every socket and end the process.
+    Exit,
     /// Write one log line: a stable event name and its key=value pairs.
     Log {
         event: &'static str,
--- /dev/null
+++ b/crates/kernel/src/members/contact.rs
@@ -0,0 +1,142 @@
+//! First contacts in the platform's table: a few rows a zone, kept by a few of its members.
+
+use serde::{Deserialize, Serialize};
+
+use super::{Members, Stamp, join};
+use crate::{
+    clock::Ms,
+    id::{CallId, Name, NodeId},
+    kernel::Context,
+    platform::{TableAnswer, TableOp, Write},
+    utils::rendezvous,
+};
+
+/// Prefix of the keys of contact rows.
+pub const CONTACT_PREFIX: &str = "contact/";
+
+/// Rows that each zone keeps.
+pub const CONTACT_SLOTS: usize = 3;
+
+/// Ms between two looks at who keeps the rows.
+const CHECK_MS: u64 = 10_000;
+
+/// Ms after which a row is written again though nothing changed.
+const REFRESH_MS: u64 = 60_000;
+
+/// Most rows read at a time.
+const SCAN_MAX: u32 = 200;
+
+/// The value of a contact row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contact {
+    /// A member of the zone.
+    pub id: NodeId,
+    /// Its stamp as of the write.
+    pub stamp: Stamp,
+}
+
+/// The key of one contact row.
+pub fn contact_key(zone: &Name, slot: usize) -> String {
+    format!("{CONTACT_PREFIX}{zone}/{slot}")
+}
+
+/// Contact rows read and kept.
+#[derive(Debug, Default)]
+pub(super) struct Contacts {
+    scan: Option<CallId>,
+    checked: Ms,
+    written: Option<(usize, Ms)>,
+}
+
+/// Reads the rows of every zone; what is found is asked to let this node join.
+pub(super) fn scan(cx: &mut Context<'_>, members: &mut Members) {
+    let op = TableOp::Scan {
+        prefix: CONTACT_PREFIX.to_owned(),
+        after: String::new(),
+        limit: SCAN_MAX,
+    };
+    members.contacts.scan = Some(cx.table(op));
+}
+
+/// Takes the answer to a scan; any other is somebody else's.
+pub(super) fn answered(
+    cx: &mut Context<'_>,
+    members: &mut Members,
+    call: CallId,
+    answer: &TableAnswer,
+) {
+    if members.contacts.scan != Some(call) {
+        return;
+    }
+    members.contacts.scan = None;
+    let TableAnswer::Rows(rows) = answer else {
+        return;
+    };
+    let prefix = contact_key(&members.own.zone, 0);
+    let prefix = prefix.trim_end_matches('0');
+    let found = |near: bool| -> Vec<NodeId> {
+        rows.iter()
+            .filter(|it| it.key.starts_with(prefix) == near)
+            .filter_map(|it| postcard::from_bytes::<Contact>(&it.value).ok())
+            .map(|it| it.id)
+            .filter(|it| *it != members.own.id)
+            .collect()
+    };
+    // Both: a zone that is cut off from the rest still finds itself, a lone zone finds the rest.
+    for contacts in [found(true), found(false)] {
+        join::ask(cx, members, &contacts);
+    }
+    // Whoever finds nobody must be found: it keeps a row of its own at once.
+    members.contacts.checked = Ms(0);
+}
+
+/// Keeps this node's row, if one falls to it.
+pub(super) fn tick(cx: &mut Context<'_>, members: &mut Members) {
+    let alone = members.others.is_empty();
+    if members.contacts.scan.is_some() && alone {
+        return;
+    }
+    let contacts = &mut members.contacts;
+    if contacts.checked != Ms(0) && cx.now.since(contacts.checked) < CHECK_MS {
+        return;
+    }
+    contacts.checked = cx.now;
+    if !members.trusted() || members.cut_off() {
+        return;
+    }
+    let zone = members.own.zone.clone();
+    let ids = members.ready().filter(|it| it.zone == zone).map(|it| it.id);
+    let ranked = rendezvous(CONTACT_PREFIX, ids);
+    let slot = ranked
+        .iter()
+        .take(CONTACT_SLOTS)
+        .position(|it| *it == members.own.id);
+    let Some(slot) = slot else {
+        members.contacts.written = None;
+        return;
+    };
+    let fresh = |(at, time): (usize, Ms)| at == slot && cx.now.since(time) < REFRESH_MS;
+    if members.contacts.written.is_some_and(fresh) {
+        return;
+    }
+    members.contacts.written = Some((slot, cx.now));
+    write(cx, members, slot);
+    // A fleet split into two that never heard of one another finds itself by these rows.
+    scan(cx, members);
+}
+
+fn write(cx: &mut Context<'_>, members: &Members, slot: usize) {
+    let contact = Contact {
+        id: members.own.id,
+        stamp: members.own.stamp(),
+    };
+    let Ok(value) = postcard::to_stdvec(&contact) else {
+        return;
+    };
+    let key = contact_key(&members.own.zone, slot);
+    // No check: two views that differ only overwrite one good contact by another.
+    cx.table(TableOp::Commit {
+        checks: Vec::new(),
+        writes: vec![Write::Put { key, value }],
+    });
+}
--- /dev/null
+++ b/crates/kernel/src/members/sync.rs
@@ -0,0 +1,250 @@
+//! Bulk exchange over the link: whole views for joins, differences for anti-entropy.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use rand::Rng;
+
+use super::{
+    Learned, Members, Message, Relay, digest, probe,
+    record::{Head, Update},
+    suspect,
+};
+use crate::{clock::Ms, event, id::NodeId, kernel::Context};
+
+/// Most bytes of updates in one message; the link drops frames above 64 KiB.
+pub const CHUNK_MAX: usize = 48 * 1024;
+
+/// Mean ms between two comparisons that a node begins.
+pub const SYNC_MS: u64 = 10_000;
+
+/// Most joins and pulls served at a time.
+const SERVED_MAX: usize = 8;
+
+/// Most buckets compared at a time; the rest follows with the next comparison.
+const BUCKETS_MAX: usize = 32;
+
+/// More updates than this in one message are a whole view rather than news.
+const NEWS_MAX: usize = 16;
+
+/// What is still to be sent to one node.
+#[derive(Debug)]
+struct Outgoing {
+    to: NodeId,
+    ids: Vec<NodeId>,
+}
+
+/// Bulk exchanges on their way.
+#[derive(Debug, Default)]
+pub(super) struct Sync {
+    next: Ms,
+    outgoing: VecDeque<Outgoing>,
+}
+
+impl Sync {
+    /// Compares at the next tick.
+    pub(super) fn hurry(&mut self, now: Ms) {
+        self.next = now;
+    }
+}
+
+/// Sends one chunk and begins a comparison if one is due.
+pub(super) fn tick(cx: &mut Context<'_>, members: &mut Members) {
+    send_chunk(cx, members);
+    if members.sync.next == Ms(0) {
+        members.sync.next = cx.now + cx.rng.random_range(0..SYNC_MS);
+    }
+    if cx.now < members.sync.next {
+        return;
+    }
+    members.sync.next = cx.now + cx.rng.random_range(SYNC_MS / 2..=SYNC_MS * 3 / 2);
+    let own = members.own.id;
+    if let Some(to) = probe::reachable_peers(cx, members, 1, own).first() {
+        let root = members.digest.root();
+        send(cx, *to, Message::Compare { root });
+    }
+}
+
+/// Handles one bulk message.
+pub(super) fn received(
+    cx: &mut Context<'_>,
+    members: &mut Members,
+    from: NodeId,
+    message: &Message,
+) {
+    match message {
+        Message::Join { record } => {
+            let known: Vec<NodeId> = members.ids.clone();
+            members.learn(cx.now, &Update::Record(record.clone()), Relay::Pass);
+            serve(cx, members, from, known);
+        }
+        Message::Records { updates } => records(cx, members, updates),
+        Message::Busy => {}
+        Message::Compare { root } => compare(cx, members, from, *root),
+        Message::Same => suspect::refreshed(members),
+        Message::Buckets { digests } => buckets(cx, members, from, digests),
+        Message::Heads {
+            buckets,
+            heads,
+            zones,
+        } => {
+            for it in zones {
+                members.learn(cx.now, &Update::Zone(it.clone()), Relay::Pass);
+            }
+            differences(cx, members, from, buckets, heads);
+        }
+        Message::Pull { ids } => {
+            let ids: Vec<NodeId> = ids
+                .iter()
+                .copied()
+                .filter(|it| members.others.contains_key(it))
+                .collect();
+            serve(cx, members, from, ids);
+        }
+    }
+}
+
+fn records(cx: &mut Context<'_>, members: &mut Members, updates: &[Update]) {
+    // What one comparison finds, others may lack too; a whole view is old news to them.
+    let relay = match updates.len() <= NEWS_MAX {
+        true => Relay::Pass,
+        false => Relay::Keep,
+    };
+    let alone = members.others.is_empty();
+    let mut learned = false;
+    for it in updates {
+        learned |= members.learn(cx.now, it, relay) == Learned::New;
+    }
+    suspect::refreshed(members);
+    if alone && learned {
+        members.change_own(|_| {}, super::Pace::Origin);
+    }
+}
+
+fn compare(cx: &mut Context<'_>, members: &Members, from: NodeId, root: u64) {
+    let message = match root == members.digest.root() {
+        true => Message::Same,
+        false => Message::Buckets {
+            digests: members.digest.buckets().to_vec(),
+        },
+    };
+    send(cx, from, message);
+}
+
+fn buckets(cx: &mut Context<'_>, members: &Members, from: NodeId, digests: &[u64]) {
+    let own = members.digest.buckets();
+    let differ: Vec<u8> = own
+        .iter()
+        .zip(digests)
+        .enumerate()
+        .filter(|(_, (lhs, rhs))| lhs != rhs)
+        .map(|(idx, _)| idx as u8)
+        .take(BUCKETS_MAX)
+        .collect();
+    let heads = heads_in(members, &differ);
+    let zones = members.zones.states();
+    send(
+        cx,
+        from,
+        Message::Heads {
+            buckets: differ,
+            heads,
+            zones,
+        },
+    );
+}
+
+/// Sends what `from` lacks and asks for what this node lacks.
+fn differences(
+    cx: &mut Context<'_>,
+    members: &mut Members,
+    from: NodeId,
+    buckets: &[u8],
+    heads: &[Head],
+) {
+    let mut pull = Vec::new();
+    let mut dead = Vec::new();
+    let mut current = BTreeSet::new();
+    for head in heads {
+        let own = match head.id == members.own.id {
+            true => Some(members.own.stamp()),
+            false => members.stamp(head.id),
+        };
+        if let Some(tomb) = members
+            .tombs
+            .get(head.id)
+            .filter(|_| members.tombs.covers(*head))
+        {
+            dead.push(Update::Dead(tomb));
+        } else if own < Some(head.stamp) {
+            pull.push(head.id);
+        } else if own == Some(head.stamp) {
+            current.insert(head.id);
+        }
+    }
+    let push: Vec<NodeId> = heads_in(members, buckets)
+        .into_iter()
+        .map(|it| it.id)
+        .filter(|it| !current.contains(it) && !pull.contains(it))
+        .collect();
+    let zones = members.zones.states().into_iter().map(Update::Zone);
+    let updates: Vec<Update> = zones.chain(dead).take(SCRAPS_MAX).collect();
+    send(cx, from, Message::Records { updates });
+    if !pull.is_empty() {
+        send(cx, from, Message::Pull { ids: pull });
+    }
+    if !push.is_empty() {
+        serve(cx, members, from, push);
+    }
+}
+
+/// Most tombstones and zones in one message, to stay below [`CHUNK_MAX`].
+const SCRAPS_MAX: usize = 512;
+
+fn heads_in(members: &Members, buckets: &[u8]) -> Vec<Head> {
+    members
+        .alive()
+        .map(|it| it.head())
+        .filter(|it| buckets.contains(&digest::bucket(it.id)))
+        .collect()
+}
+
+/// Sends the records of `ids` and this node's own to `to`, one chunk a tick.
+fn serve(cx: &mut Context<'_>, members: &mut Members, to: NodeId, ids: Vec<NodeId>) {
+    if members.sync.outgoing.len() >= SERVED_MAX {
+        return send(cx, to, Message::Busy);
+    }
+    members.sync.outgoing.retain(|it| it.to != to);
+    members.sync.outgoing.push_back(Outgoing { to, ids });
+    if members.sync.outgoing.len() == 1 {
+        send_chunk(cx, members);
+    }
+}
+
+fn send_chunk(cx: &mut Context<'_>, members: &mut Members) {
+    let Some(mut outgoing) = members.sync.outgoing.pop_front() else {
+        return;
+    };
+    let zones = members.zones.states().into_iter().map(Update::Zone);
+    let mut updates: Vec<Update> = zones.collect();
+    updates.push(Update::Record(members.own.clone()));
+    let mut size: usize = updates.iter().map(Update::size).sum();
+    while let Some(id) = outgoing.ids.pop() {
+        let Some(member) = members.others.get(&id) else {
+            continue;
+        };
+        let update = Update::Record(member.record.clone());
+        size += update.size();
+        updates.push(update);
+        if size >= CHUNK_MAX {
+            break;
+        }
+    }
+    send(cx, outgoing.to, Message::Records { updates });
+    if !outgoing.ids.is_empty() {
+        members.sync.outgoing.push_back(outgoing);
+    }
+}
+
+fn send(cx: &mut Context<'_>, to: NodeId, message: Message) {
+    cx.send(to, event::Message::Members(message));
+}
--- /dev/null
+++ b/crates/kernel/src/members/zone_loss.rs
@@ -0,0 +1,148 @@
+//! The loss of a whole availability zone, which travels as one record.
+//!
+//! A zone of 165 nodes that dies at once would be 100 KB a node in single records. One [`ZoneState`]
+//! of about 12 bytes says the same; any member of the zone that hears it refutes it.
+
+use std::collections::BTreeMap;
+
+use super::{
+    Learned, Members, Reach,
+    queue::Pace,
+    record::{Topic, Update, ZoneState},
+    suspect::LOSS_SHARE,
+};
+use crate::{
+    clock::Ms,
+    id::{Name, NodeId},
+};
+
+/// Least lost members that count as the loss of a zone.
+const ZONE_LOSS_MIN: usize = 3;
+
+/// Ms after a zone was found during which it is not declared lost again: some of it is there, so its
+/// dead members are removed one by one.
+const HOLDOFF_MS: u64 = 60_000;
+
+#[derive(Debug, Default)]
+struct Zone {
+    members: usize,
+    epoch: u64,
+    found: Option<Ms>,
+}
+
+/// What is known of each zone.
+#[derive(Debug, Default)]
+pub(super) struct Zones {
+    zones: BTreeMap<Name, Zone>,
+}
+
+impl Zones {
+    pub(super) fn state(&self, zone: &Name) -> ZoneState {
+        ZoneState {
+            zone: zone.clone(),
+            epoch: self.zones.get(zone).map_or(0, |it| it.epoch),
+        }
+    }
+
+    pub(super) fn joined(&mut self, zone: &Name) {
+        self.zones.entry(zone.clone()).or_default().members += 1;
+    }
+
+    pub(super) fn left(&mut self, zone: &Name) {
+        if let Some(it) = self.zones.get_mut(zone) {
+            it.members -= 1;
+        }
+    }
+
+    /// Everything that was ever said of a zone.
+    pub(super) fn states(&self) -> Vec<ZoneState> {
+        self.zones
+            .keys()
+            .map(|it| self.state(it))
+            .filter(|it| it.epoch > 0)
+            .collect()
+    }
+
+    fn may_be_lost(&self, now: Ms, zone: &Name, lost: usize) -> bool {
+        self.zones.get(zone).is_some_and(|it| {
+            let quiet = it.found.is_none_or(|at| now.since(at) >= HOLDOFF_MS);
+            quiet && it.epoch.is_multiple_of(2) && lost * LOSS_SHARE > it.members
+        })
+    }
+}
+
+impl Members {
+    pub(super) fn learn_zone(&mut self, now: Ms, state: &ZoneState) -> Learned {
+        if state.epoch <= self.zones.state(&state.zone).epoch {
+            return Learned::Known;
+        }
+        // This node is a member of the zone, so the zone is there.
+        let refuted = state.lost() && state.zone == self.own.zone;
+        let state = ZoneState {
+            zone: self.intern(state.zone.clone()),
+            epoch: state.epoch.saturating_add(u64::from(refuted)),
+        };
+        self.set_zone(now, &state);
+        let pace = match state.lost() {
+            true => Pace::Piggyback,
+            false => Pace::Origin,
+        };
+        self.queue.push(Update::Zone(state), pace);
+        Learned::New
+    }
+
+    /// Declares the zone of the suspect `id` lost if too much of it went at once.
+    pub(super) fn check_zone(&mut self, now: Ms, id: NodeId) {
+        let Some(zone) = self.others.get(&id).map(|it| it.record.zone.clone()) else {
+            return;
+        };
+        if zone == self.own.zone {
+            return;
+        }
+        let lost = self
+            .losses
+            .recent()
+            .filter(|it| self.others.get(it).is_some_and(|it| it.record.zone == zone))
+            .count();
+        if lost >= ZONE_LOSS_MIN && self.zones.may_be_lost(now, &zone, lost) {
+            let epoch = self.zones.state(&zone).epoch + 1;
+            self.learn_zone(now, &ZoneState { zone, epoch });
+        }
+    }
+
+    fn set_zone(&mut self, now: Ms, state: &ZoneState) {
+        let before = self.zones.state(&state.zone);
+        self.digest.toggle_zone(&before);
+        self.digest.toggle_zone(state);
+        let zone = self.zones.zones.entry(state.zone.clone()).or_default();
+        zone.epoch = state.epoch;
+        if !state.lost() {
+            zone.found = Some(now);
+        }
+        let reach = match state.lost() {
+            true => Reach::Unreachable,
+            false => Reach::Reachable,
+        };
+        for id in self.of_zone(&state.zone) {
+            self.set_reach(now, id, reach);
+            self.losses.forget(id);
+            if state.lost() {
+                self.forget_suspicion(id);
+            }
+        }
+        self.changed = true;
+    }
+
+    /// The record of the zone says the same as the single suspicions of its members.
+    fn forget_suspicion(&mut self, id: NodeId) {
+        self.queue.remove_suspicion(&Topic::Node(id));
+    }
+
+    fn of_zone(&self, zone: &Name) -> Vec<NodeId> {
+        self.others
+            .values()
+            .filter(|it| it.record.zone == *zone)
+            .map(|it| it.record.id)
+            .collect()
+    }
+}
--- a/crates/kernel/src/view.rs
+++ b/crates/kernel/src/view.rs
@@ -7,7 +7,7 @@
     event::{Action, Event, Notice},
     id::{Name, NodeId, Revision, Seq},
     kernel::{Context, Plugin, State},
-    members::{Phase, Record},
+    members::{Phase, Reach, Record},
 };
 
 inventory::submit! { Plugin { name: "view", order: 90, handle } }
@@ -49,6 +49,8 @@
     pub zone: Name,
     /// Phase of the upstream.
     pub phase: Phase,
+    /// Whether the node can be reached: prefer those that can.
+    pub reach: Reach,
     /// Requests that the upstream handles at once.
     pub slots: u16,
 }
@@ -64,7 +66,10 @@
     pub slots: u16,
 }
 
-/// Publishes a new view whenever something in it changed.
+/// Publishes a new view whenever something in it changed, at most one a tick.
+///
+/// A build visits every member. Without the bound a herd of small changes would rebuild the view for
+/// each of them and starve the control thread; the node's own changes are rare and go out at once.
 #[derive(Debug, Default)]
 pub struct Publisher {
     stale: bool,
@@ -72,22 +77,24 @@
 
 fn handle(cx: &mut Context<'_>, state: &mut State, event: &Event) {
     match event {
-        Event::Start | Event::Notice(Notice::Applied { .. } | Notice::Members | Notice::Own) => {
-            state.publisher.stale = true;
-        }
-        Event::Tick => {}
-        _ => return,
-    }
-    if std::mem::take(&mut state.publisher.stale) {
-        let view = Arc::new(build(state));
-        cx.act(Action::Publish(view));
+        Event::Notice(Notice::Applied { .. } | Notice::Members) => state.publisher.stale = true,
+        Event::Start | Event::Notice(Notice::Own) => publish(cx, state),
+        Event::Tick if state.publisher.stale => publish(cx, state),
+        _ => {}
     }
 }
 
-fn build(state: &State) -> View {
+fn publish(cx: &mut Context<'_>, state: &mut State) {
+    state.publisher.stale = false;
+    let view = Arc::new(build(state));
+    cx.act(Action::Publish(view));
+}
+
+/// Builds the view of `state` from scratch.
+pub fn build(state: &State) -> View {
     let mut endpoints: BTreeMap<Name, Vec<Endpoint>> = BTreeMap::new();
-    for record in state.members.alive() {
-        if let Some((service, endpoint)) = endpoint(record) {
+    for (record, reach) in state.members.alive_with_reach() {
+        if let Some((service, endpoint)) = endpoint(record, reach) {
             endpoints.entry(service).or_default().push(endpoint);
         }
     }
@@ -111,7 +118,7 @@
     }
 }
 
-fn endpoint(record: &Record) -> Option<(Name, Endpoint)> {
+fn endpoint(record: &Record, reach: Reach) -> Option<(Name, Endpoint)> {
     let offer = record.offer.as_ref()?;
     let endpoint = Endpoint {
         node: record.id,
@@ -120,6 +127,7 @@
         region: record.region.clone(),
         zone: record.zone.clone(),
         phase: record.phase,
+        reach,
         slots: offer.slots,
     };
     Some((offer.service.clone(), endpoint))
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -99,6 +99,7 @@
             runtime,
             control: control.clone(),
             waiting: HashMap::new(),
+            next: Next::Run,
         };
         let thread = std::thread::Builder::new()
             .name("control".to_owned())
@@ -128,9 +129,11 @@
     runtime: Handle,
     control: Control,
     waiting: HashMap<Token, oneshot::Sender<Reply>>,
+    next: Next,
 }
 
 /// Whether the control loop goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Next {
     Run,
     Close,
@@ -155,6 +158,9 @@
                 ticked = self.clock.now();
                 self.step(Event::Tick);
             }
+            if self.next == Next::Close {
+                return self.link.close();
+            }
         }
     }
 
@@ -205,6 +211,7 @@
                     let _ = sender.send(reply);
                 }
             }
+            Action::Exit => self.next = Next::Close,
             Action::Publish(view) => self.control.view.store(view),
             Action::Log { event, pairs } => logs::event(event, &pairs),
         }
