--- a/crates/kernel/src/members.rs
+++ b/crates/kernel/src/members.rs
@@ -211,14 +211,14 @@
         if self.tombs.covers(record.head()) || self.stamp(record.id) >= Some(record.stamp()) {
             return Learned::Known;
         }
-        let leaves = self.leaves(record);
+        let urgent = self.leaves(record) || self.refutes(record);
         if record.phase == Phase::Gone {
             self.bury(now, record.head());
         } else {
             self.insert(now, record);
         }
         if relay == Relay::Pass {
-            let pace = match leaves {
+            let pace = match urgent {
                 true => Pace::Urgent,
                 false => Pace::Piggyback,
             };
@@ -235,6 +235,12 @@
         })
     }
 
+    /// Whether `record` speaks against a suspicion, whose time is running.
+    fn refutes(&self, record: &Record) -> bool {
+        let reach = self.others.get(&record.id).map(|it| it.reach);
+        reach == Some(Reach::Suspect)
+    }
+
     fn learn_leaving(&mut self, now: Ms, head: Head, phase: Phase, relay: Relay) -> Learned {
         if head.id == self.own.id {
             self.heard_of_self(head.stamp);
@@ -438,6 +444,7 @@
         contact::tick(cx, members);
     }
     probe::push(cx, members);
+    members.zones.log(cx);
     // Many small changes within one tick are told as one.
     if std::mem::take(&mut members.changed) {
         cx.raise(Notice::Members);
--- a/crates/kernel/src/members/probe.rs
+++ b/crates/kernel/src/members/probe.rs
@@ -66,6 +66,7 @@
     next: Ms,
     pushed: Ms,
     number: u64,
+    rounds: u64,
     order: Vec<NodeId>,
     pending: BTreeMap<u64, Pending>,
     relayed: BTreeMap<u64, Relayed>,
@@ -96,12 +97,14 @@
         return;
     }
     members.prober.next = cx.now + cx.rng.random_range(PROBE_MS * 9 / 10..=PROBE_MS * 11 / 10);
-    if let Some(target) = next_target(cx, members) {
-        ping(cx, members, target, Stage::Direct);
-    }
-    if members.prober.number.is_multiple_of(HEAL_EVERY) || members.prober.order.is_empty() {
+    members.prober.rounds += 1;
+    let target = next_target(cx, members);
+    if target.is_none() || members.prober.rounds.is_multiple_of(HEAL_EVERY) {
         heal(cx, members);
     }
+    if let Some(target) = target {
+        ping(cx, members, target, Stage::Direct);
+    }
 }
 
 /// Pushes urgent news to a few members at once.
--- a/crates/kernel/src/members/suspect.rs
+++ b/crates/kernel/src/members/suspect.rs
@@ -5,9 +5,9 @@
 use super::{
     Learned, Members, Reach, Stamp, log2,
     queue::Pace,
-    record::{Head, Topic, Update},
+    record::{Head, Packet, Topic, Update},
 };
-use crate::{clock::Ms, id::NodeId, kernel::Context};
+use crate::{clock::Ms, event::Action, id::NodeId, kernel::Context};
 
 /// Losses within this time count as lost at once, in ms.
 pub const LOSS_MS: u64 = 10_000;
@@ -39,7 +39,7 @@
 /// Ms that a suspect has to refute before it is removed; grows with the logarithm of the fleet, as the
 /// time that news needs to reach everyone does.
 pub fn suspicion(members: usize) -> u64 {
-    SUSPICION_MIN.max(1_000 * u64::from(log2(members)))
+    SUSPICION_MIN + 750 * u64::from(log2(members))
 }
 
 /// Whether the view is fresh.
@@ -230,12 +230,11 @@
         }
     }
 
-    /// An unreachable member answered: this node is not cut off any more. What it holds against the
-    /// others is from the time when it was, so the probes begin anew for all but lost zones.
+    /// A member answers that was taken for lost: this node is not cut off any more. What it holds
+    /// against the others is from the time when it was, so the probes begin anew for all but lost
+    /// zones. Those that are dead indeed are suspected and removed by that.
     fn rejoin(&mut self, now: Ms) {
-        if self.losses.cut_off.take().is_none() {
-            return;
-        }
+        self.losses.cut_off = None;
         self.losses.recent.clear();
         self.losses.probes.clear();
         self.queue.clear_suspicions();
@@ -318,11 +317,21 @@
         .probes
         .push_back((now, id, Outcome::Answered));
     refreshed(members);
-    if members.reach(id) == Some(Reach::Unreachable) {
+    let back = match members.reach(id) {
+        Some(Reach::Unreachable) => true,
+        Some(Reach::Suspect) => members.cut_off(),
+        Some(Reach::Reachable) | None => false,
+    };
+    if back {
         members.rejoin(now);
+        members.prober.reset(now);
         members.sync.hurry(now);
     }
     members.set_reach(now, id, Reach::Reachable);
+    let few = members.unreachable.len() * LOSS_SHARE <= members.others.len();
+    if few && !members.losses.large(members.others.len()) {
+        members.losses.cut_off = None;
+    }
 }
 
 /// `id` answered neither this node nor its helpers.
@@ -335,6 +344,10 @@
     members.check_loss(now);
     if let Some(head) = members.others.get(&id).map(|it| it.record.head()) {
         members.learn_suspect(now, head);
+        // The sooner it hears, the sooner it refutes.
+        let updates = vec![Update::Suspect(head)];
+        let packet = Packet::News { updates };
+        cx.act(Action::Probe { to: id, packet });
     }
 }
 
--- a/crates/kernel/src/members/sync.rs
+++ b/crates/kernel/src/members/sync.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeSet, VecDeque};
 
-use rand::Rng;
+use rand::{Rng, seq::SliceRandom};
 
 use super::{
     Learned, Members, Message, Relay, digest, probe,
@@ -20,8 +20,8 @@
 /// Most joins and pulls served at a time.
 const SERVED_MAX: usize = 8;
 
-/// Most buckets compared at a time; the rest follows with the next comparison.
-const BUCKETS_MAX: usize = 32;
+/// About the most heads in one message; the rest follows with the next comparison.
+const HEADS_MAX: usize = 1_500;
 
 /// More updates than this in one message are a whole view rather than news.
 const NEWS_MAX: usize = 16;
@@ -132,14 +132,17 @@
 
 fn buckets(cx: &mut Context<'_>, members: &Members, from: NodeId, digests: &[u64]) {
     let own = members.digest.buckets();
-    let differ: Vec<u8> = own
+    let mut differ: Vec<u8> = own
         .iter()
         .zip(digests)
         .enumerate()
         .filter(|(_, (lhs, rhs))| lhs != rhs)
         .map(|(idx, _)| idx as u8)
-        .take(BUCKETS_MAX)
         .collect();
+    // The first buckets must not hide the others for ever behind the bound.
+    differ.shuffle(cx.rng);
+    let each = members.others.len().div_ceil(digest::BUCKETS).max(1);
+    differ.truncate((HEADS_MAX / each).max(1));
     let heads = heads_in(members, &differ);
     let zones = members.zones.states();
     send(
--- a/crates/kernel/src/members/zone_loss.rs
+++ b/crates/kernel/src/members/zone_loss.rs
@@ -14,6 +14,7 @@
 use crate::{
     clock::Ms,
     id::{Name, NodeId},
+    kernel::Context,
 };
 
 /// Least lost members that count as the loss of a zone.
@@ -23,6 +24,9 @@
 /// dead members are removed one by one.
 const HOLDOFF_MS: u64 = 60_000;
 
+/// Most zones remembered: made-up names must not fill the memory.
+const ZONES_MAX: usize = 512;
+
 #[derive(Debug, Default)]
 struct Zone {
     members: usize,
@@ -34,6 +38,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Zones {
     zones: BTreeMap<Name, Zone>,
+    /// Changes that were not logged yet.
+    changes: Vec<ZoneState>,
 }
 
 impl Zones {
@@ -63,6 +69,22 @@
             .collect()
     }
 
+    /// Logs what changed.
+    pub(super) fn log(&mut self, cx: &mut Context<'_>) {
+        for it in self.changes.drain(..) {
+            let state = match it.lost() {
+                true => "lost",
+                false => "found",
+            };
+            let pairs = vec![
+                ("zone", it.zone.to_string()),
+                ("state", state.to_owned()),
+                ("epoch", it.epoch.to_string()),
+            ];
+            cx.log("zone", pairs);
+        }
+    }
+
     fn may_be_lost(&self, now: Ms, zone: &Name, lost: usize) -> bool {
         self.zones.get(zone).is_some_and(|it| {
             let quiet = it.found.is_none_or(|at| now.since(at) >= HOLDOFF_MS);
@@ -76,6 +98,9 @@
         if state.epoch <= self.zones.state(&state.zone).epoch {
             return Learned::Known;
         }
+        if self.zones.zones.len() >= ZONES_MAX && !self.zones.zones.contains_key(&state.zone) {
+            return Learned::Known;
+        }
         // This node is a member of the zone, so the zone is there.
         let refuted = state.lost() && state.zone == self.own.zone;
         let state = ZoneState {
@@ -112,6 +137,7 @@
 
     fn set_zone(&mut self, now: Ms, state: &ZoneState) {
         let before = self.zones.state(&state.zone);
+        self.zones.changes.push(state.clone());
         self.digest.toggle_zone(&before);
         self.digest.toggle_zone(state);
         let zone = self.zones.zones.entry(state.zone.clone()).or_default();
--- /dev/null
+++ b/crates/kernel/tests/members.rs
@@ -0,0 +1,249 @@
+//! Membership under faults.
+
+mod common;
+
+use common::{Net, Path, id, settings};
+use laburnum_kernel::{
+    Event,
+    event::UpstreamEvent,
+    members::{LEASE_MS, Packet, Phase, Reach, TOMB_MS, Update, suspicion},
+};
+use test_case::test_case;
+
+const ZONES: [&str; 12] = ["a", "a", "a", "a", "b", "b", "b", "b", "c", "c", "c", "c"];
+
+const ALL: [usize; 12] = [0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
+
+fn announce(net: &mut Net, number: usize) {
+    let event = UpstreamEvent::Announced {
+        service: "tunings".parse().expect("a name"),
+        slots: 12,
+    };
+    net.step(id(number), Event::Upstream(event));
+    net.step(id(number), Event::Upstream(UpstreamEvent::Ready));
+}
+
+#[test_case(1; "seed 1")]
+#[test_case(2; "seed 2")]
+fn everyone_knows_everyone_after_the_joins(seed: u64) {
+    assert!(Net::settled(seed, &ZONES).converged());
+}
+
+/// No flag names a live node: the joiner reads the contact rows that each zone's members keep in the
+/// table and asks the nodes that it finds there.
+#[test]
+fn a_node_without_live_peers_joins_through_the_table() {
+    let mut net = Net::settled(3, &ZONES);
+    let mut late = settings(12, "a");
+    late.peers = vec![id(200)];
+    net.start(late);
+    net.run(20_000);
+    assert!(net.converged());
+    assert!(net.rows.len() <= 3 * 3, "three rows a zone at most");
+}
+
+/// Datagrams are lost, doubled and arrive out of order all the time. Indirect probes and refutation
+/// keep every member in every view; nobody is removed.
+#[test_case(20, 0, 2; "lost")]
+#[test_case(0, 50, 2; "doubled")]
+#[test_case(0, 0, 200; "reordered")]
+#[test_case(15, 30, 150; "all three")]
+fn bad_datagrams_remove_nobody(lost: u32, doubled: u32, delay: u64) {
+    let mut net = Net::settled(4, &ZONES);
+    (net.duplicate, net.delay) = (doubled, delay);
+    for from in ALL {
+        for to in ALL {
+            net.path(from, to, Path::Lossy(lost));
+        }
+    }
+    net.run(120_000);
+    assert!(!net.logs.iter().any(|(.., it)| it.contains("state=dead")));
+    net.heal();
+    (net.duplicate, net.delay) = (0, 2);
+    net.run(40_000);
+    assert!(net.converged());
+}
+
+/// Node 1's datagrams to node 2 vanish while every other path works. Node 1 asks others to probe
+/// node 2 in its place, they pass the answer on, and node 2 is never suspected.
+#[test]
+fn asymmetric_loss_is_bridged_by_indirect_probes() {
+    let mut net = Net::settled(5, &ZONES);
+    net.path(1, 2, Path::Cut);
+    net.packets.clear();
+    net.run(120_000);
+    let asked = |(.., it): &(_, _, _, Packet)| matches!(it, Packet::PingReq { target, .. } if *target == id(2));
+    assert!(net.packets.iter().any(asked));
+    let suspected = |(.., it): &(_, _, _, Packet)| match it {
+        Packet::Ping { updates, .. } | Packet::Ack { updates, .. } | Packet::News { updates } => {
+            updates
+                .iter()
+                .any(|it| matches!(it, Update::Suspect(head) if head.id == id(2)))
+        }
+        Packet::PingReq { .. } => false,
+    };
+    assert!(!net.packets.iter().any(suspected));
+    assert_eq!(net.reach(1, 2), Some(Reach::Reachable));
+}
+
+#[test]
+fn a_dead_node_is_suspected_then_removed_everywhere() {
+    let mut net = Net::settled(6, &ZONES);
+    net.kill(5);
+    net.run(12_000 + 2 * suspicion(12) + 4_000);
+    assert_eq!(net.phases(5), [None].into());
+}
+
+/// Node 3 stands still for longer than it takes to be removed. Once it runs again it hears that it is
+/// dead, outdoes that and is back everywhere; it removes nobody for its own absence.
+#[test_case(2_000; "shorter than a suspicion")]
+#[test_case(60_000; "long enough to be removed")]
+fn a_paused_process_removes_nobody_and_returns(pause: u64) {
+    let mut net = Net::settled(7, &ZONES);
+    net.pause(3);
+    net.run(pause);
+    net.logs.clear();
+    net.resume(3);
+    net.step(id(3), Event::Tick);
+    assert!(!net.node(3).state().members.trusted());
+    assert_eq!(net.node(3).state().members.alive().count(), ZONES.len());
+    net.run(30_000);
+    assert!(net.node(3).state().members.trusted());
+    assert!(net.converged());
+    assert!(
+        !net.logs
+            .iter()
+            .any(|(_, it, ..)| *it == id(3) && it.0.port() == 0)
+    );
+    let removed = |it: &(_, _, &str, String)| it.1 == id(3) && it.3.contains("state=dead");
+    assert!(!net.logs.iter().any(removed));
+}
+
+/// The process on one address is replaced. A later incarnation wins at once; one whose clock runs
+/// behind hears of the life before it and goes above that.
+#[test_case(2_000; "clock ahead")]
+#[test_case(500; "clock behind")]
+fn a_restart_on_the_same_address_takes_over(incarnation: u64) {
+    let mut net = Net::settled(8, &ZONES);
+    net.kill(4);
+    let mut again = settings(4, "b");
+    again.incarnation = incarnation;
+    net.start(again);
+    net.run(20_000);
+    assert!(net.converged());
+    let incarnation = net.node(4).state().members.own().incarnation;
+    assert!(incarnation > 1_000);
+    assert_eq!(net.record(9, 4).map(|it| it.incarnation), Some(incarnation));
+}
+
+/// Zone c of a larger fleet dies at once. Its members are declared unreachable by one record of the
+/// zone, kept, and not removed one by one.
+#[test]
+fn a_lost_zone_travels_as_one_record() {
+    let zones: Vec<&str> = (0..48)
+        .map(|it| ["a", "b", "c", "d", "e", "f"][it / 8])
+        .collect();
+    let mut net = Net::settled(9, &zones);
+    (16..24).for_each(|it| net.kill(it));
+    net.run(30_000);
+    for viewer in [0, 9, 30, 47] {
+        let state = net
+            .node(viewer)
+            .state()
+            .members
+            .zone(&"c".parse().expect("a name"));
+        assert_eq!(state.epoch, 1, "one record for the whole loss");
+        assert!((16..24).all(|it| net.reach(viewer, it) == Some(Reach::Unreachable)));
+        assert!(
+            net.node(viewer)
+                .state()
+                .members
+                .ready()
+                .all(|it| it.zone.as_str() != "c")
+        );
+    }
+}
+
+/// One node loses the network for five minutes. It keeps its whole view, marks what it misses and
+/// removes nobody; the others remove it. Healed, all views agree again.
+#[test]
+fn a_node_that_is_cut_off_keeps_its_view() {
+    let mut net = Net::settled(10, &ZONES);
+    net.cut(&[0]);
+    net.run(300_000);
+    let members = &net.node(0).state().members;
+    assert_eq!(members.alive().count(), ZONES.len());
+    assert!((1..12).all(|it| net.reach(0, it) == Some(Reach::Unreachable)));
+    assert_eq!(net.phases(0), [None].into());
+    net.heal();
+    net.run(60_000);
+    assert!(net.converged());
+}
+
+/// Zones b and c are cut off together from zone a, twice. Each side keeps the other as unreachable;
+/// the periodic probes of a few lost members heal the whole.
+#[test]
+fn a_region_that_is_cut_off_heals() {
+    let mut net = Net::settled(11, &ZONES);
+    for _ in 0..2 {
+        net.cut(&[4, 5, 6, 7, 8, 9, 10, 11]);
+        net.run(180_000);
+        assert!((4..12).all(|it| net.reach(0, it) == Some(Reach::Unreachable)));
+        assert!((0..4).all(|it| net.reach(5, it) == Some(Reach::Unreachable)));
+        assert_eq!(net.reach(5, 9), Some(Reach::Reachable));
+        net.heal();
+        net.run(60_000);
+        assert!(net.converged());
+    }
+}
+
+/// Node 6 leaves while node 1 cannot hear it; node 1 comes back and still holds the record of node 6.
+/// The tombstones of the others win: nobody sees node 6 again.
+#[test]
+fn a_member_that_left_is_not_resurrected() {
+    let mut net = Net::settled(12, &ZONES);
+    net.cut(&[1]);
+    net.run(5_000);
+    net.step(id(6), Event::Stop);
+    net.step(id(6), Event::Idle);
+    net.run(20_000);
+    assert!(net.exited.contains(&id(6)));
+    assert!(net.record(1, 6).is_some());
+    net.heal();
+    for _ in 0..200 {
+        net.run(200);
+        let back = (0..12)
+            .filter(|it| ![1, 6].contains(it))
+            .any(|it| net.record(it, 6).is_some());
+        assert!(!back, "node 6 came back at {:?}", net.now);
+    }
+    assert!(net.record(1, 6).is_none());
+    net.run(TOMB_MS);
+    assert_eq!(net.phases(6), [None].into());
+}
+
+/// The upstream beside node 2 goes silent without a word. Its offer is withdrawn when the lease ends;
+/// the node itself stays a member, and a later heartbeat brings the offer back.
+#[test]
+fn an_offer_lapses_without_heartbeats() {
+    let mut net = Net::settled(13, &ZONES);
+    announce(&mut net, 2);
+    net.run(LEASE_MS - 100);
+    assert!(net.record(9, 2).is_some_and(|it| it.offer.is_some()));
+    net.run(3_000);
+    assert!(net.record(9, 2).is_some_and(|it| it.offer.is_none()));
+    announce(&mut net, 2);
+    net.run(3_000);
+    let back = net.record(9, 2).expect("a member");
+    assert_eq!((back.phase, back.offer.is_some()), (Phase::Ready, true));
+}
+
+#[test_case(Phase::Warming, Phase::Ready, true)]
+#[test_case(Phase::Ready, Phase::Warming, true)]
+#[test_case(Phase::Ready, Phase::Draining, true)]
+#[test_case(Phase::Draining, Phase::Gone, true)]
+#[test_case(Phase::Draining, Phase::Ready, false)]
+#[test_case(Phase::Gone, Phase::Ready, false)]
+fn phases_change_in_one_direction(from: Phase, to: Phase, valid: bool) {
+    assert_eq!(from.change(to).is_ok(), valid);
+}
