Members: fewer bytes after a herd and under churn; joins are referred to others

Cause: a trial of whole fleets showed news of a start together circling for minutes (285 B/s a node in a quiet minute at 204 nodes), keepers of contact rows fetching whole views every minute, and the one first contact serving every join. Change: news older than 30 s is dropped, the newest goes first; known contacts are not asked; a busy member names others to ask; digests shortened to 32 bits; what everybody pushes is piggybacked a third as often; a comparison that finds most buckets different is followed by another soon.

--- a/crates/kernel/src/members.rs
+++ b/crates/kernel/src/members.rs
@@ -205,7 +205,7 @@
 
     fn learn_record(&mut self, now: Ms, record: &Record, relay: Relay) -> Learned {
         if record.id == self.own.id {
-            self.heard_of_self(record.stamp());
+            self.heard_of_self(now, record.stamp());
             return Learned::Known;
         }
         if self.tombs.covers(record.head()) || self.stamp(record.id) >= Some(record.stamp()) {
@@ -222,7 +222,7 @@
                 true => Pace::Urgent,
                 false => Pace::Piggyback,
             };
-            self.queue.push(update_of(record), pace);
+            self.queue.push(now, update_of(record), pace);
         }
         Learned::New
     }
@@ -243,7 +243,7 @@
 
     fn learn_leaving(&mut self, now: Ms, head: Head, phase: Phase, relay: Relay) -> Learned {
         if head.id == self.own.id {
-            self.heard_of_self(head.stamp);
+            self.heard_of_self(now, head.stamp);
             return Learned::Known;
         }
         if self.tombs.covers(head) || self.stamp(head.id) >= Some(head.stamp) {
@@ -262,21 +262,21 @@
         }
         if relay == Relay::Pass {
             self.queue
-                .push(Update::Leaving { head, phase }, Pace::Urgent);
+                .push(now, Update::Leaving { head, phase }, Pace::Urgent);
         }
         Learned::New
     }
 
     /// Somebody holds a record of this node. One that this incarnation never wrote is from a life
     /// before it with a clock ahead of ours: without a higher stamp, ours would lose to it everywhere.
-    fn heard_of_self(&mut self, stamp: Stamp) {
+    fn heard_of_self(&mut self, now: Ms, stamp: Stamp) {
         if stamp > self.own.stamp() {
-            self.refute(stamp);
+            self.refute(now, stamp);
         }
     }
 
     /// Outdoes `stamp`, which somebody says is this node's last.
-    fn refute(&mut self, stamp: Stamp) {
+    fn refute(&mut self, now: Ms, stamp: Stamp) {
         if self.own.phase == Phase::Gone {
             return;
         }
@@ -289,11 +289,11 @@
         self.digest.toggle(self.own.head());
         self.changed = true;
         self.queue
-            .push(Update::Record(self.own.clone()), Pace::Origin);
+            .push(now, Update::Record(self.own.clone()), Pace::Origin);
     }
 
     /// Changes the own record and tells it.
-    fn change_own(&mut self, change: impl FnOnce(&mut Record), pace: Pace) {
+    fn change_own(&mut self, now: Ms, change: impl FnOnce(&mut Record), pace: Pace) {
         if self.own.phase == Phase::Gone {
             return;
         }
@@ -304,7 +304,7 @@
             self.digest.toggle(self.own.head());
         }
         self.changed = true;
-        self.queue.push(update_of(&self.own), pace);
+        self.queue.push(now, update_of(&self.own), pace);
     }
 
     /// Takes in a newer record: its owner wrote it, so a member known before is there.
--- a/crates/kernel/src/members/contact.rs
+++ b/crates/kernel/src/members/contact.rs
@@ -74,12 +74,14 @@
     };
     let prefix = contact_key(&members.own.zone, 0);
     let prefix = prefix.trim_end_matches('0');
+    // Members that are known already have nothing to tell that the comparisons do not.
+    let alone = members.others.len() == members.unreachable.len();
     let found = |near: bool| -> Vec<NodeId> {
         rows.iter()
             .filter(|it| it.key.starts_with(prefix) == near)
             .filter_map(|it| postcard::from_bytes::<Contact>(&it.value).ok())
             .map(|it| it.id)
-            .filter(|it| *it != members.own.id)
+            .filter(|it| alone || !members.others.contains_key(it))
             .collect()
     };
     // Both: a zone that is cut off from the rest still finds itself, a lone zone finds the rest.
--- a/crates/kernel/src/members/digest.rs
+++ b/crates/kernel/src/members/digest.rs
@@ -50,9 +50,9 @@
         hash64(&[&bytes, &self.zones.to_le_bytes()])
     }
 
-    /// The digests of all buckets.
-    pub(super) fn buckets(&self) -> &[u64; BUCKETS] {
-        &self.buckets
+    /// The digests of all buckets, shortened for the wire.
+    pub(super) fn buckets(&self) -> [u32; BUCKETS] {
+        self.buckets.map(|it| it as u32)
     }
 }
 
--- a/crates/kernel/src/members/probe.rs
+++ b/crates/kernel/src/members/probe.rs
@@ -172,7 +172,7 @@
         if let Update::Suspect(head) | Update::Dead(head) = update
             && head.id == members.own.id
         {
-            suspect::contradict(members, *head);
+            suspect::contradict(cx.now, members, *head);
         }
     }
 }
--- a/crates/kernel/src/members/queue.rs
+++ b/crates/kernel/src/members/queue.rs
@@ -6,7 +6,7 @@
 use crate::clock::Ms;
 
 /// Bytes of piggybacked news that a node may send each second on average.
-pub const NEWS_RATE: u64 = 192;
+pub const NEWS_RATE: u64 = 160;
 
 /// Bytes of news that may be sent at once after a quiet time.
 pub const NEWS_BURST: u64 = 16 * 1024;
@@ -15,12 +15,18 @@
 /// few nodes that it misses, and new pieces do not wait behind old ones.
 const CROWDED: usize = 64;
 
+/// Ms after which news is old: everybody has it, or finds it by anti-entropy. A herd that starts would
+/// fill the queue for an hour otherwise.
+const NEWS_MS: u64 = 30_000;
+
 #[derive(Debug)]
 struct Item {
     update: Update,
     size: usize,
     sent: u32,
     eager: u32,
+    pace: Pace,
+    born: Ms,
 }
 
 /// How fast a piece of news travels.
@@ -54,11 +60,13 @@
 
 impl Queue {
     /// Adds `update` in place of older news on the same topic.
-    pub(super) fn push(&mut self, update: Update, pace: Pace) {
+    pub(super) fn push(&mut self, now: Ms, update: Update, pace: Pace) {
         let item = Item {
             size: update.size(),
             sent: 0,
             eager: pace.pushes(),
+            pace,
+            born: now,
             update,
         };
         self.items.insert(item.update.topic(), item);
@@ -84,14 +92,15 @@
             .retain(|_, it| !matches!(it.update, Update::Suspect(_)));
     }
 
-    /// The news for one datagram with `room` bytes left, least sent first. News that was sent `times`
+    /// The news for one datagram with `room` bytes left, least sent and newest first. News that was sent `times`
     /// leaves the queue.
     pub(super) fn take(&mut self, now: Ms, room: usize, times: u32) -> Vec<Update> {
         let room = room.min(self.refill(now));
-        let mut topics: Vec<(Reverse<u32>, u32, &Topic)> = self
+        self.items.retain(|_, it| now.since(it.born) < NEWS_MS);
+        let mut topics: Vec<(u32, Reverse<Ms>, &Topic)> = self
             .items
             .iter()
-            .map(|(topic, it)| (Reverse(it.eager), it.sent, topic))
+            .map(|(topic, it)| (it.sent, Reverse(it.born), topic))
             .collect();
         topics.sort_unstable();
         let topics: Vec<Topic> = topics.into_iter().map(|(.., it)| it.clone()).collect();
@@ -119,10 +128,7 @@
     }
 
     fn collect(&mut self, topics: Vec<Topic>, mut room: usize, times: u32) -> Vec<Update> {
-        let times = match self.items.len() > CROWDED {
-            true => times.div_ceil(3),
-            false => times,
-        };
+        let crowded = self.items.len() > CROWDED;
         let mut updates = Vec::new();
         for topic in topics {
             let Some(item) = self.items.get_mut(&topic) else {
@@ -135,7 +141,9 @@
             self.tokens = self.tokens.saturating_sub(item.size as u64);
             item.sent += 1;
             updates.push(item.update.clone());
-            if item.sent >= times {
+            // What everybody pushes has reached almost everybody before the first probe.
+            let fewer = crowded || item.pace == Pace::Urgent;
+            if item.sent >= if fewer { times.div_ceil(3) } else { times } {
                 self.items.remove(&topic);
             }
         }
--- a/crates/kernel/src/members/record.rs
+++ b/crates/kernel/src/members/record.rs
@@ -202,14 +202,14 @@
     Join { record: Record },
     /// Records and other news.
     Records { updates: Vec<Update> },
-    /// I serve enough joins at present: ask another.
-    Busy,
+    /// I serve enough joins at present: ask one of these.
+    Busy { others: Vec<NodeId> },
     /// My view has this digest.
     Compare { root: u64 },
     /// Mine is the same.
     Same,
     /// Mine differs; these are the digests of its buckets.
-    Buckets { digests: Vec<u64> },
+    Buckets { digests: Vec<u32> },
     /// The heads of all my records in `buckets`, which differ, and what I know of zones.
     Heads {
         buckets: Vec<u8>,
--- a/crates/kernel/src/members/suspect.rs
+++ b/crates/kernel/src/members/suspect.rs
@@ -164,7 +164,7 @@
     pub(super) fn learn_suspect(&mut self, now: Ms, head: Head) -> Learned {
         if head.id == self.own.id {
             if head.stamp >= self.own.stamp() {
-                self.refute(head.stamp);
+                self.refute(now, head.stamp);
             }
             return Learned::Known;
         }
@@ -206,7 +206,7 @@
         let deadline = now + suspicion(self.others.len());
         self.losses.deadlines.insert(head.id, deadline);
         self.losses.recent.push_back((now, head.id));
-        self.queue.push(Update::Suspect(head), Pace::Piggyback);
+        self.queue.push(now, Update::Suspect(head), Pace::Piggyback);
         self.check_loss(now);
         self.check_zone(now, head.id);
     }
@@ -382,9 +382,9 @@
 }
 
 /// Somebody who pinged this node suspects it by a stamp that is outdone already: tell it again.
-pub(super) fn contradict(members: &mut Members, head: Head) {
+pub(super) fn contradict(now: Ms, members: &mut Members, head: Head) {
     if head.stamp < members.own.stamp() && members.own.phase != super::Phase::Gone {
         let update = Update::Record(members.own.clone());
-        members.queue.push(update, Pace::Piggyback);
+        members.queue.push(now, update, Pace::Piggyback);
     }
 }
--- a/crates/kernel/src/members/sync.rs
+++ b/crates/kernel/src/members/sync.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, seq::SliceRandom};
 
 use super::{
-    Learned, Members, Message, Relay, digest, probe,
+    Learned, Members, Message, Relay, digest, join, probe,
     record::{Head, Update},
     suspect,
 };
@@ -20,6 +20,9 @@
 /// Most joins and pulls served at a time.
 const SERVED_MAX: usize = 8;
 
+/// Members named to a node that is turned away.
+const REFERRED: usize = 4;
+
 /// About the most heads in one message; the rest follows with the next comparison.
 const HEADS_MAX: usize = 1_500;
 
@@ -78,7 +81,11 @@
             serve(cx, members, from, known);
         }
         Message::Records { updates } => records(cx, members, updates),
-        Message::Busy => {}
+        Message::Busy { others } => {
+            if members.others.is_empty() {
+                join::ask(cx, members, others);
+            }
+        }
         Message::Compare { root } => compare(cx, members, from, *root),
         Message::Same => suspect::refreshed(members),
         Message::Buckets { digests } => buckets(cx, members, from, digests),
@@ -116,7 +123,7 @@
     }
     suspect::refreshed(members);
     if alone && learned {
-        members.change_own(|_| {}, super::Pace::Origin);
+        members.change_own(cx.now, |_| {}, super::Pace::Origin);
     }
 }
 
@@ -130,7 +137,7 @@
     send(cx, from, message);
 }
 
-fn buckets(cx: &mut Context<'_>, members: &Members, from: NodeId, digests: &[u64]) {
+fn buckets(cx: &mut Context<'_>, members: &mut Members, from: NodeId, digests: &[u32]) {
     let own = members.digest.buckets();
     let mut differ: Vec<u8> = own
         .iter()
@@ -139,6 +146,11 @@
         .filter(|(_, (lhs, rhs))| lhs != rhs)
         .map(|(idx, _)| idx as u8)
         .collect();
+    // So much differs in a herd that starts, or after a cut; a single change is on its way by probes.
+    if differ.len() > digest::BUCKETS / 2 {
+        let soon = cx.now + cx.rng.random_range(SYNC_MS / 10..=SYNC_MS / 5);
+        members.sync.next = members.sync.next.min(soon);
+    }
     // The first buckets must not hide the others for ever behind the bound.
     differ.shuffle(cx.rng);
     let each = members.others.len().div_ceil(digest::BUCKETS).max(1);
@@ -214,7 +226,8 @@
 /// Sends the records of `ids` and this node's own to `to`, one chunk a tick.
 fn serve(cx: &mut Context<'_>, members: &mut Members, to: NodeId, ids: Vec<NodeId>) {
     if members.sync.outgoing.len() >= SERVED_MAX {
-        return send(cx, to, Message::Busy);
+        let others = probe::reachable_peers(cx, members, REFERRED, to);
+        return send(cx, to, Message::Busy { others });
     }
     members.sync.outgoing.retain(|it| it.to != to);
     members.sync.outgoing.push_back(Outgoing { to, ids });
--- a/crates/kernel/src/members/upstream.rs
+++ b/crates/kernel/src/members/upstream.rs
@@ -36,7 +36,7 @@
     if members.own.offer.is_some() && cx.now.since(members.heartbeat) >= LEASE_MS {
         cx.log("upstream", vec![("state", "lapsed".to_owned())]);
         // The phase stays: a heartbeat after the lapse brings the same upstream back.
-        members.change_own(|it| it.offer = None, Pace::Urgent);
+        members.change_own(cx.now, |it| it.offer = None, Pace::Urgent);
         cx.raise(Notice::Own);
     }
 }
@@ -51,7 +51,7 @@
     if members.leaving || members.own.offer.as_ref() == Some(&offer) {
         return;
     }
-    members.change_own(|it| it.offer = Some(offer), Pace::Origin);
+    members.change_own(cx.now, |it| it.offer = Some(offer), Pace::Origin);
     cx.raise(Notice::Own);
 }
 
@@ -68,7 +68,7 @@
         it.offer = None;
         it.phase = phase;
     };
-    members.change_own(change, Pace::Urgent);
+    members.change_own(cx.now, change, Pace::Urgent);
     cx.raise(Notice::Own);
 }
 
@@ -78,7 +78,7 @@
     }
     match members.own.phase.change(phase) {
         Ok(phase) => {
-            members.change_own(|it| it.phase = phase, pace);
+            members.change_own(cx.now, |it| it.phase = phase, pace);
             cx.raise(Notice::Own);
         }
         Err(error) => cx.log("phase-refused", vec![("why", error.to_string())]),
--- a/crates/kernel/src/members/zone_loss.rs
+++ b/crates/kernel/src/members/zone_loss.rs
@@ -112,7 +112,7 @@
             true => Pace::Piggyback,
             false => Pace::Origin,
         };
-        self.queue.push(Update::Zone(state), pace);
+        self.queue.push(now, Update::Zone(state), pace);
         Learned::New
     }
 
