Spread: relays, trees, repair with catch-up, pacing and status

Cause: the thin version sent every batch to every member and pulled on each change of the view. Change: the committer tells one relay of every zone, relays also poll the table, pushes go down trees of bounded degree, every node compares its position with a random peer and fetches what it lacks, in parts where one message can't hold it. News travels as the net change of a range of the log, as zstd deltas with the old text as dictionary, checked by a digest of the whole state. A process is not ready until peers or the table confirmed its position; an entry and an owner refuse as not run before that.

--- /dev/null
+++ b/crates/kernel/examples/spread_bytes.rs
@@ -0,0 +1,113 @@
+//! Prints the bytes that typical changes take in each form that was weighed for the wire.
+//!
+//! Run with `cargo run --release -p laburnum-kernel --example spread_bytes`.
+
+use laburnum_kernel::spread::wire::TEMPLATE;
+use similar::{ChangeTag, TextDiff};
+
+fn main() {
+    let small = include_str!("../../../examples/nile/drafting-desk.toml").to_owned();
+    let large = document(12);
+    let cases = [
+        (
+            "small: one deadline",
+            small.clone(),
+            small.replace("deadline = 1000", "deadline = 1500"),
+        ),
+        (
+            "large: one deadline",
+            large.clone(),
+            large.replacen("deadline = 1007", "deadline = 2500", 1),
+        ),
+        ("large: route added", large.clone(), document(13)),
+        (
+            "large: every deadline",
+            large.clone(),
+            large.replace("deadline = 10", "deadline = 20"),
+        ),
+        ("small: new service", String::new(), small.clone()),
+        ("large: new service", String::new(), large.clone()),
+    ];
+    println!(
+        "{:24}{:>7}{:>7}{:>7}{:>7}{:>9}{:>9}{:>7}{:>8}{:>8}{:>9}",
+        "change",
+        "full",
+        "lz4",
+        "zstd",
+        "miniz",
+        "lz4+dict",
+        "zstd+dict",
+        "lines",
+        "lines+z",
+        "lz4(old)",
+        "zstd(old)"
+    );
+    for (name, old, new) in &cases {
+        let template = TEMPLATE.as_bytes();
+        let lines = line_delta(old, new);
+        println!(
+            "{name:24}{:7}{:7}{:7}{:7}{:9}{:9}{:7}{:8}{:8}{:9}",
+            new.len(),
+            lz4(b"", new),
+            zstd(b"", new.as_bytes()),
+            miniz_oxide::deflate::compress_to_vec(new.as_bytes(), 9).len(),
+            lz4(template, new),
+            zstd(template, new.as_bytes()),
+            lines.len(),
+            zstd(template, &lines),
+            lz4(old.as_bytes(), new),
+            zstd(old.as_bytes(), new.as_bytes()),
+        );
+    }
+}
+
+/// A document with `routes` routes.
+fn document(routes: usize) -> String {
+    let head = include_str!("../../../examples/nile/drafting-desk.toml");
+    let head = head.split("[[routes]]").next().unwrap_or_default();
+    let words = [
+        "drafts", "plans", "families", "visits", "sessions", "courts",
+    ];
+    let route = |it: usize| {
+        format!(
+            "[[routes]]\npath = \"/v1/{}/{it}\"\nmethods = [\"GET\", \"PUT\"]\nclass = \"interactive\"\n\
+             deadline = {}\nrepeat = \"idempotent\"\nuses = [\"court-registry\"]\n\n",
+            words[it % words.len()],
+            1000 + 7 * it
+        )
+    };
+    (0..routes).fold(head.to_owned(), |text, it| text + &route(it))
+}
+
+fn lz4(dictionary: &[u8], text: &str) -> usize {
+    lz4_flex::block::compress_with_dict(text.as_bytes(), dictionary).len()
+}
+
+fn zstd(dictionary: &[u8], bytes: &[u8]) -> usize {
+    let packed = zstd::bulk::Compressor::with_dictionary(19, dictionary)
+        .and_then(|mut it| it.compress(bytes))
+        .expect("the memory suffices");
+    packed.len()
+}
+
+/// Runs of lines kept or dropped as two-byte counts, new lines as text.
+fn line_delta(old: &str, new: &str) -> Vec<u8> {
+    let diff = TextDiff::from_lines(old, new);
+    let mut bytes = Vec::new();
+    let mut run: Option<(ChangeTag, u8)> = None;
+    for change in diff.iter_all_changes() {
+        let tag = change.tag();
+        match &mut run {
+            Some((last, count)) if *last == tag => *count += 1,
+            _ => {
+                bytes.extend(run.map(|(tag, count)| [tag as u8, count]).iter().flatten());
+                run = Some((tag, 1));
+            }
+        }
+        if tag == ChangeTag::Insert {
+            bytes.extend_from_slice(change.value().as_bytes());
+        }
+    }
+    bytes.extend(run.map(|(tag, count)| [tag as u8, count]).iter().flatten());
+    bytes
+}
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -129,6 +129,8 @@
     Applied { seq: Seq },
     /// A committer accepted up to this sequence number.
     Accepted { seq: Seq },
+    /// The configuration caught up with what other nodes or the table hold; once in a process.
+    Ready,
     /// The set of members or their phases changed.
     Members,
     /// This node's own record changed.
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -136,7 +136,7 @@
             state: State {
                 log: Log::default(),
                 accept: Accept::default(),
-                spread: Spread::default(),
+                spread: Spread::new(&settings),
                 members: Members::new(&settings),
                 once: Once::default(),
                 guard: Guard::default(),
--- a/crates/kernel/src/log.rs
+++ b/crates/kernel/src/log.rs
@@ -125,6 +125,18 @@
         Applied::Yes
     }
 
+    /// Moves to `to` at once: `changes` are the net difference from this position to it.
+    ///
+    /// The batches in between are not kept, so [`Log::after`] reaches back no further than `to`.
+    pub fn advance(&mut self, to: Seq, changes: &[Change]) {
+        if to < self.seq {
+            return;
+        }
+        changes.iter().for_each(|it| self.apply_change(it));
+        self.seq = to;
+        self.tail.clear();
+    }
+
     fn apply_change(&mut self, change: &Change) {
         let Edit::Put { text } = &change.edit else {
             self.services.remove(&change.service);
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -34,6 +34,12 @@
     pub window: u64,
     /// Control bytes a second this node may send, averaged over a minute. Default: 2048.
     pub budget: u64,
+    /// Bytes a second of long answers to nodes that lag far behind, averaged over a minute. Default: 16384.
+    pub catchup: u64,
+    /// Such answers given at once; further askers are refused. Default: 2.
+    pub slots: usize,
+    /// Mean time between two comparisons with a random peer, in ms. Default: 2000.
+    pub repair: u64,
     /// Relays in each availability zone. Default: 2.
     pub relays: usize,
     /// Most nodes that one node pushes to. Default: 4.
@@ -58,6 +64,22 @@
     Full,
 }
 
+impl SpreadSettings {
+    /// Favours convergence time: a short window and frequent comparisons.
+    pub fn nile() -> SpreadSettings {
+        SpreadSettings::default()
+    }
+
+    /// Favours control bytes: a long window, so that changes which arrive together travel together.
+    pub fn cascadia() -> SpreadSettings {
+        SpreadSettings {
+            window: 2_000,
+            repair: 4_000,
+            ..SpreadSettings::default()
+        }
+    }
+}
+
 impl Default for SpreadSettings {
     fn default() -> SpreadSettings {
         SpreadSettings {
@@ -65,6 +87,9 @@
             form: SpreadForm::Delta,
             window: 20,
             budget: 2048,
+            catchup: 16 * 1024,
+            slots: 2,
+            repair: 2_000,
             relays: 2,
             degree: 4,
         }
--- a/crates/kernel/src/spread.rs
+++ b/crates/kernel/src/spread.rs
@@ -1,14 +1,36 @@
 //! Spread: accepted configuration on its way to every node.
+//!
+//! A few relays in each availability zone learn of new log entries from the committer or the table and
+//! push them down a tree of bounded degree; every node compares its position with a random peer's now
+//! and then and fetches what it lacks. `docs/design/spread.md` tells why.
 
-use std::sync::Arc;
+pub mod history;
+pub mod pacing;
+pub mod relay;
+pub mod repair;
+pub mod status;
+pub mod tree;
+pub mod wire;
+
+use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
+pub use self::status::Status;
+use self::{
+    history::{History, Refusal},
+    pacing::Bucket,
+    relay::Relay,
+    repair::Repair,
+    status::{Reports, Summary},
+    tree::Trees,
+    wire::Range,
+};
 use crate::{
     event::{self, Event, Notice},
     id::{NodeId, Seq},
     kernel::{Context, Plugin, State},
-    log::{Applied, Batch},
+    settings::Settings,
 };
 
 inventory::submit! { Plugin { name: "spread", order: 30, handle } }
@@ -16,90 +38,237 @@
 /// Between nodes that spread configuration.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
-    /// These batches follow one another.
-    Push { batches: Vec<Arc<Batch>> },
+    /// News on its way down the tree below `root`.
+    Push { root: NodeId, range: Range },
     /// I hold the log up to `seq`: send what follows.
-    Pull { seq: Seq },
+    Pull { seq: Seq, want: Want },
+    /// Answers [`Message::Pull`].
+    Fill { range: Range },
+    /// Where I am; a question asks the receiver to tell the same.
+    Compare { standing: Standing, turn: Turn },
+    /// One part of an answer to [`Message::Pull`] that is too long for one message.
+    Part { idx: u32, of: u32, bytes: Vec<u8> },
+    /// Send this part next.
+    Next { idx: u32 },
+    /// Too busy to answer [`Message::Pull`]: ask somebody else, or again after this many ms.
+    Refused { after: u64 },
+    /// What the sender and the nodes that report to it hold.
+    Report { summary: Summary },
+    /// Tell me what every zone reported.
+    Ask { number: u64 },
+    /// Answers [`Message::Ask`].
+    Told { number: u64, summary: Summary },
 }
 
-/// Who holds which sequence number.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Status {
-    /// Last batch applied by the node asked.
+/// What a node holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Standing {
+    /// Last batch applied.
     pub seq: Seq,
-    /// Nodes alive, in the view of the node asked.
-    pub nodes: usize,
-    /// Nodes known to lag, with what they hold.
-    pub behind: Vec<(NodeId, Seq)>,
+    /// Digest of its whole configuration.
+    pub digest: u64,
+    /// Whether it has caught up since it started.
+    pub ready: bool,
+}
+
+/// Whether a [`Message::Compare`] wants an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Turn {
+    Question,
+    Answer,
+}
+
+/// The form in which a node wants what it lacks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Want {
+    /// Deltas where possible.
+    #[default]
+    Delta,
+    /// Full texts of what changed.
+    Full,
+    /// Every service, whatever the asker holds.
+    Whole,
+}
+
+/// What a message is sent for; bytes are counted by it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    /// Down the tree.
+    Push,
+    /// Comparisons, pulls and their short answers.
+    Repair,
+    /// Long answers to nodes that lag far behind.
+    CatchUp,
+    /// Who holds what.
+    Report,
+}
+
+/// Counters since the process started, and present queue lengths.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Bytes of messages sent, without the link's own.
+    pub sent: BTreeMap<Kind, u64>,
+    /// Messages sent.
+    pub messages: BTreeMap<Kind, u64>,
+    /// Catch-ups served to the end.
+    pub served: u64,
+    /// Catch-ups refused because too many were being served.
+    pub refused: u64,
+    /// Catch-ups being served.
+    pub serving: usize,
+    /// Pushes held back because the budget was spent.
+    pub delayed: u64,
+    /// Pushes waiting to leave.
+    pub queued: usize,
+    /// Ranges whose base text or digest did not fit.
+    pub mismatches: u64,
+    /// Pulls that got no answer or a refusal.
+    pub failures: u64,
+    /// Whether this node is a relay of its zone at present.
+    pub relay: bool,
 }
 
 /// Configuration on its way.
-#[derive(Debug, Default)]
-pub struct Spread {}
+#[derive(Debug)]
+pub struct Spread {
+    history: History,
+    trees: Trees,
+    relay: Relay,
+    repair: Repair,
+    reports: Reports,
+    paced: Bucket,
+    catchup: Bucket,
+    stats: Stats,
+}
+
+impl Spread {
+    /// Holds nothing and is not ready.
+    pub fn new(settings: &Settings) -> Spread {
+        Spread {
+            history: History::default(),
+            trees: Trees::default(),
+            relay: Relay::default(),
+            repair: Repair::default(),
+            reports: Reports::default(),
+            paced: Bucket::new(settings.spread.budget),
+            catchup: Bucket::new(settings.spread.catchup),
+            stats: Stats::default(),
+        }
+    }
+
+    /// Whether this process has reached the highest position heard from several peers or the table.
+    ///
+    /// Before that it may hold less than the process that it replaced: were it to serve, a restart would
+    /// be a step back to older configuration.
+    pub fn ready(&self) -> bool {
+        self.repair.ready()
+    }
+
+    /// The highest position heard of.
+    pub fn heard(&self) -> Seq {
+        self.repair.heard().max(self.history.seq())
+    }
+
+    /// Digest of the configuration held.
+    pub fn digest(&self) -> u64 {
+        self.history.digest()
+    }
+
+    /// Counters and queue lengths.
+    pub fn stats(&self) -> Stats {
+        Stats {
+            serving: self.repair.serving(),
+            queued: self.relay.queued(),
+            ..self.stats.clone()
+        }
+    }
+
+    fn standing(&self) -> Standing {
+        Standing {
+            seq: self.history.seq(),
+            digest: self.history.digest(),
+            ready: self.ready(),
+        }
+    }
+}
+
+/// Tells the plug-in that `from` holds the log up to `seq`, as learned from any message.
+pub fn hear(cx: &mut Context<'_>, state: &mut State, from: NodeId, seq: Seq) {
+    repair::hear(cx, state, from, seq);
+}
 
 fn handle(cx: &mut Context<'_>, state: &mut State, event: &Event) {
+    let State { spread, log, .. } = state;
+    spread.history.follow(log);
     match event {
+        Event::Start => repair::start(cx, state),
         Event::Message {
             from,
             message: event::Message::Spread(message),
         } => received(cx, state, *from, message),
-        Event::Notice(Notice::Accepted { seq }) => push(cx, state, *seq),
-        Event::Notice(Notice::Members) => pull(cx, state),
+        Event::Table { call, answer } => relay::answered(cx, state, *call, answer),
+        Event::Notice(Notice::Accepted { seq }) => relay::accepted(cx, state, *seq),
+        Event::Notice(Notice::Members) => state.spread.trees.clear(),
         Event::Call {
             token,
             call: event::Call::Status,
-        } => {
-            let status = Status {
-                seq: state.log.seq(),
-                nodes: state.members.alive().count(),
-                behind: Vec::new(),
-            };
-            cx.reply(*token, event::Reply::Status(status));
+        } => status::ask(cx, state, *token),
+        Event::Tick => {
+            repair::tick(cx, state);
+            relay::tick(cx, state);
+            status::tick(cx, state);
         }
-        _ => {}
+        _ => return,
     }
+    relay::flush(cx, state);
 }
 
 fn received(cx: &mut Context<'_>, state: &mut State, from: NodeId, message: &Message) {
     match message {
-        Message::Push { batches } => {
-            for batch in batches {
-                if state.log.apply(batch.clone()) == Applied::Gap {
-                    let seq = state.log.seq();
-                    cx.send(from, event::Message::Spread(Message::Pull { seq }));
-                    break;
-                }
-            }
-            let seq = state.log.seq();
-            cx.raise(Notice::Applied { seq });
-        }
-        Message::Pull { seq } => {
-            if let Some(batches) = state.log.after(*seq)
-                && !batches.is_empty()
-            {
-                cx.send(from, event::Message::Spread(Message::Push { batches }));
-            }
+        Message::Push { root, range } => {
+            take(cx, state, from, range);
+            relay::pushed(cx, state, *root, range);
         }
+        Message::Fill { range } => repair::filled(cx, state, from, range),
+        Message::Pull { seq, want } => repair::serve(cx, state, from, *seq, *want),
+        Message::Compare { standing, turn } => repair::compared(cx, state, from, standing, *turn),
+        Message::Part { idx, of, bytes } => repair::part(cx, state, from, (*idx, *of), bytes),
+        Message::Next { idx } => repair::next(cx, state, from, *idx),
+        Message::Refused { after } => repair::refused(cx, state, from, *after),
+        Message::Report { summary } => status::reported(cx, state, from, summary),
+        Message::Ask { number } => status::asked(cx, state, from, *number),
+        Message::Told { number, summary } => status::told(cx, state, *number, summary),
     }
 }
 
-fn push(cx: &mut Context<'_>, state: &mut State, seq: Seq) {
-    let Some(batches) = state.log.after(Seq(seq.0 - 1)) else {
-        return;
-    };
-    let own = cx.settings.node;
-    let others: Vec<NodeId> = state.members.alive().map(|it| it.id).collect();
-    for to in others.into_iter().filter(|it| *it != own) {
-        let batches = batches.clone();
-        cx.send(to, event::Message::Spread(Message::Push { batches }));
+/// Applies a range that a peer sent, or sees to it that what it needs is fetched.
+fn take(cx: &mut Context<'_>, state: &mut State, from: NodeId, range: &Range) {
+    match state.spread.history.apply(range) {
+        Ok(changes) => {
+            state.log.advance(range.to, &changes);
+            repair::advanced(cx, state);
+            cx.raise(Notice::Applied { seq: range.to });
+        }
+        Err(Refusal::Old) => {}
+        Err(refusal) => repair::lacking(cx, state, from, range, refusal),
     }
 }
 
-fn pull(cx: &mut Context<'_>, state: &mut State) {
-    let own = cx.settings.node;
-    let seq = state.log.seq();
-    let peer = state.members.alive().map(|it| it.id).find(|it| *it != own);
-    if let Some(to) = peer {
-        cx.send(to, event::Message::Spread(Message::Pull { seq }));
+/// Sends a message and counts its bytes.
+fn send(cx: &mut Context<'_>, state: &mut State, kind: Kind, to: NodeId, message: Message) {
+    let message = event::Message::Spread(message);
+    let bytes = size(&message);
+    let spread = &mut state.spread;
+    *spread.stats.sent.entry(kind).or_default() += bytes as u64;
+    *spread.stats.messages.entry(kind).or_default() += 1;
+    match kind {
+        Kind::CatchUp => spread.catchup.spend(cx.now, bytes),
+        Kind::Push | Kind::Repair | Kind::Report => spread.paced.spend(cx.now, bytes),
     }
+    cx.send(to, message);
+}
+
+/// Bytes of a message on the wire, without the link's own.
+fn size(message: &event::Message) -> usize {
+    postcard::experimental::serialized_size(message).expect("a message encodes")
 }
--- /dev/null
+++ b/crates/kernel/src/spread/tree.rs
@@ -0,0 +1,126 @@
+//! Who pushes to whom: relays of a zone, and the trees below them.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    id::{Name, NodeId, Seq},
+    kernel::State,
+    settings::Settings,
+    utils::rendezvous,
+};
+
+/// Trees below one root that its pushes take in turn.
+///
+/// With one tree the same few nodes would carry every push; with several the load of an inner place is
+/// shared, and a dead inner node cuts different nodes off each time.
+const TURNS: u64 = 4;
+
+/// Relays and trees of the present view, computed when first asked for.
+#[derive(Debug, Default)]
+pub struct Trees {
+    relays: Option<BTreeMap<Name, Vec<NodeId>>>,
+    status: Option<NodeId>,
+    ranked: BTreeMap<(NodeId, u64), Vec<NodeId>>,
+}
+
+/// Most roots whose trees are kept; a zone has few relays, so more come only from views that differ.
+const ROOTS_MAX: usize = 32;
+
+impl Trees {
+    /// Forgets what an older view led to.
+    pub fn clear(&mut self) {
+        *self = Trees::default();
+    }
+}
+
+/// The relays of every zone, at most `settings.spread.relays` each.
+pub fn relays<'a>(state: &'a mut State, settings: &Settings) -> &'a BTreeMap<Name, Vec<NodeId>> {
+    let State {
+        members, spread, ..
+    } = state;
+    spread.trees.relays.get_or_insert_with(|| {
+        let mut zones: BTreeMap<Name, Vec<NodeId>> = BTreeMap::new();
+        for it in members.ready() {
+            zones.entry(it.zone.clone()).or_default().push(it.id);
+        }
+        for (zone, nodes) in &mut zones {
+            *nodes = rendezvous(&format!("relay/{zone}"), std::mem::take(nodes));
+            nodes.truncate(settings.spread.relays.max(1));
+            nodes.shrink_to_fit();
+        }
+        zones
+    })
+}
+
+/// Whether this node is a relay of its zone.
+pub fn is_relay(state: &mut State, settings: &Settings) -> bool {
+    relays(state, settings)
+        .get(&settings.zone)
+        .is_some_and(|it| it.contains(&settings.node))
+}
+
+/// The nodes that this one pushes to, in the tree below `root` that a push up to `seq` takes.
+pub fn children(state: &mut State, settings: &Settings, root: NodeId, seq: Seq) -> Vec<NodeId> {
+    let degree = settings.spread.degree.max(1);
+    let ranked = ranked(state, settings, root, seq.0 % TURNS);
+    let Some(idx) = ranked.iter().position(|it| *it == settings.node) else {
+        return Vec::new();
+    };
+    let below = ranked.iter().skip(idx * degree + 1).take(degree);
+    below.copied().collect()
+}
+
+/// The nodes that report to this one, if it is not a zone's root that reports to the status node.
+pub fn reporters(state: &mut State, settings: &Settings) -> Vec<NodeId> {
+    let roots = relays(state, settings).get(&settings.zone);
+    match roots.and_then(|it| it.first().copied()) {
+        Some(root) => children(state, settings, root, Seq(0)),
+        None => Vec::new(),
+    }
+}
+
+/// Where this node reports to: its parent below the zone's first relay, or from there the status node.
+pub fn reports_to(state: &mut State, settings: &Settings) -> Option<NodeId> {
+    let degree = settings.spread.degree.max(1);
+    let root = relays(state, settings)
+        .get(&settings.zone)?
+        .first()
+        .copied()?;
+    let ranked = ranked(state, settings, root, 0);
+    match ranked.iter().position(|it| *it == settings.node)? {
+        0 => status_node(state),
+        idx => ranked.get((idx - 1) / degree).copied(),
+    }
+}
+
+/// The node that gathers the reports of every zone.
+pub fn status_node(state: &mut State) -> Option<NodeId> {
+    if state.spread.trees.status.is_none() {
+        let ready = state.members.ready().map(|it| it.id);
+        state.spread.trees.status = rendezvous("status", ready).first().copied();
+    }
+    state.spread.trees.status
+}
+
+/// The root first, then the other members of this node's zone in the order of their places.
+fn ranked<'a>(
+    state: &'a mut State,
+    settings: &Settings,
+    root: NodeId,
+    turn: u64,
+) -> &'a Vec<NodeId> {
+    let State {
+        members, spread, ..
+    } = state;
+    let trees = &mut spread.trees.ranked;
+    if trees.len() >= ROOTS_MAX && !trees.contains_key(&(root, turn)) {
+        trees.clear();
+    }
+    trees.entry((root, turn)).or_insert_with(|| {
+        let zone = members.alive().filter(|it| it.zone == settings.zone);
+        let others = zone.map(|it| it.id).filter(|it| *it != root);
+        let mut ranked = vec![root];
+        ranked.extend(rendezvous(&format!("tree/{root}/{turn}"), others));
+        ranked
+    })
+}
--- /dev/null
+++ b/crates/kernel/src/spread/wire.rs
@@ -0,0 +1,127 @@
+//! The wire form of configuration: net changes over a range of the log, as deltas, compressed.
+//!
+//! A delta is the new text compressed by zstd with the old text as its dictionary; `docs/design/spread.md`
+//! has the measured sizes of the forms that were weighed.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    id::{Name, Revision, Seq},
+    platform::VALUE_MAX,
+    utils::hash64,
+};
+
+/// Common keys and values of documents; the dictionary of texts that have no base.
+pub const TEMPLATE: &str = include_str!("template.toml");
+
+/// Most bytes of a packed range that travels in one message; leaves room in the link's 64 KiB frame.
+pub const RANGE_MAX: usize = 56 * 1024;
+
+/// Most bytes of an unpacked range.
+pub const UNPACKED_MAX: usize = 16 * 1024 * 1024;
+
+const LEVEL: i32 = 9;
+
+/// The net change of the configuration over a range of the log, as it travels.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Range {
+    /// The receiver must hold at least this position; zero means that the range is the whole state.
+    pub from: Seq,
+    /// The position that applying the range leads to.
+    pub to: Seq,
+    /// Digest of the whole configuration at `to`.
+    pub digest: u64,
+    /// Packed list of [`NetChange`].
+    pub body: Vec<u8>,
+}
+
+/// The latest change of one service within a range.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NetChange {
+    /// The service.
+    pub service: Name,
+    /// Its revision at the end of the range.
+    pub revision: Revision,
+    /// Position of the log that made this revision.
+    pub made: Seq,
+    /// Its document.
+    pub form: Form,
+}
+
+/// How a document travels.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Form {
+    /// The whole text.
+    Full(String),
+    /// The difference to the text whose hash is `base`.
+    Delta { base: u32, patch: Vec<u8> },
+    /// The service is gone.
+    Deleted,
+}
+
+/// A peer sent bytes that do not decode.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the peer's range does not decode; check that both nodes run the same version")]
+pub struct BadRange;
+
+/// The hash that names a base text on the wire.
+pub fn text_hash(text: &str) -> u32 {
+    hash64(&[text.as_bytes()]) as u32
+}
+
+/// Packs a list of changes.
+pub fn pack(changes: &[NetChange]) -> Vec<u8> {
+    let raw = postcard::to_stdvec(changes).expect("changes encode");
+    squeeze(TEMPLATE.as_bytes(), &raw)
+}
+
+/// Unpacks a list of changes.
+pub fn unpack(body: &[u8]) -> Result<Vec<NetChange>, BadRange> {
+    let raw = expand(TEMPLATE.as_bytes(), body, UNPACKED_MAX)?;
+    postcard::from_bytes(&raw).map_err(|_| BadRange)
+}
+
+/// The delta that leads from `old` to `new`.
+pub fn diff(old: &str, new: &str) -> Form {
+    Form::Delta {
+        base: text_hash(old),
+        patch: squeeze(old.as_bytes(), new.as_bytes()),
+    }
+}
+
+/// Applies the patch of a [`Form::Delta`] to its base.
+pub fn patch(old: &str, patch: &[u8]) -> Result<String, BadRange> {
+    let bytes = expand(old.as_bytes(), patch, VALUE_MAX)?;
+    String::from_utf8(bytes).map_err(|_| BadRange)
+}
+
+const PLAIN: u8 = 0;
+const ZSTD: u8 = 1;
+
+/// One byte that tells the form, then the bytes: compressed where that is shorter.
+fn squeeze(dictionary: &[u8], raw: &[u8]) -> Vec<u8> {
+    let packed = zstd::bulk::Compressor::with_dictionary(LEVEL, dictionary)
+        .and_then(|mut it| it.compress(raw));
+    match packed {
+        Ok(packed) if packed.len() < raw.len() => prefixed(ZSTD, &packed),
+        _ => prefixed(PLAIN, raw),
+    }
+}
+
+fn expand(dictionary: &[u8], bytes: &[u8], max: usize) -> Result<Vec<u8>, BadRange> {
+    match bytes.split_first() {
+        Some((&PLAIN, raw)) if raw.len() <= max => Ok(raw.to_vec()),
+        // The bound keeps a short message from expanding until the process runs out of memory.
+        Some((&ZSTD, packed)) => zstd::bulk::Decompressor::with_dictionary(dictionary)
+            .and_then(|mut it| it.decompress(packed, max))
+            .map_err(|_| BadRange),
+        _ => Err(BadRange),
+    }
+}
+
+fn prefixed(form: u8, bytes: &[u8]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(bytes.len() + 1);
+    out.push(form);
+    out.extend_from_slice(bytes);
+    out
+}
--- a/crates/kernel/src/utils.rs
+++ b/crates/kernel/src/utils.rs
@@ -40,3 +40,11 @@
         .filter_map(|key| map.remove(&key).map(|value| (key, value)))
         .collect()
 }
+
+/// Full-jitter backoff: anything from zero to `base * 2^failures`, at most `max`, in ms.
+///
+/// Nodes that failed together spread out over the whole interval instead of returning together.
+pub fn backoff(rng: &mut impl rand::Rng, base: u64, max: u64, failures: u32) -> u64 {
+    let ceiling = base.saturating_mul(1 << failures.min(16)).min(max);
+    rng.random_range(0..=ceiling)
+}
--- a/crates/kernel/src/view.rs
+++ b/crates/kernel/src/view.rs
@@ -17,6 +17,8 @@
 pub struct View {
     /// The log position that the services stand for.
     pub seq: Seq,
+    /// Whether this process has caught up since it started; before that it must not serve.
+    pub ready: bool,
     /// Every service, with the nodes whose upstreams serve it.
     pub services: BTreeMap<Name, ServiceView>,
     /// The offer and phase of the upstream beside this node.
@@ -72,7 +74,8 @@
 
 fn handle(cx: &mut Context<'_>, state: &mut State, event: &Event) {
     match event {
-        Event::Start | Event::Notice(Notice::Applied { .. } | Notice::Members | Notice::Own) => {
+        Event::Start
+        | Event::Notice(Notice::Applied { .. } | Notice::Ready | Notice::Members | Notice::Own) => {
             state.publisher.stale = true;
         }
         Event::Tick => {}
@@ -102,6 +105,7 @@
     let own = state.members.own();
     View {
         seq: state.log.seq(),
+        ready: state.spread.ready(),
         services: services.collect(),
         own: own.offer.as_ref().map(|it| OwnView {
             service: it.service.clone(),
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -40,8 +40,14 @@
 }
 
 async fn ready(State(admin): State<Admin>) -> Response {
-    let seq = admin.control.view().seq;
-    format!("ok seq={seq}\n").into_response()
+    let view = admin.control.view();
+    match view.ready {
+        true => format!("ok seq={}\n", view.seq).into_response(),
+        false => refuse(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "catching up with the configuration; ask again soon",
+        ),
+    }
 }
 
 async fn submit(State(admin): State<Admin>, Json(body): Json<SubmitBody>) -> Response {
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -73,6 +73,13 @@
         return refuse(StatusCode::BAD_REQUEST, why);
     };
     let view = traffic.control.view();
+    // A restarted process may hold less than it did before: serving now would be a step back.
+    if !view.ready {
+        return refuse(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "catching up with the configuration; retry elsewhere",
+        );
+    }
     let Some(found) = view.services.get(&service) else {
         return refuse(
             StatusCode::NOT_FOUND,
@@ -99,7 +106,8 @@
 async fn owner(State(traffic): State<Traffic>, request: Request) -> Response {
     let view = traffic.control.view();
     let wanted = request.headers().get(SERVICE).map(HeaderValue::as_bytes);
-    let ready = view.own.as_ref().is_some_and(|it| {
+    let own = view.own.as_ref().filter(|_| view.ready);
+    let ready = own.is_some_and(|it| {
         it.phase == Phase::Ready && wanted == Some(it.service.as_str().as_bytes())
     });
     let address = traffic.upstream.read().ok().and_then(|it| *it);
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -90,9 +90,9 @@
     let name = "drafting-desk".parse().expect("a name");
     until(|| {
         let view = entry.control().view();
-        view.services
-            .get(&name)
-            .is_some_and(|it| it.endpoints.len() == 1)
+        let found = view.services.get(&name);
+        let ready = view.ready && owner.control().view().ready;
+        ready && found.is_some_and(|it| it.endpoints.len() == 1)
     })
     .await;
 
