Merge acceptance and recovery into spread

Ranges now lead through Log::advance and are checked by the log's own digest; relays read the table's log through Recovery. Submission ids and authors travel with a range: a committer that learned of a batch from a peer has to recognise a submission that is sent again, and to name the winner of a conflict.

--- a/crates/kernel/src/spread.rs
+++ b/crates/kernel/src/spread.rs
@@ -18,7 +18,7 @@
 
 pub use self::status::Status;
 use self::{
-    history::{History, Refusal},
+    history::{Accepts, History, Refusal},
     pacing::Bucket,
     relay::Relay,
     repair::Repair,
@@ -132,6 +132,7 @@
 #[derive(Debug)]
 pub struct Spread {
     history: History,
+    digest: u64,
     trees: Trees,
     relay: Relay,
     repair: Repair,
@@ -146,6 +147,7 @@
     pub fn new(settings: &Settings) -> Spread {
         Spread {
             history: History::default(),
+            digest: 0,
             trees: Trees::default(),
             relay: Relay::default(),
             repair: Repair::default(),
@@ -171,7 +173,7 @@
 
     /// Digest of the configuration held.
     pub fn digest(&self) -> u64 {
-        self.history.digest()
+        self.digest
     }
 
     /// Counters and queue lengths.
@@ -186,7 +188,7 @@
     fn standing(&self) -> Standing {
         Standing {
             seq: self.history.seq(),
-            digest: self.history.digest(),
+            digest: self.digest,
             ready: self.ready(),
         }
     }
@@ -198,8 +200,7 @@
 }
 
 fn handle(cx: &mut Context<'_>, state: &mut State, event: &Event) {
-    let State { spread, log, .. } = state;
-    spread.history.follow(log);
+    follow(cx, state);
     match event {
         Event::Start => repair::start(cx, state),
         Event::Message {
@@ -226,7 +227,7 @@
 fn received(cx: &mut Context<'_>, state: &mut State, from: NodeId, message: &Message) {
     match message {
         Message::Push { root, range } => {
-            take(cx, state, from, range);
+            take(cx, state, from, range, Accepts::Newer);
             relay::pushed(cx, state, *root, range);
         }
         Message::Fill { range } => repair::filled(cx, state, from, range),
@@ -242,11 +243,11 @@
 }
 
 /// Applies a range that a peer sent, or sees to it that what it needs is fetched.
-fn take(cx: &mut Context<'_>, state: &mut State, from: NodeId, range: &Range) {
-    match state.spread.history.apply(range) {
-        Ok(changes) => {
-            state.log.advance(range.to, &changes);
-            repair::advanced(cx, state);
+fn take(cx: &mut Context<'_>, state: &mut State, from: NodeId, range: &Range, accepts: Accepts) {
+    let State { spread, log, .. } = state;
+    match spread.history.apply(log, range, accepts) {
+        Ok(()) => {
+            follow(cx, state);
             cx.raise(Notice::Applied { seq: range.to });
         }
         Err(Refusal::Old) => {}
@@ -254,6 +255,17 @@
     }
 }
 
+/// Takes note of whatever the log applied.
+fn follow(cx: &mut Context<'_>, state: &mut State) {
+    let State { spread, log, .. } = state;
+    let digest = log.digest();
+    if digest != spread.digest {
+        spread.digest = digest;
+        spread.history.follow(log);
+        repair::advanced(cx, state);
+    }
+}
+
 /// Sends a message and counts its bytes.
 fn send(cx: &mut Context<'_>, state: &mut State, kind: Kind, to: NodeId, message: Message) {
     let message = event::Message::Spread(message);
--- a/crates/kernel/src/spread/relay.rs
+++ b/crates/kernel/src/spread/relay.rs
@@ -4,14 +4,16 @@
 
 use rand::Rng;
 
-use super::{Kind, Message, repair, send, size, tree, wire::RANGE_MAX, wire::Range};
+use super::{
+    Kind, Message, repair, send, size, tree,
+    wire::{self, RANGE_MAX, Range},
+};
 use crate::{
-    accept::{HEAD_KEY, log_key},
+    accept::HEAD_KEY,
     clock::Ms,
-    event::{self, Notice},
+    event,
     id::{CallId, NodeId, Seq},
     kernel::{Context, State},
-    log::{Applied, Batch},
     platform::{Fault, Row, TableAnswer, TableOp},
     settings::SpreadMode,
     utils::backoff,
@@ -26,8 +28,8 @@
 /// A read that is not answered for this long is given up, in ms.
 const ANSWER_MS: u64 = 5_000;
 
-/// Rows of the log read at once.
-const ROWS_MAX: u32 = 64;
+/// A node that lags by more batches than this reads a snapshot first.
+const SNAPSHOT_LAG: u64 = 64;
 
 /// Pushes that may wait at once; each is for another tree.
 const QUEUE_MAX: usize = 16;
@@ -75,19 +77,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Reading {
     call: CallId,
-    query: Query,
     since: Ms,
 }
 
-/// What a read of the table asks for.
-#[derive(Clone, Copy, Debug)]
-enum Query {
-    /// The last position.
-    Head,
-    /// The batches after the last one applied.
-    Rows,
-}
-
 impl Relay {
     /// Pushes that wait to leave.
     pub fn queued(&self) -> usize {
@@ -183,10 +175,10 @@
     // Below the floor only the whole state would do; receivers that lag so far fetch it themselves.
     let from = waiting.from.max(state.spread.history.floor());
     let form = cx.settings.spread.form;
-    let Some(range) = state.spread.history.range(from, form) else {
+    let Some(range) = state.spread.history.range(&state.log, from, form) else {
         return;
     };
-    let bytes: usize = pushes.len() * (range.body.len() + HEADER);
+    let bytes: usize = pushes.len() * (wire::len(&range) + HEADER);
     if !pushes.is_empty() && !state.spread.paced.allows(cx.now, bytes) {
         return hold(state, target);
     }
@@ -237,12 +229,6 @@
     relays.filter_map(nth).map(|it| (it, it)).collect()
 }
 
-/// Reads the table's head unless a read is under way.
-fn read_head(cx: &mut Context<'_>, state: &mut State) {
-    let keys = vec![HEAD_KEY.to_owned()];
-    read(cx, state, Query::Head, TableOp::Get { keys });
-}
-
 /// Reads the table's head unless an earlier failure asks to wait.
 pub fn retry_head(cx: &mut Context<'_>, state: &mut State) {
     if cx.now >= state.spread.relay.due {
@@ -250,42 +236,30 @@
     }
 }
 
-fn read_rows(cx: &mut Context<'_>, state: &mut State) {
-    let op = TableOp::Scan {
-        prefix: "log/".to_owned(),
-        after: log_key(state.log.seq()),
-        limit: ROWS_MAX,
-    };
-    read(cx, state, Query::Rows, op);
-}
-
-fn read(cx: &mut Context<'_>, state: &mut State, query: Query, op: TableOp) {
-    let relay = &state.spread.relay;
-    let busy = relay.reading;
+fn read_head(cx: &mut Context<'_>, state: &mut State) {
+    let busy = state.spread.relay.reading;
     if busy.is_some_and(|it| cx.now.since(it.since) < ANSWER_MS) {
         return;
     }
-    let call = cx.table(op);
+    let keys = vec![HEAD_KEY.to_owned()];
+    let call = cx.table(TableOp::Get { keys });
     let since = cx.now;
     let jitter = cx.rng.random_range(POLL_MS / 2..=POLL_MS * 3 / 2);
     let relay = &mut state.spread.relay;
-    relay.reading = Some(Reading { call, query, since });
+    relay.reading = Some(Reading { call, since });
     relay.due = cx.now + jitter;
 }
 
 /// The table answered a read of this module, or of somebody else.
 pub fn answered(cx: &mut Context<'_>, state: &mut State, call: CallId, answer: &TableAnswer) {
     let relay = &mut state.spread.relay;
-    let Some(reading) = relay.reading.take_if(|it| it.call == call) else {
+    if relay.reading.take_if(|it| it.call == call).is_none() {
         return;
-    };
+    }
     match answer {
         TableAnswer::Rows(rows) => {
             relay.failures = 0;
-            match reading.query {
-                Query::Head => head_read(cx, state, rows),
-                Query::Rows => rows_read(cx, state, rows),
-            }
+            head_read(cx, state, rows);
         }
         TableAnswer::Failed(fault) => {
             relay.failures += 1;
@@ -303,32 +277,11 @@
 fn head_read(cx: &mut Context<'_>, state: &mut State, rows: &[Row]) {
     let head = rows.first().map_or(Seq(0), |it| head_seq(&it.value));
     repair::table_head(state, head);
-    if head > state.log.seq() {
-        read_rows(cx, state);
-    }
-}
-
-fn rows_read(cx: &mut Context<'_>, state: &mut State, rows: &[Row]) {
-    let full = rows.len() == ROWS_MAX as usize;
-    let batches = rows
-        .iter()
-        .map_while(|it| postcard::from_bytes::<Batch>(&it.value).ok());
-    let before = state.log.seq();
-    for batch in batches {
-        if state.log.apply(batch.into()) == Applied::Gap {
-            // Rows were pruned below a snapshot; peers have the state.
-            break;
-        }
-    }
-    let State { spread, log, .. } = state;
-    spread.history.follow(log);
-    let seq = log.seq();
-    if seq > before {
-        repair::advanced(cx, state);
-        cx.raise(Notice::Applied { seq });
-    }
-    if full && seq > before {
-        read_rows(cx, state);
+    let lag = head.0.saturating_sub(state.log.seq().0);
+    match lag {
+        0 => {}
+        1..=SNAPSHOT_LAG => state.recovery.follow(cx, &state.log),
+        _ => state.recovery.start(cx),
     }
 }
 
--- a/crates/kernel/src/spread/repair.rs
+++ b/crates/kernel/src/spread/repair.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Kind, Message, Standing, Turn, Want,
-    history::Refusal,
+    history::{Accepts, Refusal},
     relay, send, size, take,
     wire::{RANGE_MAX, Range, UNPACKED_MAX},
 };
@@ -44,7 +44,7 @@
 const ASK_MS: u64 = 200;
 
 /// How long a new node asks peers only; then it also reads the table, at a random moment.
-const PEERS_ONLY_MS: u64 = 2_000;
+const PEERS_ONLY_MS: u64 = 4_000;
 
 /// A catch-up whose asker stays silent for this long is given up, in ms.
 const SLOT_MS: u64 = 10_000;
@@ -207,6 +207,7 @@
     let it = &mut state.spread.repair;
     it.tries = 0;
     it.want = Want::Delta;
+    it.ballot = Ballot::default();
     it.fetch = match own < it.heard {
         true => Fetch::Due(cx.now + JITTER_MS),
         false => Fetch::Idle,
@@ -241,6 +242,7 @@
     }
     match it.fetch {
         Fetch::Waiting { peer, .. } if peer != from => {}
+        _ if it.want == Want::Whole => failed(cx, state, 0),
         _ => it.fetch = Fetch::Due(cx.now),
     }
 }
@@ -286,7 +288,7 @@
         Want::Delta | Want::Full => (seq, state.spread.history.seq() > seq),
     };
     let range = match lacks {
-        true => state.spread.history.range(start, form),
+        true => state.spread.history.range(&state.log, start, form),
         false => None,
     };
     let Some(range) = range else {
@@ -320,10 +322,11 @@
 pub fn filled(cx: &mut Context<'_>, state: &mut State, from: NodeId, range: &Range) {
     end_wait(state, from);
     let whole = state.spread.repair.want == Want::Whole && range.from == Seq(0);
-    if whole && range.to >= state.spread.history.seq() {
-        return replace(cx, state, from, range);
-    }
-    take(cx, state, from, range);
+    let accepts = match whole {
+        true => Accepts::Same,
+        false => Accepts::Newer,
+    };
+    take(cx, state, from, range, accepts);
 }
 
 /// A part of a catch-up arrived.
@@ -367,21 +370,6 @@
     }
 }
 
-fn replace(cx: &mut Context<'_>, state: &mut State, from: NodeId, range: &Range) {
-    match state.spread.history.replace(range) {
-        Ok(changes) => {
-            state.log.advance(range.to, &changes);
-            advanced(cx, state);
-            state.spread.repair.ballot = Ballot::default();
-            cx.raise(Notice::Applied { seq: range.to });
-        }
-        Err(refusal) => {
-            lacking(cx, state, from, range, refusal);
-            failed(cx, state, 0);
-        }
-    }
-}
-
 fn compare(cx: &mut Context<'_>, state: &mut State) {
     let period = cx.settings.spread.repair.max(2);
     let jitter = cx.rng.random_range(period / 2..=period * 3 / 2);
--- a/crates/kernel/src/spread/status.rs
+++ b/crates/kernel/src/spread/status.rs
@@ -191,14 +191,12 @@
 /// This node and those below it in the zone's report tree.
 fn subtree(cx: &Context<'_>, state: &mut State) -> Summary {
     let node = cx.settings.node;
-    let refused = state.spread.history.refused(&state.log);
-    let bad = refused
-        .take(NAMED_MAX)
-        .map(|(service, revision)| BadVersion {
-            service,
-            revision,
-            node,
-        });
+    let held = state.log.held().values().take(NAMED_MAX);
+    let bad = held.map(|it| BadVersion {
+        service: it.service.clone(),
+        revision: it.revision,
+        node,
+    });
     let mut summary = Summary {
         nodes: 1,
         lowest: vec![(state.spread.history.seq(), node)],
--- a/crates/kernel/src/spread/wire.rs
+++ b/crates/kernel/src/spread/wire.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    id::{Name, Revision, Seq},
+    id::{Name, Revision, Seq, SubmitId},
     platform::VALUE_MAX,
     utils::hash64,
 };
@@ -33,6 +33,8 @@
     pub digest: u64,
     /// Packed list of [`NetChange`].
     pub body: Vec<u8>,
+    /// Submissions accepted in the range, so that a committer here recognises one that is sent again.
+    pub ids: Vec<(Seq, Vec<SubmitId>)>,
 }
 
 /// The latest change of one service within a range.
@@ -40,10 +42,10 @@
 pub struct NetChange {
     /// The service.
     pub service: Name,
-    /// Its revision at the end of the range.
+    /// Its revision at the end of the range, which is the position of the log that made it.
     pub revision: Revision,
-    /// Position of the log that made this revision.
-    pub made: Seq,
+    /// Who submitted it; named to those whose submission comes too late.
+    pub author: String,
     /// Its document.
     pub form: Form,
 }
@@ -69,6 +71,11 @@
     hash64(&[text.as_bytes()]) as u32
 }
 
+/// Bytes of a range as it travels.
+pub fn len(range: &Range) -> usize {
+    postcard::experimental::serialized_size(range).expect("a range encodes")
+}
+
 /// Packs a list of changes.
 pub fn pack(changes: &[NetChange]) -> Vec<u8> {
     let raw = postcard::to_stdvec(changes).expect("changes encode");
