--- a/crates/kernel/src/spread.rs
+++ b/crates/kernel/src/spread.rs
@@ -4,8 +4,10 @@
 //! push them down a tree of bounded degree; every node compares its position with a random peer's now
 //! and then and fetches what it lacks. `docs/design/spread.md` tells why.
 
+pub mod catchup;
 pub mod history;
 pub mod pacing;
+pub mod readiness;
 pub mod relay;
 pub mod repair;
 pub mod status;
@@ -18,8 +20,10 @@
 
 pub use self::status::Status;
 use self::{
+    catchup::Slots,
     history::{Accepts, History, Refusal},
     pacing::Bucket,
+    readiness::Start,
     relay::Relay,
     repair::Repair,
     status::{Reports, Summary},
@@ -136,6 +140,8 @@
     trees: Trees,
     relay: Relay,
     repair: Repair,
+    start: Start,
+    slots: Slots,
     reports: Reports,
     paced: Bucket,
     catchup: Bucket,
@@ -151,6 +157,8 @@
             trees: Trees::default(),
             relay: Relay::default(),
             repair: Repair::default(),
+            start: Start::default(),
+            slots: Slots::new(),
             reports: Reports::default(),
             paced: Bucket::new(settings.spread.budget),
             catchup: Bucket::new(settings.spread.catchup),
@@ -163,7 +171,7 @@
     /// Before that it may hold less than the process that it replaced: were it to serve, a restart would
     /// be a step back to older configuration.
     pub fn ready(&self) -> bool {
-        self.repair.ready()
+        matches!(self.start, Start::Ready)
     }
 
     /// The highest position heard of.
@@ -179,7 +187,7 @@
     /// Counters and queue lengths.
     pub fn stats(&self) -> Stats {
         Stats {
-            serving: self.repair.serving(),
+            serving: self.slots.len(),
             queued: self.relay.queued(),
             ..self.stats.clone()
         }
@@ -202,7 +210,7 @@
 fn handle(cx: &mut Context<'_>, state: &mut State, event: &Event) {
     follow(cx, state);
     match event {
-        Event::Start => repair::start(cx, state),
+        Event::Start => readiness::start(cx, state),
         Event::Message {
             from,
             message: event::Message::Spread(message),
@@ -215,6 +223,8 @@
             call: event::Call::Status,
         } => status::ask(cx, state, *token),
         Event::Tick => {
+            readiness::tick(cx, state);
+            catchup::serve_parts(cx, state);
             repair::tick(cx, state);
             relay::tick(cx, state);
             status::tick(cx, state);
@@ -231,10 +241,10 @@
             relay::pushed(cx, state, *root, range);
         }
         Message::Fill { range } => repair::filled(cx, state, from, range),
-        Message::Pull { seq, want } => repair::serve(cx, state, from, *seq, *want),
+        Message::Pull { seq, want } => catchup::serve(cx, state, from, *seq, *want),
         Message::Compare { standing, turn } => repair::compared(cx, state, from, standing, *turn),
         Message::Part { idx, of, bytes } => repair::part(cx, state, from, (*idx, *of), bytes),
-        Message::Next { idx } => repair::next(cx, state, from, *idx),
+        Message::Next { idx } => catchup::next(cx, state, from, *idx),
         Message::Refused { after } => repair::refused(cx, state, from, *after),
         Message::Report { summary } => status::reported(cx, state, from, summary),
         Message::Ask { number } => status::asked(cx, state, from, *number),
--- /dev/null
+++ b/crates/kernel/src/spread/catchup.rs
@@ -0,0 +1,130 @@
+//! Serving nodes that lack something: one message where that is enough, else parts at the asker's pace.
+
+use std::collections::BTreeMap;
+
+use super::{Kind, Message, Want, repair::announce, send, size, wire::RANGE_MAX};
+use crate::{
+    clock::Ms,
+    event,
+    id::{NodeId, Seq},
+    kernel::{Context, State},
+    settings::SpreadForm,
+};
+
+/// A catch-up whose asker stays silent for this long is given up, in ms.
+const SLOT_MS: u64 = 10_000;
+
+/// Time after which a refused asker may come back, for each catch-up under way, in ms.
+const SLOT_WAIT_MS: u64 = 500;
+
+/// Catch-ups being served.
+pub type Slots = BTreeMap<NodeId, Slot>;
+
+/// A catch-up being served: an encoded range in parts.
+#[derive(Debug)]
+pub struct Slot {
+    blob: Vec<u8>,
+    used: Ms,
+    asked: Option<u32>,
+}
+
+/// A peer asks for what it lacks.
+pub fn serve(cx: &mut Context<'_>, state: &mut State, from: NodeId, seq: Seq, want: Want) {
+    let form = match want {
+        Want::Delta => cx.settings.spread.form,
+        Want::Full | Want::Whole => SpreadForm::Full,
+    };
+    let (start, lacks) = match want {
+        Want::Whole => (Seq(0), state.spread.history.seq() >= seq),
+        Want::Delta | Want::Full => (seq, state.spread.history.seq() > seq),
+    };
+    let range = match lacks {
+        true => state.spread.history.range(&state.log, start, form),
+        false => None,
+    };
+    let Some(range) = range else {
+        return announce(cx, state, from);
+    };
+    let blob = postcard::to_stdvec(&range).expect("a range encodes");
+    if blob.len() > RANGE_MAX {
+        return open_slot(cx, state, from, blob);
+    }
+    let message = Message::Fill { range };
+    let bytes = size(&event::Message::Spread(message.clone()));
+    match state.spread.catchup.allows(cx.now, bytes) {
+        true => send(cx, state, Kind::CatchUp, from, message),
+        false => refuse(cx, state, from),
+    }
+}
+
+/// A peer wants the next part of its catch-up.
+pub fn next(cx: &mut Context<'_>, state: &mut State, from: NodeId, idx: u32) {
+    match state.spread.slots.get_mut(&from) {
+        Some(slot) => {
+            slot.asked = Some(idx);
+            slot.used = cx.now;
+            serve_parts(cx, state);
+        }
+        None => refuse(cx, state, from),
+    }
+}
+
+fn open_slot(cx: &mut Context<'_>, state: &mut State, from: NodeId, blob: Vec<u8>) {
+    let slots = &mut state.spread.slots;
+    if slots.len() >= cx.settings.spread.slots.max(1) && !slots.contains_key(&from) {
+        return refuse(cx, state, from);
+    }
+    let slot = Slot {
+        blob,
+        used: cx.now,
+        asked: Some(0),
+    };
+    slots.insert(from, slot);
+    serve_parts(cx, state);
+}
+
+fn refuse(cx: &mut Context<'_>, state: &mut State, from: NodeId) {
+    state.spread.stats.refused += 1;
+    let busy = state.spread.slots.len() as u64;
+    let after = SLOT_WAIT_MS * (busy + 1);
+    send(cx, state, Kind::Repair, from, Message::Refused { after });
+}
+
+/// Sends the parts that were asked for, as far as the allowance for catch-ups goes.
+pub fn serve_parts(cx: &mut Context<'_>, state: &mut State) {
+    let slots = &mut state.spread.slots;
+    slots.retain(|_, it| cx.now.since(it.used) <= SLOT_MS);
+    let asked = slots.iter().filter_map(|(to, it)| Some((*to, it.asked?)));
+    let asked: Vec<(NodeId, u32)> = asked.collect();
+    for (to, idx) in asked {
+        serve_part(cx, state, to, idx);
+    }
+}
+
+fn serve_part(cx: &mut Context<'_>, state: &mut State, to: NodeId, idx: u32) {
+    let Some(slot) = state.spread.slots.get_mut(&to) else {
+        return;
+    };
+    let of = slot.blob.len().div_ceil(RANGE_MAX) as u32;
+    let Some(bytes) = slot.blob.chunks(RANGE_MAX).nth(idx as usize) else {
+        slot.asked = None;
+        return;
+    };
+    if !state.spread.catchup.allows(cx.now, bytes.len()) {
+        return;
+    }
+    let bytes = bytes.to_vec();
+    slot.asked = None;
+    slot.used = cx.now;
+    if idx + 1 == of {
+        state.spread.slots.remove(&to);
+        state.spread.stats.served += 1;
+    }
+    send(
+        cx,
+        state,
+        Kind::CatchUp,
+        to,
+        Message::Part { idx, of, bytes },
+    );
+}
--- a/crates/kernel/src/spread/relay.rs
+++ b/crates/kernel/src/spread/relay.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use super::{
-    Kind, Message, repair, send, size, tree,
+    Kind, Message, readiness, repair, send, size, tree,
     wire::{self, RANGE_MAX, Range},
 };
 use crate::{
@@ -276,7 +276,7 @@
 
 fn head_read(cx: &mut Context<'_>, state: &mut State, rows: &[Row]) {
     let head = rows.first().map_or(Seq(0), |it| head_seq(&it.value));
-    repair::table_head(state, head);
+    readiness::table_head(state, head);
     let lag = head.0.saturating_sub(state.log.seq().0);
     match lag {
         0 => {}
--- a/crates/kernel/src/spread/repair.rs
+++ b/crates/kernel/src/spread/repair.rs
@@ -1,28 +1,30 @@
-//! Repair: whatever was lost on its way is fetched from a peer, and a new node catches up.
+//! Repair: whatever was lost on its way is fetched from a peer.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use rand::{Rng, seq::IteratorRandom};
 
 use super::{
     Kind, Message, Standing, Turn, Want,
     history::{Accepts, Refusal},
-    relay, send, size, take,
-    wire::{RANGE_MAX, Range, UNPACKED_MAX},
+    readiness, relay, send, take,
+    wire::{Range, UNPACKED_MAX},
 };
 use crate::{
     clock::Ms,
-    event::{self, Notice},
     id::{NodeId, Seq},
     kernel::{Context, State},
     members::Record,
-    settings::{SpreadForm, SpreadMode},
+    settings::SpreadMode,
     utils::backoff,
 };
 
 /// A peer that stays silent for this long is given up, in ms.
 const SILENT_MS: u64 = 3_000;
 
+/// The same for a peer that began to send parts, in ms.
+const PARTS_MS: u64 = 10_000;
+
 /// Longest pause before a pull on hearing of news; a push may be about to bring it.
 const JITTER_MS: u64 = 300;
 
@@ -37,22 +39,7 @@
 /// One comparison in this many is with a peer of another zone.
 const ABROAD: u32 = 4;
 
-/// Peers that have to confirm a position before a new node counts as caught up.
-const VOTES: usize = 3;
-
-/// Time between two questions of a node that is not ready, in ms.
-const ASK_MS: u64 = 200;
-
-/// How long a new node asks peers only; then it also reads the table, at a random moment.
-const PEERS_ONLY_MS: u64 = 4_000;
-
-/// A catch-up whose asker stays silent for this long is given up, in ms.
-const SLOT_MS: u64 = 10_000;
-
-/// Time after which a refused asker may come back, for each catch-up under way, in ms.
-const SLOT_WAIT_MS: u64 = 500;
-
-/// State of repair in both roles.
+/// What this node knows to be lacking, and how it fetches it.
 #[derive(Debug, Default)]
 pub struct Repair {
     heard: Seq,
@@ -61,9 +48,7 @@
     tries: u32,
     want: Want,
     due: Ms,
-    start: Start,
     ballot: Ballot,
-    slots: BTreeMap<NodeId, Slot>,
 }
 
 /// The present pull.
@@ -83,34 +68,6 @@
     },
 }
 
-/// How far a new process is with catching up.
-#[derive(Debug)]
-enum Start {
-    /// Peers that are ready and told their position; whether the table told its own.
-    New {
-        table_at: Ms,
-        votes: BTreeSet<NodeId>,
-        table: Table,
-    },
-    Ready,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Table {
-    Unread,
-    Read,
-}
-
-impl Default for Start {
-    fn default() -> Start {
-        Start::New {
-            table_at: Ms(0),
-            votes: BTreeSet::new(),
-            table: Table::Unread,
-        }
-    }
-}
-
 /// Digests that peers at this node's own position told.
 #[derive(Debug, Default)]
 struct Ballot {
@@ -121,48 +78,15 @@
 /// Most votes kept.
 const BALLOT_MAX: usize = 8;
 
-/// A catch-up being served: an encoded [`Range`] in parts.
-#[derive(Debug)]
-struct Slot {
-    blob: Vec<u8>,
-    used: Ms,
-    asked: Option<u32>,
-}
-
 impl Repair {
-    /// Whether this process has caught up since it started.
-    pub fn ready(&self) -> bool {
-        matches!(self.start, Start::Ready)
-    }
-
     /// The highest position heard of.
     pub fn heard(&self) -> Seq {
         self.heard
     }
-
-    /// Catch-ups being served.
-    pub fn serving(&self) -> usize {
-        self.slots.len()
-    }
-}
-
-/// Sets the moment from which a node without news from peers reads the table.
-pub fn start(cx: &mut Context<'_>, state: &mut State) {
-    let alone = cx.settings.peers.is_empty();
-    let wait = match (alone, cx.settings.spread.mode) {
-        (true, _) | (_, SpreadMode::Poll) => 0,
-        // A herd that starts together reads the table spread over this long, not at once.
-        (false, SpreadMode::Relays) => cx.rng.random_range(PEERS_ONLY_MS..=2 * PEERS_ONLY_MS),
-    };
-    if let Start::New { table_at, .. } = &mut state.spread.repair.start {
-        *table_at = cx.now + wait;
-    }
 }
 
-/// Compares, pulls, serves parts and gives up on what is silent, each when it is due.
+/// Compares, pulls and gives up on what is silent, each when it is due.
 pub fn tick(cx: &mut Context<'_>, state: &mut State) {
-    serve_parts(cx, state);
-    starting(cx, state);
     if cx.settings.spread.mode == SpreadMode::Poll {
         return;
     }
@@ -192,13 +116,18 @@
     }
 }
 
-/// The table's head is at `seq`.
-pub fn table_head(state: &mut State, seq: Seq) {
+/// Brings the next comparison forward if it is further away than twice `wait`.
+pub fn compare_by(cx: &Context<'_>, state: &mut State, wait: u64) {
+    let due = &mut state.spread.repair.due;
+    if *due > cx.now + 2 * wait {
+        *due = cx.now + wait;
+    }
+}
+
+/// The table holds the log up to `seq`.
+pub fn hear_table(state: &mut State, seq: Seq) {
     let it = &mut state.spread.repair;
     it.heard = it.heard.max(seq);
-    if let Start::New { table, .. } = &mut it.start {
-        *table = Table::Read;
-    }
 }
 
 /// The log grew: a pull under way is over if nothing more is known to be lacking.
@@ -263,7 +192,7 @@
         send(cx, state, Kind::Repair, from, answer);
     }
     hear(cx, state, from, standing.seq);
-    vote(state, from, standing);
+    readiness::vote(state, from, standing);
     dispute(cx, state, from, standing);
     answered_empty(cx, state, from, standing.seq);
 }
@@ -277,47 +206,6 @@
     send(cx, state, Kind::Repair, to, message);
 }
 
-/// A peer asks for what it lacks.
-pub fn serve(cx: &mut Context<'_>, state: &mut State, from: NodeId, seq: Seq, want: Want) {
-    let form = match want {
-        Want::Delta => cx.settings.spread.form,
-        Want::Full | Want::Whole => SpreadForm::Full,
-    };
-    let (start, lacks) = match want {
-        Want::Whole => (Seq(0), state.spread.history.seq() >= seq),
-        Want::Delta | Want::Full => (seq, state.spread.history.seq() > seq),
-    };
-    let range = match lacks {
-        true => state.spread.history.range(&state.log, start, form),
-        false => None,
-    };
-    let Some(range) = range else {
-        return announce(cx, state, from);
-    };
-    let blob = postcard::to_stdvec(&range).expect("a range encodes");
-    if blob.len() > RANGE_MAX {
-        return open_slot(cx, state, from, blob);
-    }
-    let message = Message::Fill { range };
-    let bytes = size(&event::Message::Spread(message.clone()));
-    match state.spread.catchup.allows(cx.now, bytes) {
-        true => send(cx, state, Kind::CatchUp, from, message),
-        false => refuse(cx, state, from),
-    }
-}
-
-/// A peer wants the next part of its catch-up.
-pub fn next(cx: &mut Context<'_>, state: &mut State, from: NodeId, idx: u32) {
-    match state.spread.repair.slots.get_mut(&from) {
-        Some(slot) => {
-            slot.asked = Some(idx);
-            slot.used = cx.now;
-            serve_parts(cx, state);
-        }
-        None => refuse(cx, state, from),
-    }
-}
-
 /// A peer sent what this node lacked.
 pub fn filled(cx: &mut Context<'_>, state: &mut State, from: NodeId, range: &Range) {
     end_wait(state, from);
@@ -453,7 +341,7 @@
 fn patience(parts: u32) -> u64 {
     match parts {
         0 => SILENT_MS,
-        _ => SLOT_MS,
+        _ => PARTS_MS,
     }
 }
 
@@ -475,17 +363,6 @@
     }
 }
 
-/// A peer that is itself not ready has nothing to vouch for: a herd that starts together would agree on
-/// an empty configuration and serve it.
-fn vote(state: &mut State, from: NodeId, standing: &Standing) {
-    if let Start::New { votes, .. } = &mut state.spread.repair.start
-        && standing.ready
-        && votes.len() < VOTES
-    {
-        votes.insert(from);
-    }
-}
-
 /// Counts digests at equal positions; a node that several peers contradict fetches the whole state.
 fn dispute(cx: &mut Context<'_>, state: &mut State, from: NodeId, standing: &Standing) {
     let own = state.spread.standing();
@@ -509,92 +386,3 @@
         cx.log("spread.dispute", vec![("seq", own.seq.to_string())]);
     }
 }
-
-/// Asks around until enough peers, or the table, confirmed what this process has reached.
-fn starting(cx: &mut Context<'_>, state: &mut State) {
-    let own = state.spread.history.seq();
-    let others = state.members.alive().count() - 1;
-    let it = &mut state.spread.repair;
-    let Start::New {
-        table_at,
-        votes,
-        table,
-    } = &it.start
-    else {
-        return;
-    };
-    let voted = others > 0 && votes.len() >= VOTES.min(others);
-    if (voted || *table == Table::Read) && own >= it.heard {
-        it.start = Start::Ready;
-        cx.log("spread.ready", vec![("seq", own.to_string())]);
-        return cx.raise(Notice::Ready);
-    }
-    let reads = cx.now >= *table_at && *table == Table::Unread;
-    if reads {
-        relay::retry_head(cx, state);
-    }
-    let it = &mut state.spread.repair;
-    if it.due > cx.now + 2 * ASK_MS {
-        it.due = cx.now + cx.rng.random_range(ASK_MS / 2..=2 * ASK_MS);
-    }
-}
-
-fn open_slot(cx: &mut Context<'_>, state: &mut State, from: NodeId, blob: Vec<u8>) {
-    let slots = &mut state.spread.repair.slots;
-    if slots.len() >= cx.settings.spread.slots.max(1) && !slots.contains_key(&from) {
-        return refuse(cx, state, from);
-    }
-    let slot = Slot {
-        blob,
-        used: cx.now,
-        asked: Some(0),
-    };
-    slots.insert(from, slot);
-    serve_parts(cx, state);
-}
-
-fn refuse(cx: &mut Context<'_>, state: &mut State, from: NodeId) {
-    state.spread.stats.refused += 1;
-    let busy = state.spread.repair.slots.len() as u64;
-    let after = SLOT_WAIT_MS * (busy + 1);
-    send(cx, state, Kind::Repair, from, Message::Refused { after });
-}
-
-/// Sends the parts that were asked for, as far as the allowance for catch-ups goes.
-fn serve_parts(cx: &mut Context<'_>, state: &mut State) {
-    let slots = &mut state.spread.repair.slots;
-    slots.retain(|_, it| cx.now.since(it.used) <= SLOT_MS);
-    let asked = slots.iter().filter_map(|(to, it)| Some((*to, it.asked?)));
-    let asked: Vec<(NodeId, u32)> = asked.collect();
-    for (to, idx) in asked {
-        serve_part(cx, state, to, idx);
-    }
-}
-
-fn serve_part(cx: &mut Context<'_>, state: &mut State, to: NodeId, idx: u32) {
-    let Some(slot) = state.spread.repair.slots.get_mut(&to) else {
-        return;
-    };
-    let of = slot.blob.len().div_ceil(RANGE_MAX) as u32;
-    let Some(bytes) = slot.blob.chunks(RANGE_MAX).nth(idx as usize) else {
-        slot.asked = None;
-        return;
-    };
-    if !state.spread.catchup.allows(cx.now, bytes.len()) {
-        return;
-    }
-    let bytes = bytes.to_vec();
-    slot.asked = None;
-    slot.used = cx.now;
-    if idx + 1 == of {
-        state.spread.repair.slots.remove(&to);
-        state.spread.stats.served += 1;
-    }
-    send(
-        cx,
-        state,
-        Kind::CatchUp,
-        to,
-        Message::Part { idx, of, bytes },
-    );
-}
