--- a/crates/kernel/src/spread/history.rs
+++ b/crates/kernel/src/spread/history.rs
@@ -19,6 +19,9 @@
 /// Most deletions remembered; peers that lag behind the oldest are sent the whole state.
 const DELETED_MAX: usize = 4096;
 
+/// Ranges kept packed: a push that waits for the budget and a herd that catches up ask for the same again.
+const PACKED_MAX: usize = 4;
+
 /// Most submission ids in a range, the newest. The base revision of an older submission has passed.
 const IDS_MAX: usize = 256;
 
@@ -34,6 +37,7 @@
     past_bytes: usize,
     deleted: VecDeque<(Seq, Name)>,
     floor: Seq,
+    packed: VecDeque<(SpreadForm, Range)>,
 }
 
 /// A text that was replaced.
@@ -111,7 +115,7 @@
     }
 
     /// The net change after `from`, or nothing if `from` is ahead of the log.
-    pub fn range(&self, log: &Log, from: Seq, form: SpreadForm) -> Option<Range> {
+    pub fn range(&mut self, log: &Log, from: Seq, form: SpreadForm) -> Option<Range> {
         if from > self.seq {
             return None;
         }
@@ -119,6 +123,21 @@
             true => Seq(0),
             false => from,
         };
+        let packed = |it: &&(SpreadForm, Range)| {
+            it.0 == form && it.1.from == from && it.1.digest == log.digest()
+        };
+        if let Some((_, range)) = self.packed.iter().find(packed) {
+            return Some(range.clone());
+        }
+        let range = self.pack(log, from, form);
+        self.packed.push_back((form, range.clone()));
+        if self.packed.len() > PACKED_MAX {
+            self.packed.pop_front();
+        }
+        Some(range)
+    }
+
+    fn pack(&self, log: &Log, from: Seq, form: SpreadForm) -> Range {
         let deleted = self.deleted.iter().filter(|it| from.0 > 0 && it.0 > from);
         let deleted = deleted.map(|(made, service)| NetChange {
             service: service.clone(),
@@ -134,13 +153,13 @@
             form: self.form(service, it, from, form),
         });
         let changes: Vec<NetChange> = deleted.chain(newer).collect();
-        Some(Range {
+        Range {
             from,
             to: self.seq,
             digest: log.digest(),
             body: wire::pack(&changes),
             ids: recent_ids(log, from),
-        })
+        }
     }
 
     /// Applies a range whole or not at all.
--- a/crates/kernel/src/spread/repair.rs
+++ b/crates/kernel/src/spread/repair.rs
@@ -137,10 +137,11 @@
     it.tries = 0;
     it.want = Want::Delta;
     it.ballot = Ballot::default();
-    it.fetch = match own < it.heard {
-        true => Fetch::Due(cx.now + JITTER_MS),
-        false => Fetch::Idle,
-    };
+    match it.fetch {
+        _ if own >= it.heard => it.fetch = Fetch::Idle,
+        Fetch::Waiting { .. } => {}
+        Fetch::Idle | Fetch::Due(_) => it.fetch = Fetch::Due(cx.now + JITTER_MS),
+    }
 }
 
 /// A range from `from` could not be applied.
@@ -169,10 +170,12 @@
         let pairs = vec![("from", from.to_string()), ("why", why)];
         cx.log("spread.mismatch", pairs);
     }
-    match it.fetch {
-        Fetch::Waiting { peer, .. } if peer != from => {}
-        _ if it.want == Want::Whole => failed(cx, state, 0),
-        _ => it.fetch = Fetch::Due(cx.now),
+    // A pull under way or due brings what lacks; starting anew would lose the parts that came already.
+    if matches!(it.fetch, Fetch::Idle) {
+        match it.want {
+            Want::Whole => failed(cx, state, 0),
+            Want::Delta | Want::Full => it.fetch = Fetch::Due(cx.now),
+        }
     }
 }
 
--- a/crates/kernel/tests/common/driver.rs
+++ b/crates/kernel/tests/common/driver.rs
@@ -9,7 +9,8 @@
 };
 
 use laburnum_kernel::{
-    Action, Call, Event, Kernel, Ms, Name, NodeId, Reply, Revision, Settings, SubmitId, Token,
+    Action, Call, Event, Kernel, Message, Ms, Name, NodeId, Reply, Revision, Settings, SubmitId,
+    Token,
     accept::{self, Entry, Submission, Verdict, rows},
     log::Edit,
     platform::{ABSENT, Check, Fault, ObjectAnswer, ObjectOp, Row, TableAnswer, TableOp, Write},
@@ -32,6 +33,20 @@
     Slow(u64),
 }
 
+/// What becomes of a message on its way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    Arrives,
+    Lost,
+    /// It arrives twice.
+    Doubled,
+    /// It arrives this many ms late.
+    Late(u64),
+}
+
+/// Sees, and may change, every message from one kernel to another before it leaves.
+pub type Tap = Box<dyn FnMut(Ms, usize, usize, &mut Message) -> Fate>;
+
 /// Ms between two ticks, and from a question to its answer or a message to its arrival.
 const TICK: u64 = 50;
 const DELAY: u64 = 2;
@@ -53,6 +68,10 @@
     pub down: bool,
     /// Messages to these kernels vanish.
     pub deaf: BTreeSet<usize>,
+    /// These kernels do nothing any more.
+    pub dead: BTreeSet<usize>,
+    /// See [`Tap`]; none at first.
+    pub tap: Option<Tap>,
     pub replies: BTreeMap<Token, Vec<Reply>>,
     pub logs: Vec<(usize, &'static str, String)>,
     /// Operations on the log, as a golden session shows them.
@@ -71,7 +90,8 @@
     text.parse().expect("a literal name is valid")
 }
 
-fn node(index: usize) -> NodeId {
+/// The address of the kernel at `index`.
+pub fn node(index: usize) -> NodeId {
     NodeId(SocketAddr::from(([127, 0, 0, 1], 7200 + index as u16)))
 }
 
@@ -86,6 +106,8 @@
             mishaps: VecDeque::new(),
             down: false,
             deaf: BTreeSet::new(),
+            dead: BTreeSet::new(),
+            tap: None,
             replies: BTreeMap::new(),
             logs: Vec::new(),
             session: Vec::new(),
@@ -112,11 +134,33 @@
             peers: (0..index).map(node).collect(),
             ..Settings::default()
         };
+        self.add_with(settings)
+    }
+
+    /// Starts one more kernel with these settings.
+    pub fn add_with(&mut self, settings: Settings) -> usize {
+        let index = self.kernels.len();
         self.kernels.push(Kernel::new(settings, index as u64 + 1));
         self.step(index, Event::Start);
         index
     }
 
+    /// Ends a kernel's process and starts it anew: it holds nothing.
+    pub fn restart(&mut self, index: usize) {
+        let settings = Settings {
+            incarnation: self.now.0,
+            ..self.kernels[index].settings().clone()
+        };
+        self.kernels[index] = Kernel::new(settings, self.now.0 + index as u64);
+        self.dead.remove(&index);
+        self.step(index, Event::Start);
+    }
+
+    /// Feeds one event to a kernel.
+    pub fn event(&mut self, index: usize, event: Event) {
+        self.step(index, event);
+    }
+
     /// Asks a kernel.
     pub fn call(&mut self, index: usize, call: accept::Call) -> Token {
         self.count += 1;
@@ -215,6 +259,9 @@
     }
 
     fn step(&mut self, index: usize, event: Event) {
+        if self.dead.contains(&index) {
+            return;
+        }
         let mut actions = Vec::new();
         self.kernels[index].step(self.now, event, &mut actions);
         for action in actions {
@@ -224,10 +271,7 @@
 
     fn act(&mut self, index: usize, action: Action) {
         match action {
-            Action::Send { to, message } => {
-                let from = node(index);
-                self.deliver(to, Event::Message { from, message });
-            }
+            Action::Send { to, message } => self.send(index, to, message),
             Action::Probe { to, packet } => {
                 let from = node(index);
                 self.deliver(to, Event::Probe { from, packet });
@@ -250,6 +294,27 @@
         }
     }
 
+    fn send(&mut self, index: usize, to: NodeId, mut message: Message) {
+        let receiver = (0..self.kernels.len()).find(|it| node(*it) == to);
+        let fate = match (&mut self.tap, receiver) {
+            (Some(tap), Some(receiver)) => tap(self.now, index, receiver, &mut message),
+            _ => Fate::Arrives,
+        };
+        let from = node(index);
+        let event = Event::Message { from, message };
+        match (fate, receiver) {
+            (Fate::Lost, _) => {}
+            (Fate::Late(millis), Some(it)) if !self.deaf.contains(&it) => {
+                self.after(DELAY + millis, Due::Event(it, event));
+            }
+            (Fate::Doubled, _) => {
+                self.deliver(to, event.clone());
+                self.deliver(to, event);
+            }
+            _ => self.deliver(to, event),
+        }
+    }
+
     fn deliver(&mut self, to: NodeId, event: Event) {
         let index = (0..self.kernels.len()).find(|it| node(*it) == to);
         if let Some(index) = index.filter(|it| !self.deaf.contains(it)) {
