--- a/crates/kernel/tests/spread.rs
+++ b/crates/kernel/tests/spread.rs
@@ -382,6 +382,7 @@
     let mut driver = fleet(9, &SpreadSettings::default());
     driver.deaf.insert(7);
     let seq = accept(&mut driver, 4, &put(1, "a", 0, &[]));
+    driver.run(8_000);
     let mut other = driver.entries().remove(0).batch;
     other.changes[0].edit = Edit::Put {
         text: document("a", "nobody", &[]),
