--- a/crates/kernel/tests/spread.rs
+++ b/crates/kernel/tests/spread.rs
@@ -380,7 +380,10 @@
 #[test]
 fn state_that_peers_contradict_is_replaced() {
     let mut driver = fleet(9, &SpreadSettings::default());
-    driver.deaf.insert(7);
+    // Not a relay: those read the table.
+    let relay = |it: &usize| driver.kernels[*it].state().spread.stats().relay;
+    let victim = (0..9).find(|it| !relay(it)).expect("two of three are relays");
+    driver.deaf.insert(victim);
     let seq = accept(&mut driver, 4, &put(1, "a", 0, &[]));
     driver.run(8_000);
     let mut other = driver.entries().remove(0).batch;
@@ -395,8 +398,8 @@
     let range = range.expect("the log is not ahead of itself");
     let message = Message::Spread(Spread::Fill { range });
     let from = node(1);
-    driver.event(7, Event::Message { from, message });
-    assert_eq!(driver.kernels[7].state().log.seq(), seq);
+    driver.event(victim, Event::Message { from, message });
+    assert_eq!(driver.kernels[victim].state().log.seq(), seq);
     assert_eq!(digests(&driver).len(), 2);
     driver.deaf.clear();
     driver.run(20_000);
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -103,10 +103,7 @@
     let view = admin.control.view();
     match view.ready {
         true => format!("ok seq={}\n", view.seq).into_response(),
-        false => refuse(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "catching up with the configuration; ask again soon",
-        ),
+        false => Refusal::Unready.into_response(),
     }
 }
 
--- a/crates/node/src/admin/refusal.rs
+++ b/crates/node/src/admin/refusal.rs
@@ -69,6 +69,9 @@
     /// The platform gave no answer.
     #[error("{0}; nothing was changed, try again")]
     Unavailable(String),
+    /// The node has not caught up with the configuration yet.
+    #[error("catching up with the configuration; ask again soon")]
+    Unready,
     /// The node is shutting down.
     #[error(transparent)]
     Closed(#[from] Closed),
@@ -97,7 +100,9 @@
             | Refusal::Submission(_)
             | Refusal::Name(_) => StatusCode::BAD_REQUEST,
             Refusal::Resolve(_) => StatusCode::CONFLICT,
-            Refusal::Closed(_) | Refusal::Unavailable(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::Closed(_) | Refusal::Unavailable(_) | Refusal::Unready => {
+                StatusCode::SERVICE_UNAVAILABLE
+            },
             Refusal::Late => StatusCode::GATEWAY_TIMEOUT,
             Refusal::Unexpected => StatusCode::INTERNAL_SERVER_ERROR,
         }
