--- a/crates/kernel/examples/overload/sim.rs
+++ b/crates/kernel/examples/overload/sim.rs
@@ -607,6 +607,7 @@
 
     fn endpoint(&self, slots: u16) -> Endpoint {
         Endpoint {
+            reach: Default::default(),
             node: self.node,
             incarnation: 1,
             traffic: self.node.0,
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -139,7 +139,7 @@
                 log: Log::default(),
                 recovery: Recovery::default(),
                 accept: Accept::default(),
-                spread: Spread::default(),
+                spread: Spread::new(&settings),
                 members: Members::new(&settings),
                 once: Once::default(),
                 guard: Guard::default(),
--- a/crates/kernel/src/log.rs
+++ b/crates/kernel/src/log.rs
@@ -1,5 +1,6 @@
 //! The applied configuration: a prefix of the log in the platform's table.
 
+mod advance;
 mod hold;
 mod recovery;
 mod snapshot;
@@ -21,6 +22,7 @@
 };
 
 pub use self::{
+    advance::{Advance, Diverged},
     hold::Held,
     recovery::{Progress, Recovery},
     snapshot::{BadSnapshot, Snapshot, SnapshotService},
@@ -275,13 +277,17 @@
             author: author.into(),
             document,
         };
-        self.sum = self.sum.wrapping_add(weight(name, &latest));
+        self.sum = self
+            .sum
+            .wrapping_add(weight(name, latest.revision, &latest.text));
         self.latest.insert(name.clone(), latest);
     }
 
     fn remove(&mut self, name: &Name) {
         if let Some(latest) = self.latest.remove(name) {
-            self.sum = self.sum.wrapping_sub(weight(name, &latest));
+            self.sum = self
+                .sum
+                .wrapping_sub(weight(name, latest.revision, &latest.text));
         }
     }
 
@@ -330,12 +336,9 @@
 }
 
 /// A service's part of the digest; the parts are added, so a change costs one hash.
-fn weight(name: &Name, latest: &Latest) -> u64 {
-    hash64(&[
-        name.as_str().as_bytes(),
-        &latest.revision.0.to_le_bytes(),
-        latest.text.as_bytes(),
-    ])
+fn weight(name: &Name, revision: Revision, text: &str) -> u64 {
+    let revision = revision.0.to_le_bytes();
+    hash64(&[name.as_str().as_bytes(), &revision, text.as_bytes()])
 }
 
 fn handle(cx: &mut Context<'_>, state: &mut State, event: &Event) {
--- a/crates/kernel/src/log/snapshot.rs
+++ b/crates/kernel/src/log/snapshot.rs
@@ -38,7 +38,7 @@
 /// The bytes are not a whole snapshot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum BadSnapshot {
-    /// See [`SNAPSHOT_MAX`].
+    /// See `SNAPSHOT_MAX`.
     #[error("the snapshot has {0} bytes, more than {SNAPSHOT_MAX}; fetch it from another node")]
     Oversized(usize),
     /// They do not decode.
--- a/crates/kernel/src/pick.rs
+++ b/crates/kernel/src/pick.rs
@@ -15,16 +15,17 @@
     clock::Ms,
     document::Class,
     id::{Name, NodeId},
-    members::Phase,
+    members::{Phase, Reach},
     refusal::{Reason, Refusal},
     view::Endpoint,
 };
 
 use experience::{Experience, State};
 
-/// Penalties on the expected time for an endpoint in the own zone, in the own region and beyond.
-const PENALTY: [f64; TIERS] = [1.0, 1.2, 3.0];
-const TIERS: usize = 3;
+/// Penalties on the expected time for an endpoint in the own zone, in the own region, beyond, and for one
+/// that the members cannot reach.
+const PENALTY: [f64; TIERS] = [1.0, 1.2, 3.0, 10.0];
+const TIERS: usize = 4;
 /// Factor below which one cost is clearly better than another; otherwise the draw decides.
 ///
 /// Without it, the endpoint that was ever so slightly the slowest would never be chosen while loads are
@@ -212,6 +213,9 @@
     }
 
     fn tier(&self, endpoint: &Endpoint) -> usize {
+        if endpoint.reach == Reach::Unreachable {
+            return TIERS - 1;
+        }
         if endpoint.region != self.place.region {
             return 2;
         }
--- a/crates/kernel/src/view.rs
+++ b/crates/kernel/src/view.rs
@@ -18,6 +18,8 @@
 pub struct View {
     /// The log position that the services stand for.
     pub seq: Seq,
+    /// Whether this process has caught up since it started; before that it must not serve.
+    pub ready: bool,
     /// Every service, with the nodes whose upstreams serve it.
     pub services: BTreeMap<Name, ServiceView>,
     /// The offer and phase of the upstream beside this node.
@@ -74,7 +76,8 @@
 /// Publishes a new view whenever something in it changed, at most one a tick.
 ///
 /// A build visits every member. Without the bound a herd of small changes would rebuild the view for
-/// each of them and starve the control thread; the node's own changes are rare and go out at once.
+/// each of them and starve the control thread; the node's own changes and quarantines are rare and go out
+/// at once.
 #[derive(Debug, Default)]
 pub struct Publisher {
     stale: bool,
@@ -82,10 +85,10 @@
 
 fn handle(cx: &mut Context<'_>, state: &mut State, event: &Event) {
     match event {
-        Event::Notice(Notice::Applied { .. } | Notice::Members | Notice::Quarantine) => {
+        Event::Notice(Notice::Applied { .. } | Notice::Ready | Notice::Members) => {
             state.publisher.stale = true;
         }
-        Event::Start | Event::Notice(Notice::Own) => publish(cx, state),
+        Event::Start | Event::Notice(Notice::Own | Notice::Quarantine) => publish(cx, state),
         Event::Tick if state.publisher.stale => publish(cx, state),
         _ => {}
     }
@@ -117,6 +120,7 @@
     let own = state.members.own();
     View {
         seq: state.log.seq(),
+        ready: state.spread.ready(),
         services: services.collect(),
         own: own.offer.as_ref().map(|it| OwnView {
             service: it.service.clone(),
--- a/crates/kernel/tests/log.rs
+++ b/crates/kernel/tests/log.rs
@@ -212,7 +212,7 @@
     );
     prepare(&mut driver);
     driver.deaf = BTreeSet::from([0, 1]);
-    let reads = driver.reads;
+    let (reads, polls) = (driver.reads, driver.polls);
     let late = driver.add("cairo");
     driver.run(6_000);
     driver.down = false;
@@ -221,6 +221,9 @@
     assert_eq!(log.seq(), Seq(150));
     assert_eq!(log.digest(), driver.kernels[0].state().log.digest());
     assert!(driver.reads - reads < 40, "{} reads", driver.reads - reads);
+    // Two relays for 26 s, each at most every half second.
+    let polls = driver.polls - polls;
+    assert!(polls <= 2 * 2 * 26, "{polls} polls");
 }
 
 /// What a random session does next.
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -100,8 +100,11 @@
 }
 
 async fn ready(State(admin): State<Admin>) -> Response {
-    let seq = admin.control.view().seq;
-    format!("ok seq={seq}\n").into_response()
+    let view = admin.control.view();
+    match view.ready {
+        true => format!("ok seq={}\n", view.seq).into_response(),
+        false => Refusal::Unready.into_response(),
+    }
 }
 
 /// The variable segment of a path.
