--- a/crates/kernel/src/once/bucket.rs
+++ b/crates/kernel/src/once/bucket.rs
@@ -487,10 +487,9 @@
         Work::Resolve(_, it) => match ledger.resolve(cx.now, it, process) {
             Effect::Changed => Next::Write,
             _ if stale => Next::Reread,
+            Effect::Same => Next::Say(Said::Resolved),
             Effect::Refused(why) => Next::Say(Said::Refused(why.to_owned())),
-            Effect::Missing | Effect::Same => {
-                Next::Say(Said::Refused("no open claim has this key".to_owned()))
-            }
+            Effect::Missing => Next::Say(Said::Refused("no open claim has this key".to_owned())),
         },
     }
 }
@@ -677,17 +676,7 @@
     let said = match &ask.work {
         Work::Claim(..) => Said::Verdict(Verdict::Granted),
         Work::Settle(..) => Said::Settled,
-        Work::Resolve(_, it) => {
-            let pairs = vec![
-                ("service", it.key.service.to_string()),
-                ("key", it.key.text.clone()),
-                ("resolution", format!("{:?}", it.resolution)),
-                ("author", it.author.clone()),
-                ("note", it.note.clone()),
-            ];
-            cx.log("claim_resolved", pairs);
-            Said::Resolved
-        }
+        Work::Resolve(..) => Said::Resolved,
     };
     say(cx, state, ask, said);
 }
@@ -728,11 +717,26 @@
             cx.send(from, event::Message::Once(Message::Settled { attempt }));
         }
         (Work::Resolve(token, _), Said::Refused(why)) => reply(cx, token, Reply::Refused { why }),
-        (Work::Resolve(token, _), _) => reply(cx, token, Reply::Resolved),
+        (Work::Resolve(token, it), _) => {
+            audit(cx, &it);
+            reply(cx, token, Reply::Resolved);
+        }
         (Work::Claim(..), _) => {}
     }
 }
 
+/// Logs an operator's decision.
+fn audit(cx: &mut Context<'_>, decision: &Decision) {
+    let pairs = vec![
+        ("service", decision.key.service.to_string()),
+        ("key", decision.key.text.clone()),
+        ("resolution", format!("{:?}", decision.resolution)),
+        ("author", decision.author.clone()),
+        ("note", decision.note.clone()),
+    ];
+    cx.log("claim_resolved", pairs);
+}
+
 /// How the process that holds `entry` is, as far as this node knows.
 fn process(members: &Members, entry: &Entry) -> Process {
     let mut alive = members.alive();
--- a/crates/kernel/src/once/ledger.rs
+++ b/crates/kernel/src/once/ledger.rs
@@ -196,16 +196,21 @@
         let Some(entry) = self.entries.iter_mut().find(|it| it.key == decision.key) else {
             return Effect::Missing;
         };
+        let (author, note) = (decision.author.clone(), decision.note.clone());
+        let phase = match decision.resolution {
+            Resolution::Ran => Phase::Resolved { author, note },
+            Resolution::Rerun => Phase::Released { author, note },
+        };
+        // The decision is asked for again, or its own write was read back.
+        if entry.phase == phase {
+            return Effect::Same;
+        }
         if !entry.unknown(now, process) {
             return Effect::Refused(
                 "its outcome is not unknown; ask for the list of those that are",
             );
         }
-        let (author, note) = (decision.author.clone(), decision.note.clone());
-        entry.phase = match decision.resolution {
-            Resolution::Ran => Phase::Resolved { author, note },
-            Resolution::Rerun => Phase::Released { author, note },
-        };
+        entry.phase = phase;
         Effect::Changed
     }
 
--- a/crates/kernel/tests/once.rs
+++ b/crates/kernel/tests/once.rs
@@ -213,9 +213,13 @@
 
 // An operator looks a filing of unknown outcome up in the court's books. If it ran, it stays refused; if
 // it did not, the next attempt is granted. The decision is logged with its author.
-#[test_case(Resolution::Ran, "unknown"; "it ran")]
-#[test_case(Resolution::Rerun, "granted"; "it did not run")]
-fn resolved(resolution: Resolution, after: &str) {
+// When the table loses the answer to that write, the row is read back and says that it is decided.
+#[test_case(Resolution::Ran, Trouble::None, "unknown"; "it ran")]
+#[test_case(Resolution::Rerun, Trouble::None, "granted"; "it did not run")]
+#[test_case(Resolution::Ran, Trouble::LostAfter, "unknown"; "it ran and the answer is lost")]
+#[test_case(Resolution::Rerun, Trouble::LostAfter, "granted"; "it did not run and the answer is lost")]
+#[test_case(Resolution::Rerun, Trouble::LostBefore, "granted"; "the write is lost")]
+fn resolved(resolution: Resolution, trouble: Trouble, after: &str) {
     let mut fleet = Fleet::new(3);
     let one = fleet.claim(0, "filing-3", 1);
     fleet.run(1_000);
@@ -232,6 +236,7 @@
         author: "amal".to_owned(),
         note: "looked up in the registry".to_owned(),
     };
+    fleet.table.script.push_back(trouble);
     let done = fleet.call(2, Call::Once(call));
     fleet.run(1_000);
     assert_eq!(fleet.said(done), "resolved");
