--- a/crates/kernel/src/once/bucket.rs
+++ b/crates/kernel/src/once/bucket.rs
@@ -4,19 +4,25 @@
 //! Two owners at once therefore collide, read the row again and decide again; neither grants a claim that
 //! the other has granted.
 
-use std::collections::{BTreeMap, VecDeque};
+mod answer;
+mod decide;
+mod pace;
 
-use rand::Rng;
+use std::collections::{BTreeMap, VecDeque};
 
+use self::{
+    answer::{confirm, fail, looked},
+    decide::decide,
+    pace::{Contended, Pace},
+};
 use crate::{
     clock::Ms,
-    event,
     id::{CallId, NodeId, Token},
     kernel::{Context, State},
     members::Members,
     once::{
-        BUCKETS, Claim, GRANT_MS, Message, PACE_MS, Reply, Settlement, Verdict, holder,
-        ledger::{Decision, Effect, Entry, Ledger, Process, judge},
+        BUCKETS, Claim, GRANT_MS, PACE_MS, Reply, Settlement, holder,
+        ledger::{Decision, Entry, Ledger, Process},
         reply, row_key,
         seal::Sealer,
     },
@@ -29,9 +35,6 @@
 /// Most requests that one write of a row carries.
 const BATCH_MAX: usize = 128;
 
-/// The longest time between two writes of a row whose writes collide, in ms.
-const PACE_MAX_MS: u64 = 800;
-
 /// A row of more bytes takes no new claims: too many are open or of unknown outcome.
 const ROW_MAX: usize = 128 * 1024;
 
@@ -40,6 +43,7 @@
 
 /// From this share on a bucket that fills up is logged, every so often.
 const WARN_PERCENT: usize = 70;
+
 const WARN_MS: u64 = 60_000;
 
 /// One bucket that this node commits for.
@@ -62,54 +66,6 @@
     lookups: BTreeMap<CallId, Ask>,
 }
 
-/// Time between two writes, in ms. It doubles with each collision or throttled write and shrinks with each
-/// success.
-///
-/// While views differ, or regions have lost each other, a bucket has several owners. At full pace each, with
-/// the row as they wrote it last, nearly every write would collide and the table's rate would go into
-/// collisions. So an owner that met one waits longer, at random, and reads the row right before it writes:
-/// only writes within one round trip of each other still collide, and the batches grow instead.
-#[derive(Clone, Copy, Debug)]
-struct Pace(u64);
-
-impl Default for Pace {
-    fn default() -> Pace {
-        Pace(PACE_MS)
-    }
-}
-
-impl Pace {
-    fn slower(self) -> Pace {
-        Pace((self.0 * 2).min(PACE_MAX_MS))
-    }
-
-    fn faster(self) -> Pace {
-        Pace((self.0 - self.0 / 8).max(PACE_MS))
-    }
-
-    fn contended(self) -> Contended {
-        match self.0 > PACE_MS {
-            true => Contended::Yes,
-            false => Contended::No,
-        }
-    }
-
-    /// Time until the next write.
-    fn wait(self, rng: &mut impl Rng) -> u64 {
-        match self.contended() {
-            Contended::Yes => rng.random_range(self.0 / 2..self.0 * 3 / 2),
-            Contended::No => self.0,
-        }
-    }
-}
-
-/// Whether other nodes write the row too.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Contended {
-    Yes,
-    No,
-}
-
 /// What this node knows of the row.
 #[derive(Debug, Default)]
 enum Known {
@@ -165,37 +121,6 @@
     Index(CallId, String),
 }
 
-/// What to do with one request.
-enum Next {
-    /// Answer it now.
-    Say(Said),
-    /// Answer it once the row is written.
-    Write,
-    /// Read the row again first.
-    Reread,
-    /// Look into this segment.
-    Lookup(String),
-    /// Nobody waits for it any more.
-    Drop,
-}
-
-enum Said {
-    Verdict(Verdict),
-    Settled,
-    Resolved,
-    Refused(String),
-}
-
-impl Said {
-    /// Whether it tells that something is written.
-    fn promises(&self) -> bool {
-        matches!(
-            self,
-            Said::Verdict(Verdict::Granted) | Said::Settled | Said::Resolved
-        )
-    }
-}
-
 impl Bucket {
     pub(super) fn footprint(&self) -> usize {
         self.size + self.sealer.footprint()
@@ -389,111 +314,6 @@
     decide(cx, state, id);
 }
 
-/// Decides on the waiting requests and writes the row if it changes.
-fn decide(cx: &mut Context<'_>, state: &mut State, id: u16) {
-    let Some(bucket) = state.once.buckets.get_mut(&id) else {
-        return;
-    };
-    let Known::Row {
-        version,
-        ledger: before,
-        read,
-    } = std::mem::take(&mut bucket.row)
-    else {
-        return;
-    };
-    let mut after = before.clone();
-    let mut dropped = after.expire(cx.now, cx.settings.once.retention);
-    dropped.extend(bucket.sealer.apply(&mut after));
-    let count = bucket.queue.len().min(BATCH_MAX);
-    let batch: Vec<Ask> = bucket.queue.drain(..count).collect();
-    let full = bucket.full(cx, id);
-    let (mut asks, mut says, mut again) = (Vec::new(), Vec::new(), Vec::new());
-    for ask in batch {
-        let claims = matches!(ask.work, Work::Claim(..));
-        if full && claims && ask.written == Written::No {
-            let why = "this bucket is full: resolve unknown claims or shorten the retention";
-            says.push((ask, unavailable(PACE_MS, why)));
-            continue;
-        }
-        match judge_ask(cx, &state.members, &bucket.sealer, &mut after, read, &ask) {
-            // A request that is sent twice meets its own change, which is not written yet: to say so now
-            // would grant a claim whose write may still collide.
-            Next::Say(said) if said.promises() && after != before => asks.push(ask),
-            Next::Say(said) => says.push((ask, said)),
-            Next::Write => asks.push(ask),
-            Next::Reread => again.push(ask),
-            Next::Lookup(name) => {
-                let call = cx.object(ObjectOp::Get { name });
-                bucket.lookups.insert(call, ask);
-            }
-            Next::Drop => {}
-        }
-    }
-    let reread = !again.is_empty();
-    again
-        .into_iter()
-        .rev()
-        .for_each(|it| bucket.queue.push_front(it));
-    if after != before {
-        write(cx, bucket, id, version, after, asks, dropped);
-    }
-    if !reread || bucket.flight.is_some() {
-        bucket.row = Known::Row {
-            version,
-            ledger: before,
-            read,
-        };
-    }
-    for (ask, said) in says {
-        say(cx, state, ask, said);
-    }
-    pump(cx, state, id);
-}
-
-fn judge_ask(
-    cx: &Context<'_>,
-    members: &Members,
-    sealer: &Sealer,
-    ledger: &mut Ledger,
-    read: u64,
-    ask: &Ask,
-) -> Next {
-    let process = |it: &Entry| process(members, it);
-    let stale = ask.number > read;
-    match &ask.work {
-        // Its holder has given up by now: a claim that is written for it would stay open for nothing.
-        Work::Claim(..) if cx.now.since(ask.since) > GRANT_MS => Next::Drop,
-        Work::Claim(_, claim) => {
-            let sealed = ledger.find(&claim.key).is_none();
-            if sealed && let Some(name) = sealer.find(&claim.key) {
-                return Next::Lookup(name);
-            }
-            match ledger.claim(cx.now, claim, process) {
-                (_, Effect::Changed) => Next::Write,
-                // What an older row says may have been settled, released or resolved through another node.
-                (Verdict::Busy | Verdict::Unknown { .. } | Verdict::Mismatch, _) if stale => {
-                    Next::Reread
-                }
-                (verdict, _) => Next::Say(Said::Verdict(verdict)),
-            }
-        }
-        Work::Settle(_, it) => match ledger.settle(it) {
-            Effect::Changed => Next::Write,
-            // The claim may have been written by another owner since the row was read.
-            Effect::Missing if stale && sealer.find(&it.key).is_none() => Next::Reread,
-            _ => Next::Say(Said::Settled),
-        },
-        Work::Resolve(_, it) => match ledger.resolve(cx.now, it, process) {
-            Effect::Changed => Next::Write,
-            _ if stale => Next::Reread,
-            Effect::Same => Next::Say(Said::Resolved),
-            Effect::Refused(why) => Next::Say(Said::Refused(why.to_owned())),
-            Effect::Missing => Next::Say(Said::Refused("no open claim has this key".to_owned())),
-        },
-    }
-}
-
 fn write(
     cx: &mut Context<'_>,
     bucket: &mut Bucket,
@@ -645,98 +465,6 @@
     }
 }
 
-/// A segment that may hold a claim's key came.
-fn looked(cx: &mut Context<'_>, state: &mut State, ask: Ask, answer: &ObjectAnswer) {
-    let Work::Claim(_, claim) = &ask.work else {
-        return;
-    };
-    let entries = match answer {
-        ObjectAnswer::Bytes(bytes) => postcard::from_bytes::<Vec<Entry>>(bytes).ok(),
-        _ => None,
-    };
-    let Some(entries) = entries else {
-        return fail(
-            cx,
-            state,
-            ask,
-            PACE_MS,
-            "the kept answer cannot be read; retry later",
-        );
-    };
-    let verdict = match entries.iter().find(|it| it.key == claim.key) {
-        Some(it) => judge(cx.now, it, claim, |it| process(&state.members, it)),
-        // Another key has the same hash. Refusing is safe, and at 64 bits it all but never happens.
-        None => Verdict::Mismatch,
-    };
-    say(cx, state, ask, Said::Verdict(verdict));
-}
-
-/// Answers a request whose write took effect.
-fn confirm(cx: &mut Context<'_>, state: &mut State, ask: Ask) {
-    let said = match &ask.work {
-        Work::Claim(..) => Said::Verdict(Verdict::Granted),
-        Work::Settle(..) => Said::Settled,
-        Work::Resolve(..) => Said::Resolved,
-    };
-    say(cx, state, ask, said);
-}
-
-/// Answers a request for which nothing, or nothing for sure, was written.
-fn fail(cx: &mut Context<'_>, state: &mut State, ask: Ask, after: u64, why: &str) {
-    match (&ask.work, ask.written) {
-        (Work::Claim(..), Written::Perhaps) => {
-            say(cx, state, ask, Said::Verdict(Verdict::Doubt { after }));
-        }
-        (Work::Claim(..), Written::No) => say(cx, state, ask, unavailable(after, why)),
-        // Its holder sends it again until it is kept.
-        (Work::Settle(..), _) => {}
-        (Work::Resolve(..), _) => say(cx, state, ask, Said::Refused(why.to_owned())),
-    }
-}
-
-fn unavailable(after: u64, why: &str) -> Said {
-    let why = why.to_owned();
-    Said::Verdict(Verdict::Unavailable { after, why })
-}
-
-fn say(cx: &mut Context<'_>, state: &mut State, ask: Ask, said: Said) {
-    match (ask.work, said) {
-        (Work::Claim(from, claim), Said::Verdict(verdict)) => {
-            let attempt = claim.attempt;
-            if from == cx.settings.node {
-                return holder::verdict(cx, state, attempt, &verdict);
-            }
-            let message = Message::Verdict { attempt, verdict };
-            cx.send(from, event::Message::Once(message));
-        }
-        (Work::Settle(from, it), _) => {
-            let attempt = it.attempt;
-            if from == cx.settings.node {
-                return holder::settled(cx, state, attempt);
-            }
-            cx.send(from, event::Message::Once(Message::Settled { attempt }));
-        }
-        (Work::Resolve(token, _), Said::Refused(why)) => reply(cx, token, Reply::Refused { why }),
-        (Work::Resolve(token, it), _) => {
-            audit(cx, &it);
-            reply(cx, token, Reply::Resolved);
-        }
-        (Work::Claim(..), _) => {}
-    }
-}
-
-/// Logs an operator's decision.
-fn audit(cx: &mut Context<'_>, decision: &Decision) {
-    let pairs = vec![
-        ("service", decision.key.service.to_string()),
-        ("key", decision.key.text.clone()),
-        ("resolution", format!("{:?}", decision.resolution)),
-        ("author", decision.author.clone()),
-        ("note", decision.note.clone()),
-    ];
-    cx.log("claim_resolved", pairs);
-}
-
 /// How the process that holds `entry` is, as far as this node knows.
 fn process(members: &Members, entry: &Entry) -> Process {
     let mut alive = members.alive();
