--- a/crates/kernel/src/guard.rs
+++ b/crates/kernel/src/guard.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     clock::Ms,
-    event::{self, Event, Notice},
+    event::{self, Event, Notice, UpstreamEvent},
     id::{Name, NodeId, Token},
     kernel::{Context, Plugin, State},
     utils::hash64,
@@ -43,8 +43,11 @@
 pub struct Fingerprint(pub u64);
 
 impl Fingerprint {
-    /// The digest of a request to `service`. `path` includes the query; `caller` is the caller's idempotency
-    /// key, or empty; `body` is the BLAKE3 hash of the whole body.
+    /// The digest of a request to `service`. `path` includes the query; `caller` names the caller, or is empty
+    /// where callers are not told apart; `body` is the BLAKE3 hash of the whole body.
+    ///
+    /// The idempotency key is no part of it: a caller whose request crashed an upstream is told that the
+    /// outcome is unknown, and may well send the same request under a new key.
     pub fn of(
         service: &Name,
         method: &str,
@@ -167,6 +170,9 @@
     /// Requests that ran without a crash; crashes before that time no longer count.
     survived: BTreeMap<Fingerprint, Ms>,
     records: BTreeMap<Fingerprint, Record>,
+    /// The service of the upstream beside this node, also after it died: a death is often noticed, and the
+    /// announcement taken back, before the crash is told.
+    service: Option<Name>,
     spread: spread::Spread,
 }
 
@@ -187,6 +193,11 @@
         })
     }
 
+    /// Number of crashes that are remembered.
+    pub fn crashes(&self) -> usize {
+        self.crashes.len()
+    }
+
     /// Crashes up to this time do not count against `print`.
     fn cleared(&self, print: Fingerprint) -> Option<Ms> {
         let record = self.records.get(&print);
@@ -256,6 +267,9 @@
             from,
             message: event::Message::Guard(message),
         } => received(cx, state, *from, message),
+        Event::Upstream(UpstreamEvent::Announced { service, .. }) => {
+            state.guard.service = Some(service.clone());
+        }
         Event::Tick => {
             if state.guard.expire(cx.now) {
                 cx.raise(Notice::Quarantine);
@@ -273,7 +287,7 @@
             Reply::Noted
         }
         Call::Survived { print } => {
-            if let Some(service) = own_service(state) {
+            if let Some(service) = state.guard.service.clone() {
                 survived(cx, state, *print, cx.now);
                 let (print, time) = (*print, cx.now);
                 spread::tell_service(cx, state, &service, &Message::Survived { print, time });
@@ -292,7 +306,7 @@
 
 fn received(cx: &mut Context<'_>, state: &mut State, from: NodeId, message: &Message) {
     match message {
-        Message::Crashes { service, crashes } if own_service(state).as_ref() == Some(service) => {
+        Message::Crashes { service, crashes } if state.guard.service.as_ref() == Some(service) => {
             for crash in crashes.iter().take(CRASHES_MAX) {
                 count(cx, state, service, crash);
             }
@@ -313,7 +327,7 @@
 }
 
 fn crashed(cx: &mut Context<'_>, state: &mut State, prints: &[Fingerprint]) {
-    let Some(service) = own_service(state) else {
+    let Some(service) = state.guard.service.clone() else {
         return;
     };
     let crash = Crash {
@@ -412,8 +426,3 @@
 fn current(now: Ms, time: Ms) -> bool {
     now.since(time) <= HOLD_MS && time.since(now) <= HOLD_MS
 }
-
-fn own_service(state: &State) -> Option<Name> {
-    let offer = state.members.own().offer.as_ref()?;
-    Some(offer.service.clone())
-}
