--- a/crates/kernel/tests/log.rs
+++ b/crates/kernel/tests/log.rs
@@ -352,3 +352,40 @@
     let reply = driver.ask(0, Call::Outcome { id });
     assert_eq!(reply, Reply::Verdict(Verdict::Absent { id }));
 }
+
+// Two committers write snapshots of one log, at times of the same entry, while the store comes and goes. A
+// node that starts afterwards finds the object that the row names, and few objects are left over.
+#[test]
+fn two_committers_share_the_snapshots() {
+    let mut driver = Driver::new(&["cairo", "oregon"]);
+    driver.run(5_000);
+    for round in 0..100 {
+        for index in 0..2_u64 {
+            let id = u128::from(2 * round + index) + 1;
+            driver.submit(index as usize, &put(id, &format!("s{id}"), 0, &[]));
+        }
+        driver.run(200);
+        driver.down = round % 9 == 8;
+    }
+    driver.down = false;
+    driver.run(30_000);
+    let row = driver.rows.get("snapshot").expect("a snapshot was written");
+    let row = rows::read_snapshot(row).expect("decodes");
+    let snapshot = Snapshot::decode(&driver.objects[&row.object]).expect("decodes");
+    assert_eq!(snapshot.seq, row.seq);
+    let mut log = Log::default();
+    for entry in driver
+        .entries()
+        .into_iter()
+        .take_while(|it| it.batch.seq <= row.seq)
+    {
+        log.apply(Arc::new(entry.batch));
+    }
+    assert_eq!(log.digest(), snapshot.digest);
+    assert!(driver.entries().len() as u64 - row.seq.0 <= 64);
+    assert!(
+        driver.objects.len() <= 4,
+        "{} objects",
+        driver.objects.len()
+    );
+}
