--- a/crates/kernel/src/view.rs
+++ b/crates/kernel/src/view.rs
@@ -3,8 +3,9 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use crate::{
+    clock::Ms,
     document::Document,
-    event::{Action, Event, Notice},
+    event::{Action, Event, Notice, TICK_MS},
     guard::Quarantined,
     id::{Name, NodeId, Revision, Seq},
     kernel::{Context, Plugin, State},
@@ -69,13 +70,15 @@
     pub slots: u16,
 }
 
-/// Publishes a new view whenever something in it changed, at most one a tick.
+/// Publishes a new view whenever something in it changed, at most one in [`TICK_MS`].
 ///
 /// A build visits every member. Without the bound a herd of small changes would rebuild the view for
-/// each of them and starve the control thread; the node's own changes are rare and go out at once.
+/// each of them and starve the control thread. The node's own changes are rare and go out at once: a
+/// node that drains must refuse from then on.
 #[derive(Debug, Default)]
 pub struct Publisher {
     stale: bool,
+    published: Ms,
 }
 
 fn handle(cx: &mut Context<'_>, state: &mut State, event: &Event) {
@@ -83,14 +86,18 @@
         Event::Notice(Notice::Applied { .. } | Notice::Members | Notice::Quarantine) => {
             state.publisher.stale = true;
         }
-        Event::Start | Event::Notice(Notice::Own) => publish(cx, state),
-        Event::Tick if state.publisher.stale => publish(cx, state),
-        _ => {}
+        Event::Start | Event::Notice(Notice::Own) => return publish(cx, state),
+        Event::Tick => {}
+        _ => return,
+    }
+    if state.publisher.stale && cx.now.since(state.publisher.published) >= TICK_MS {
+        publish(cx, state);
     }
 }
 
 fn publish(cx: &mut Context<'_>, state: &mut State) {
     state.publisher.stale = false;
+    state.publisher.published = cx.now;
     let view = Arc::new(build(state));
     cx.act(Action::Publish(view));
 }
