Overload experiment in small files, with the decisions' processor time; a lost probe is given up on

Cause: a probe whose end was never told would have shut its endpoint out for good; each end of an attempt counted the ejected endpoints, though only failures need it. Change: after 30 s another probe may go; ejections are counted on failures only.

--- a/crates/kernel/examples/overload/main.rs
+++ b/crates/kernel/examples/overload/main.rs
@@ -2,14 +2,18 @@
 //!
 //! `cargo run --release -p laburnum-kernel --example overload [seed]` prints one line a scenario and policy.
 
+mod actors;
+mod cost;
+mod report;
+mod scenario;
 mod sim;
+mod step;
 
 use laburnum_kernel::admission::AdmissionSettings;
 
-use sim::{Policy, Report, Scenario, Upstreams, quantile, run};
-
-/// Shares of the classes in the offered slot time.
-const MIX: [f64; 3] = [0.7, 0.1, 0.2];
+use report::{Report, quantile};
+use scenario::{Policy, cascadia, nile, scenarios};
+use sim::run;
 
 fn main() {
     let seed = std::env::args()
@@ -39,6 +43,8 @@
             }
         }
     }
+    println!("pick, start and end: {:.0} ns", cost::pick());
+    println!("offer and end: {:.0} ns", cost::admit());
 }
 
 /// Both policies, or only the managed one with `managed` as the second argument.
@@ -49,82 +55,6 @@
     }
 }
 
-/// The drafting desk: drafts read in about 20 ms, filings 30 ms, archive lookups 100 ms.
-fn nile() -> Scenario {
-    Scenario {
-        endpoints: 5,
-        slots: 6,
-        zones: 3,
-        upstreams: Upstreams::Equal,
-        load: MIX,
-        service: [20_000, 30_000, 100_000],
-        deadline: [1_000_000, 2_000_000, 10_000_000],
-        time: 60_000_000,
-    }
-}
-
-/// The profiles: fetches of about 10 ms, purchases 20 ms, bulk work 50 ms.
-fn cascadia() -> Scenario {
-    Scenario {
-        endpoints: 7,
-        slots: 12,
-        zones: 4,
-        service: [10_000, 20_000, 50_000],
-        ..nile()
-    }
-}
-
-fn scenarios(base: &Scenario) -> Vec<(String, Scenario)> {
-    let scaled = |factor: f64| MIX.map(|it| it * factor);
-    let mut all = Vec::new();
-    for factor in [0.5, 1.0, 2.0, 4.0] {
-        let load = scaled(factor);
-        all.push((
-            format!("load {factor}x"),
-            Scenario {
-                load,
-                ..base.clone()
-            },
-        ));
-    }
-    for factor in [0.5, 1.0, 2.0] {
-        let (load, upstreams) = (scaled(factor), Upstreams::Slow);
-        all.push((
-            format!("1/3 slow {factor}x"),
-            Scenario {
-                load,
-                upstreams,
-                ..base.clone()
-            },
-        ));
-    }
-    for factor in [0.15, 0.5, 1.0] {
-        let (load, upstreams) = (scaled(factor), Upstreams::Oversold);
-        all.push((
-            format!("oversold {factor}x"),
-            Scenario {
-                load,
-                upstreams,
-                ..base.clone()
-            },
-        ));
-    }
-    for (label, load) in [
-        ("quiet", [0.4, 0.05, 0.0]),
-        ("background flood", [0.4, 0.05, 4.0]),
-        ("foreground flood", [3.0, 0.1, 0.2]),
-    ] {
-        all.push((
-            label.to_owned(),
-            Scenario {
-                load,
-                ..base.clone()
-            },
-        ));
-    }
-    all
-}
-
 fn print(site: &str, label: &str, policy: Policy, report: &Report) {
     let served =
         |class: usize| 100.0 * report.good[class] as f64 / report.offered[class].max(1) as f64;
--- a/crates/kernel/examples/overload/sim.rs
+++ b/crates/kernel/examples/overload/sim.rs
@@ -1,132 +1,32 @@
 //! A discrete-event run of entries, owners and upstreams, in microseconds.
 
-use std::{
-    cmp::Reverse,
-    collections::{BinaryHeap, HashMap, VecDeque},
-    net::{Ipv4Addr, SocketAddr},
-};
+use std::{cmp::Reverse, collections::BinaryHeap};
 
 use laburnum_kernel::{
-    Ms, Name, NodeId,
-    admission::{Admission, AdmissionSettings, Finish, Offer, Permit, Request, Ticket, Wake},
+    Ms, NodeId,
+    admission::{AdmissionSettings, Finish, Offer, Permit, Request, Wake},
     document::{self, Class, Repeat},
-    members::Phase,
-    pick::{Choice, Outcome, Picker, Place},
+    pick::{Choice, Outcome},
     refusal::Refusal,
-    retry::{Budget, Deadline, Failure, Next, Retry, Tree, Untried},
+    retry::{Deadline, Failure, Next, Retry, Tree, Untried},
     view::Endpoint,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::{
+    actors::{Entry, Owner},
+    report::Report,
+    scenario::{Policy, Scenario},
+    step::{Answer, Step},
+};
+
 /// Places of each class in the tables of a [`Report`].
 pub const CLASSES: [Class; 3] = [Class::Interactive, Class::Exact, Class::Background];
 
 const WARMUP: u64 = 3_000_000;
 const TICK: u64 = 5_000;
 const RETRIES: u32 = 3;
-const RAMP: u64 = 5_000;
-
-/// How requests are carried.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Policy {
-    /// Round robin, a queue in the upstream, three blind retries after a quarter of the deadline each.
-    Baseline,
-    /// Admission, two choices, budgeted retries.
-    Managed,
-}
-
-/// How an upstream behaves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Upstreams {
-    /// All alike.
-    Equal,
-    /// Every third is three times slower.
-    Slow,
-    /// All announce three times the slots that they have processors for, and slow down beyond.
-    Oversold,
-}
-
-/// One experiment.
-#[derive(Clone, Debug)]
-pub struct Scenario {
-    pub endpoints: usize,
-    pub slots: u16,
-    pub zones: usize,
-    pub upstreams: Upstreams,
-    /// Offered slot time of each class as a share of the capacity.
-    pub load: [f64; 3],
-    /// Mean service time of each class, in us.
-    pub service: [u64; 3],
-    /// Deadline of each class, in us.
-    pub deadline: [u64; 3],
-    /// Simulated time, in us.
-    pub time: u64,
-}
-
-/// What was measured after the warm-up.
-#[derive(Clone, Debug, Default)]
-pub struct Report {
-    pub offered: [u64; 3],
-    pub good: [u64; 3],
-    /// Latency of good answers, in us.
-    pub latency: [Vec<u64>; 3],
-    /// Time until a request that was not answered well was told so, in us.
-    pub given_up: Vec<u64>,
-    /// Work in good answers, in us of an uncrowded, ordinary slot.
-    pub useful: f64,
-    /// Work that the upstreams can do at best, in the same unit.
-    pub capacity: f64,
-    /// Attempts that reached an owner or upstream.
-    pub attempts: u64,
-    /// Requests that reached one at least once.
-    pub reached: u64,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Step {
-    Arrive {
-        class: usize,
-    },
-    Attempt {
-        call: usize,
-    },
-    AtOwner {
-        call: usize,
-        attempt: u32,
-        owner: usize,
-    },
-    Ended {
-        call: usize,
-        attempt: u32,
-        owner: usize,
-        work: u64,
-    },
-    AtEntry {
-        call: usize,
-        attempt: u32,
-        owner: usize,
-        answer: Answer,
-    },
-    Timeout {
-        call: usize,
-        attempt: u32,
-    },
-    Tick {
-        owner: usize,
-    },
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Answer {
-    Ran {
-        work: u64,
-    },
-    Refused {
-        reason: laburnum_kernel::refusal::Reason,
-        after: u64,
-    },
-}
 
 struct Call {
     class: usize,
@@ -140,25 +40,6 @@
     open: bool,
 }
 
-struct Entry {
-    picker: Picker,
-    budget: Budget,
-    zone: usize,
-    turn: usize,
-}
-
-struct Owner {
-    admission: Admission,
-    node: NodeId,
-    zone: usize,
-    factor: f64,
-    processors: Option<f64>,
-    running: usize,
-    waiting: HashMap<Ticket, (usize, u32)>,
-    permits: HashMap<(usize, u32), Permit>,
-    backlog: VecDeque<(usize, u32)>,
-}
-
 /// One run.
 pub struct Sim {
     scenario: Scenario,
@@ -575,92 +456,6 @@
     }
 }
 
-impl Owner {
-    fn new(scenario: &Scenario, settings: &AdmissionSettings, at: usize) -> Owner {
-        let mut admission = Admission::new(settings.clone(), scenario.slots);
-        admission.set_phase(Ms(0), Phase::Ready, &mut Vec::new());
-        let slow = scenario.upstreams == Upstreams::Slow && at.is_multiple_of(3);
-        let oversold = scenario.upstreams == Upstreams::Oversold;
-        let port = u16::try_from(at).expect("few endpoints");
-        Owner {
-            admission,
-            node: NodeId(SocketAddr::from((Ipv4Addr::LOCALHOST, port))),
-            zone: at % scenario.zones,
-            factor: if slow { 3.0 } else { 1.0 },
-            processors: oversold.then(|| f64::from(scenario.slots) / 3.0),
-            running: 0,
-            waiting: HashMap::new(),
-            permits: HashMap::new(),
-            backlog: VecDeque::new(),
-        }
-    }
-
-    /// Work done at best, as a share of that of ordinary slots.
-    fn capacity(&self) -> f64 {
-        let share = if self.processors.is_some() {
-            1.0 / 3.0
-        } else {
-            1.0
-        };
-        share / self.factor
-    }
-
-    fn endpoint(&self, slots: u16) -> Endpoint {
-        Endpoint {
-            node: self.node,
-            incarnation: 1,
-            traffic: self.node.0,
-            region: name("region"),
-            zone: name(&format!("zone-{}", self.zone)),
-            phase: Phase::Ready,
-            slots,
-        }
-    }
-}
-
-impl Entry {
-    fn new(zone: usize, turn: usize, endpoints: &[Endpoint]) -> Entry {
-        let place = Place {
-            region: name("region"),
-            zone: name(&format!("zone-{zone}")),
-        };
-        let mut picker = Picker::new(place);
-        picker.refresh(Ms(0), endpoints, RAMP);
-        Entry {
-            picker,
-            budget: Budget::new(Ms(0), 10),
-            zone,
-            turn,
-        }
-    }
-}
-
-impl Report {
-    /// Share of the capacity that went into answers in time.
-    pub fn goodput(&self) -> f64 {
-        self.useful / self.capacity
-    }
-
-    /// Attempts beyond the first as a share of the requests that were sent at all.
-    pub fn retries(&self) -> f64 {
-        (self.attempts - self.reached) as f64 / self.reached.max(1) as f64
-    }
-}
-
-/// The value below which `share` of `values` lie, in ms.
-pub fn quantile(values: &[u64], share: f64) -> f64 {
-    let mut sorted = values.to_vec();
-    sorted.sort_unstable();
-    let at = (sorted.len() as f64 * share) as usize;
-    sorted
-        .get(at.min(sorted.len().saturating_sub(1)))
-        .map_or(f64::NAN, |it| *it as f64 / 1_000.0)
-}
-
 fn exponential(rng: &mut impl Rng) -> f64 {
     -(1.0 - rng.random::<f64>()).ln()
 }
-
-fn name(text: &str) -> Name {
-    text.parse().expect("a literal name is valid")
-}
--- a/crates/kernel/src/pick.rs
+++ b/crates/kernel/src/pick.rs
@@ -172,12 +172,7 @@
         load: Option<Load>,
     ) {
         let pace = self.pace(class, outcome);
-        let ejected = self
-            .members
-            .iter()
-            .filter(|it| it.experience.ejected(now))
-            .count();
-        let may_eject = (ejected + 1) * 100 <= self.members.len() * EJECTED_SHARE;
+        let may_eject = outcome == Outcome::Failed && self.may_eject(now);
         let Some(it) = self.member(node) else {
             return;
         };
@@ -185,7 +180,7 @@
         if let Some(pace) = pace {
             it.experience.measure(now, pace);
         }
-        if may_eject && outcome == Outcome::Failed {
+        if may_eject {
             it.experience.eject(now);
         }
     }
@@ -211,6 +206,15 @@
         Some((sample + 1.0) / (*mean + 1.0))
     }
 
+    /// Whether one more ejection leaves enough endpoints.
+    ///
+    /// A fault on this node's side makes all endpoints fail alike. Without a bound it would refuse all work
+    /// though every upstream is well.
+    fn may_eject(&self, now: Ms) -> bool {
+        let ejected = self.members.iter().filter(|it| it.experience.ejected(now));
+        (ejected.count() + 1) * 100 <= self.members.len() * EJECTED_SHARE
+    }
+
     fn tier(&self, endpoint: &Endpoint) -> usize {
         if endpoint.region != self.place.region {
             return 2;
@@ -287,7 +291,7 @@
     fn usable(&self, now: Ms, class: Class) -> bool {
         let open = match self.experience.state(now) {
             State::Open => true,
-            State::Probing => self.experience.inflight() == 0,
+            State::Probing => !self.experience.awaited(now),
             State::Ejected => false,
         };
         open && self.experience.held(now, class) == 0
--- a/crates/kernel/src/pick/experience.rs
+++ b/crates/kernel/src/pick/experience.rs
@@ -18,6 +18,8 @@
 const PACE_AGE: f64 = 3_000.0;
 /// Share of a new sample in the pace.
 const PACE_GAIN: f64 = 0.1;
+/// Time after which a request whose end was not told is given up on, in ms.
+const LOST: u64 = 30_000;
 /// Smallest share of work of an endpoint that has just started.
 const COLD: f64 = 0.1;
 /// Longest time for which a refusal keeps work away, in ms; its sender may be wrong.
@@ -40,6 +42,7 @@
 #[derive(Debug, Default)]
 pub struct Experience {
     inflight: u32,
+    sent: Ms,
     failures: u32,
     ejections: u32,
     ejected: Option<Ms>,
@@ -63,7 +66,8 @@
         }
     }
 
-    pub fn started(&mut self, _now: Ms) {
+    pub fn started(&mut self, now: Ms) {
+        self.sent = now;
         self.inflight += 1;
     }
 
@@ -119,8 +123,9 @@
         self.held[class_index(class)].since(now)
     }
 
-    pub fn inflight(&self) -> u32 {
-        self.inflight
+    /// Whether an answer is still expected. A request whose end was never told must not stop all probes.
+    pub fn awaited(&self, now: Ms) -> bool {
+        self.inflight > 0 && now.since(self.sent) < LOST
     }
 
     pub fn failures(&self) -> u32 {
--- a/crates/kernel/tests/pick.rs
+++ b/crates/kernel/tests/pick.rs
@@ -323,6 +323,19 @@
     picker
 }
 
+/// A probe's end is never told, for its task was dropped. The endpoint must not stay shut for good: after
+/// half a minute another request may try it.
+#[test]
+fn a_lost_probe_is_given_up_on() {
+    let mut picker = picker(&endpoints(&["cairo/nasr-hall"; 4]));
+    fail(&mut picker, Ms(0), node(1), 3);
+    picker.started(Ms(1_001), node(1));
+    assert!(!tally(&picker, Ms(31_000), &[]).contains_key(&1));
+    let others = [node(2), node(3), node(4)];
+    let only = tally(&picker, Ms(31_001), &others);
+    assert_eq!(only, BTreeMap::from([(1, 1_000)]));
+}
+
 /// One upstream in three is slow and its requests drag the whole service. Its pace, measured against the
 /// mean of each class, turns most work away; some still goes there, or its recovery would go unseen.
 #[test]
