Background work leaves the mean demand of the others free, no more

Cause: holding back the mean and its square root left a flooded upstream idle. Change: the reserve is the mean demand, at least one slot.

--- a/crates/kernel/src/admission.rs
+++ b/crates/kernel/src/admission.rs
@@ -284,10 +284,9 @@
     /// Slots that background work may hold: those that the usual demand of the other classes leaves.
     ///
     /// A run cannot be interrupted. Without the reserve, long background runs fill every slot in a
-    /// quiet moment, and the next interactive request waits for one of them to end. Demand that arrives
-    /// independently varies by about the square root of its mean, so that much is held back on top.
+    /// quiet moment, and the next interactive request waits for one of them to end.
     fn background_room(&self) -> usize {
-        let reserve = (self.demand + self.demand.sqrt()).max(1.0);
+        let reserve = self.demand.max(1.0);
         let room = self.limit.get() as f64 - reserve;
         (room.round().max(1.0)) as usize
     }
