--- a/crates/kernel/src/admission.rs
+++ b/crates/kernel/src/admission.rs
@@ -241,6 +241,11 @@
         self.dispatch(now, out);
     }
 
+    /// Follows the document's `limits.queue`. What already waits stays, also beyond a shorter queue.
+    pub fn set_queue(&mut self, queue: usize) {
+        self.settings.queue = queue;
+    }
+
     /// The load to send back with an answer.
     pub fn load(&self) -> Load {
         let waiting = self.queue(Class::Interactive).len() + self.queue(Class::Exact).len();
--- a/crates/kernel/tests/admission.rs
+++ b/crates/kernel/tests/admission.rs
@@ -400,6 +400,21 @@
     assert_eq!(admission.waiting(), 64);
 }
 
+/// A document shortens the queue while work waits: what waits keeps its place, what comes is refused.
+#[test]
+fn a_shorter_queue_keeps_what_waits() {
+    let mut admission = ready(1);
+    let now = teach(&mut admission, Ms(1_000), 10);
+    let _running = run(&mut admission, now);
+    let mut offer = || admission.offer(now, request(Class::Background, now + 600_000));
+    let waits: Vec<Offer> = (0..5).map(|_| offer()).collect();
+    assert!(waits.iter().all(|it| matches!(it, Offer::Wait(_))));
+    admission.set_queue(2);
+    let next = admission.offer(now, request(Class::Background, now + 600_000));
+    assert!(matches!(next, Offer::Refuse(it) if it.reason == Reason::QueueFull));
+    assert_eq!(admission.waiting(), 5);
+}
+
 #[test_case(Phase::Warming, Reason::NotReady)]
 #[test_case(Phase::Draining, Reason::Draining)]
 #[test_case(Phase::Gone, Reason::Draining)]
