--- a/crates/kernel/src/accept.rs
+++ b/crates/kernel/src/accept.rs
@@ -64,8 +64,8 @@
     Unavailable { why: String },
     /// It may or may not be accepted: ask again by its id.
     Unknown { id: SubmitId },
-    /// Asked by its id: the log holds no such submission so far. Submitting it again under the same id
-    /// is safe.
+    /// Asked by its id: none of the last [`crate::log::IDS_MAX`] accepted submissions has it so far.
+    /// Submitting it again under the same id is safe.
     Absent { id: SubmitId },
 }
 
@@ -126,12 +126,18 @@
 /// Most changes in one transaction: each writes one row, beside two checks, `head` and the entry.
 pub const CHANGES_MAX: usize = COMMIT_MAX - 4;
 
-/// Most bytes of a document; with its diff it fits one row of the table.
-pub const TEXT_MAX: usize = 64 * 1024;
+/// Most bytes of a document. With author and reason it fits one frame of the link, to be forwarded.
+pub const TEXT_MAX: usize = 48 * 1024;
+
+/// Most bytes of a batch, which so fits one frame of the link; its diffs are only in the table.
+pub const BATCH_MAX: usize = 56 * 1024;
 
 /// Most bytes of a diff in the log; a longer one is left out, and both texts are in the log anyway.
 pub const DIFF_MAX: usize = 64 * 1024;
 
+/// Most bytes of a diff in a verdict, which so fits one frame of the link.
+pub const VERDICT_DIFF_MAX: usize = 32 * 1024;
+
 /// Most bytes of an author's name.
 pub const AUTHOR_MAX: usize = 128;
 
@@ -144,6 +150,10 @@
 /// Most bytes of submissions that wait on one node.
 pub const QUEUE_BYTES: usize = 8 << 20;
 
+/// Longest time that a committer gathers submissions, in ms; a longer window counts as this one, so that a
+/// node that forwarded one does not take the committer for silent.
+pub const WINDOW_MAX: u64 = 500;
+
 /// Longest time until a submission has a verdict, in ms.
 pub const VERDICT_TIMEOUT: u64 = 6_000;
 
--- a/crates/kernel/tests/common/driver.rs
+++ b/crates/kernel/tests/common/driver.rs
@@ -12,6 +12,7 @@
     Action, Call, Event, Kernel, Message, Ms, Name, NodeId, Reply, Revision, Settings, SubmitId,
     Token,
     accept::{self, Entry, Submission, Verdict, rows},
+    document::Document,
     log::Edit,
     platform::{ABSENT, Check, Fault, ObjectAnswer, ObjectOp, Row, TableAnswer, TableOp, Write},
 };
@@ -80,7 +81,12 @@
     pub reads: usize,
     /// Reads of the table's head alone: relays poll it.
     pub polls: usize,
+    /// Commits of the log, whether or not their checks held.
     pub commits: usize,
+    /// Rows and bytes written.
+    pub written: (usize, usize),
+    /// Ms from a question to the platform to its answer.
+    pub delay: u64,
     due: BTreeMap<(Ms, u64), Due>,
     count: u64,
     ticked: Ms,
@@ -114,6 +120,8 @@
             reads: 0,
             polls: 0,
             commits: 0,
+            written: (0, 0),
+            delay: DELAY,
             due: BTreeMap::new(),
             count: 0,
             ticked: Ms(1_000_000),
@@ -282,7 +290,10 @@
             }
             Action::Object { call, op } => {
                 let answer = self.object(op);
-                self.after(DELAY, Due::Event(index, Event::Object { call, answer }));
+                self.after(
+                    self.delay,
+                    Due::Event(index, Event::Object { call, answer }),
+                );
             }
             Action::Reply { token, reply } => self.replies.entry(token).or_default().push(reply),
             Action::Log { event, pairs } => {
@@ -326,22 +337,23 @@
     fn table(&mut self, index: usize, op: &TableOp) -> (TableAnswer, u64) {
         let shown = show(op);
         let mishap = match shown {
+            Some(_) if self.down => None,
             Some(_) if matches!(op, TableOp::Commit { .. }) => self.mishaps.pop_front(),
             _ => None,
         };
         let (answer, delay) = match mishap {
-            _ if self.down => (TableAnswer::Failed(Fault::Unavailable), DELAY),
-            None | Some(Mishap::Fine) => (self.carry_out(op), DELAY),
+            _ if self.down => (TableAnswer::Failed(Fault::Unavailable), self.delay),
+            None | Some(Mishap::Fine) => (self.carry_out(op), self.delay),
             Some(Mishap::Slow(millis)) => (self.carry_out(op), millis),
-            Some(Mishap::Fails(fault)) => (TableAnswer::Failed(fault), DELAY),
+            Some(Mishap::Fails(fault)) => (TableAnswer::Failed(fault), self.delay),
             Some(Mishap::AnswerLost) => {
                 self.carry_out(op);
-                (TableAnswer::Failed(Fault::Unknown), DELAY)
+                (TableAnswer::Failed(Fault::Unknown), self.delay)
             }
-            Some(Mishap::WriteLost) => (TableAnswer::Failed(Fault::Unknown), DELAY),
+            Some(Mishap::WriteLost) => (TableAnswer::Failed(Fault::Unknown), self.delay),
             Some(Mishap::WriteLate(millis)) => {
                 self.after(millis, Due::Write(op.clone()));
-                (TableAnswer::Failed(Fault::Unknown), DELAY)
+                (TableAnswer::Failed(Fault::Unknown), self.delay)
             }
         };
         if let Some(shown) = shown {
@@ -380,7 +392,8 @@
 
     fn commit(&mut self, checks: &[Check], writes: &[Write]) -> TableAnswer {
         assert!(checks.len() + writes.len() <= laburnum_kernel::platform::COMMIT_MAX);
-        self.commits += 1;
+        let logged = checks.iter().any(|it| it.key.starts_with("log/"));
+        self.commits += usize::from(logged);
         let version = |it: &Check| self.rows.get(&it.key).map_or(ABSENT, |row| row.version);
         let failed: Vec<&Check> = checks
             .iter()
@@ -403,6 +416,8 @@
             Write::Put { key, value } => {
                 assert!(value.len() <= laburnum_kernel::platform::VALUE_MAX);
                 let version = self.rows.get(key).map_or(ABSENT, |it| it.version) + 1;
+                self.written.0 += 1;
+                self.written.1 += key.len() + value.len();
                 let (key, value) = (key.clone(), value.clone());
                 self.rows.insert(
                     key.clone(),
@@ -470,34 +485,20 @@
 
 /// A document of `service` whose only route uses `uses`.
 pub fn document(service: &str, owner: &str, uses: &[&str]) -> String {
+    let head = format!(
+        "schema = 1\nservice = \"{service}\"\nowner = \"{owner}\"\n\n# Made for a test.\n# It has one route.\n"
+    );
+    let route = format!(
+        "[[routes]]\npath = \"/\"\nmethods = [\"GET\"]\nclass = \"interactive\"\nuses = {uses:?}\n"
+    );
+    let text = format!("{head}\n{route}deadline = \"1s\"\n");
+    if Document::parse(&text).is_ok() {
+        return text;
+    }
+    // The format before durations had units and sections had defaults.
     format!(
-        r#"schema = 1
-service = "{service}"
-owner = "{owner}"
-
-[limits]
-queue = 64
-caller = 0
-body = 1048576
-
-[retry]
-attempts = 3
-budget = 10
-
-[drain]
-grace = 30000
-
-[warmup]
-ramp = 5000
-
-[[routes]]
-path = "/"
-methods = ["GET"]
-class = "interactive"
-deadline = 1000
-repeat = "idempotent"
-uses = {uses:?}
-"#
+        "{head}\n[limits]\nqueue = 64\ncaller = 0\nbody = 1048576\n\n[retry]\nattempts = 3\nbudget = 10\n\n\
+         [drain]\ngrace = 30000\n\n[warmup]\nramp = 5000\n\n{route}deadline = 1000\nrepeat = \"idempotent\"\n"
     )
 }
 
--- a/crates/kernel/tests/spread.rs
+++ b/crates/kernel/tests/spread.rs
@@ -11,7 +11,7 @@
 
 use laburnum_kernel::{
     Call, Event, Message, Ms, Reply, Seq, Settings, Token,
-    accept::{Submission, Verdict},
+    accept::{Submission, Verdict, committer},
     log::{Edit, Log},
     settings::{SpreadForm, SpreadMode, SpreadSettings},
     spread::{self, Message as Spread, Status, history::History, wire},
@@ -380,11 +380,15 @@
 #[test]
 fn state_that_peers_contradict_is_replaced() {
     let mut driver = fleet(9, &SpreadSettings::default());
-    // Not a relay: those read the table.
-    let relay = |it: &usize| driver.kernels[*it].state().spread.stats().relay;
-    let victim = (0..9).find(|it| !relay(it)).expect("two of three are relays");
+    // Neither a relay, which reads the table, nor the committer of its region.
+    let fits = |it: &usize| {
+        let state = driver.kernels[*it].state();
+        let region = &driver.kernels[*it].settings().region;
+        !state.spread.stats().relay && committer(state, region) != Some(node(*it))
+    };
+    let victim = (0..9).find(fits).expect("two of three are relays");
     driver.deaf.insert(victim);
-    let seq = accept(&mut driver, 4, &put(1, "a", 0, &[]));
+    let seq = accept(&mut driver, (victim + 1) % 9, &put(1, "a", 0, &[]));
     driver.run(8_000);
     let mut other = driver.entries().remove(0).batch;
     other.changes[0].edit = Edit::Put {
--- a/crates/node/src/admin/refusal.rs
+++ b/crates/node/src/admin/refusal.rs
@@ -102,7 +102,7 @@
             Refusal::Resolve(_) => StatusCode::CONFLICT,
             Refusal::Closed(_) | Refusal::Unavailable(_) | Refusal::Unready => {
                 StatusCode::SERVICE_UNAVAILABLE
-            },
+            }
             Refusal::Late => StatusCode::GATEWAY_TIMEOUT,
             Refusal::Unexpected => StatusCode::INTERNAL_SERVER_ERROR,
         }
