--- a/crates/kernel/src/log.rs
+++ b/crates/kernel/src/log.rs
@@ -25,7 +25,7 @@
     advance::{Advance, Diverged},
     hold::Held,
     recovery::{Progress, Recovery},
-    snapshot::{BadSnapshot, Snapshot, SnapshotService},
+    snapshot::{BadSnapshot, SNAPSHOT_MAX, Snapshot, SnapshotService},
 };
 
 inventory::submit! { Plugin { name: "log", order: 15, handle } }
