Spread: the shorter of deltas and full texts, the earlier of two windows, and measurements

Cause: twenty similar documents compress better together than their deltas do; a relay that had read the table kept its own later window when the committer's push came. Change: a range is packed both ways and the shorter one sent; a waiting push takes the earlier time. examples/spread_bytes and examples/spread_run print the sizes and the cost of runs.

--- a/crates/kernel/examples/spread_bytes.rs
+++ b/crates/kernel/examples/spread_bytes.rs
@@ -1,8 +1,18 @@
-//! Prints the bytes that typical changes take in each form that was weighed for the wire.
+//! Prints the bytes that typical changes take in each form that was weighed for the wire, and in whole
+//! messages as they are sent.
 //!
 //! Run with `cargo run --release -p laburnum-kernel --example spread_bytes`.
 
-use laburnum_kernel::spread::wire::TEMPLATE;
+use laburnum_kernel::{
+    Ms, Revision, Seq, SubmitId,
+    log::{Batch, Change, Edit, Log},
+    settings::SpreadForm,
+    spread::{
+        history::History,
+        wire::{self, Range, TEMPLATE},
+    },
+    utils::hash64,
+};
 use similar::{ChangeTag, TextDiff};
 
 fn main() {
@@ -12,18 +22,18 @@
         (
             "small: one deadline",
             small.clone(),
-            small.replace("deadline = 1000", "deadline = 1500"),
+            small.replace("deadline = \"800ms\"", "deadline = \"900ms\""),
         ),
         (
             "large: one deadline",
             large.clone(),
-            large.replacen("deadline = 1007", "deadline = 2500", 1),
+            large.replacen("deadline = \"1007ms\"", "deadline = \"2500ms\"", 1),
         ),
         ("large: route added", large.clone(), document(13)),
         (
             "large: every deadline",
             large.clone(),
-            large.replace("deadline = 10", "deadline = 20"),
+            large.replace("deadline = \"10", "deadline = \"20"),
         ),
         ("small: new service", String::new(), small.clone()),
         ("large: new service", String::new(), large.clone()),
@@ -59,6 +69,65 @@
             zstd(old.as_bytes(), new.as_bytes()),
         );
     }
+    println!(
+        "\n{:>24}{:>9}{:>9}{:>9}{:>9}",
+        "services in one message", "log row", "full", "delta", "ids"
+    );
+    for count in [1, 5, 20, 100] {
+        messages(
+            count,
+            &large,
+            &large.replacen("deadline = \"1007ms\"", "deadline = \"2500ms\"", 1),
+        );
+    }
+    let started = std::time::Instant::now();
+    for _ in 0..1_000 {
+        std::hint::black_box(wire::diff(&large, &small));
+    }
+    println!(
+        "\none delta takes {} us",
+        started.elapsed().as_micros() / 1_000
+    );
+}
+
+/// Sizes of whole messages that bring `count` services from one version to the next, in bytes.
+fn messages(count: u64, old: &str, new: &str) {
+    let mut log = Log::default();
+    let mut history = History::default();
+    let batch = |seq: u64, text: &str| Batch {
+        seq: Seq(seq),
+        changes: (0..count).map(|it| change(seq, it, text)).collect(),
+    };
+    log.apply(batch(1, old).into());
+    history.follow(&log);
+    log.apply(batch(2, new).into());
+    history.follow(&log);
+    let size = |range: Option<Range>| range.map_or(0, |it| wire::len(&it));
+    let raw = postcard::to_stdvec(&batch(2, new)).map_or(0, |it| it.len());
+    println!(
+        "{count:24}{raw:9}{:9}{:9}{:9}",
+        size(history.range(&log, Seq(1), SpreadForm::Full)),
+        size(history.range(&log, Seq(1), SpreadForm::Delta)),
+        16 * count
+    );
+}
+
+fn change(seq: u64, service: u64, text: &str) -> Change {
+    let name = format!("service-{service}");
+    let text = text
+        .replace("drafting-desk", &name)
+        .replace("drafting team", &format!("team {service}"));
+    let id = hash64(&[&seq.to_le_bytes(), &service.to_le_bytes()]);
+    Change {
+        id: SubmitId(u128::from(id) << 64 | u128::from(!id)),
+        service: name.parse().expect("a literal name is valid"),
+        base: Revision(seq - 1),
+        revision: Revision(seq),
+        edit: Edit::Put { text },
+        author: format!("operator-{service}"),
+        reason: "quarterly review of deadlines".to_owned(),
+        time: Ms(1_700_000_000_000),
+    }
 }
 
 /// A document with `routes` routes.
@@ -71,7 +140,7 @@
     let route = |it: usize| {
         format!(
             "[[routes]]\npath = \"/v1/{}/{it}\"\nmethods = [\"GET\", \"PUT\"]\nclass = \"interactive\"\n\
-             deadline = {}\nrepeat = \"idempotent\"\nuses = [\"court-registry\"]\n\n",
+             deadline = \"{}ms\"\nrepeat = \"idempotent\"\nuses = [\"court-registry\"]\n\n",
             words[it % words.len()],
             1000 + 7 * it
         )
--- /dev/null
+++ b/crates/kernel/examples/spread_run.rs
@@ -0,0 +1,160 @@
+//! Prints how long changes take to reach every node and what they cost each of them.
+//!
+//! Run with `cargo run --release -p laburnum-kernel --example spread_run -- [nodes a zone] [zones]`. The
+//! kernels are real, time and network are not: 2 ms from node to node and to the table, nothing is lost.
+
+#[path = "../tests/common/driver.rs"]
+mod driver;
+
+use laburnum_kernel::{
+    Seq, Settings, Token,
+    settings::{SpreadForm, SpreadMode, SpreadSettings},
+    spread::Stats,
+};
+
+use driver::{Driver, name, node, put};
+
+fn main() {
+    let mut numbers = std::env::args().skip(1).filter_map(|it| it.parse().ok());
+    let nodes: usize = numbers.next().unwrap_or(40);
+    let zones: usize = numbers.next().unwrap_or(3);
+    println!("{zones} zones of {nodes} nodes; ms until every node holds it; bytes sent by a node");
+    println!(
+        "{:26}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}",
+        "settings",
+        "one ms",
+        "mean",
+        "worst",
+        "100 ms",
+        "mean",
+        "worst",
+        "delayed",
+        "quiet/s",
+        "worst/s",
+        "reads/s"
+    );
+    let full = SpreadSettings {
+        form: SpreadForm::Full,
+        ..SpreadSettings::nile()
+    };
+    let poll = SpreadSettings {
+        mode: SpreadMode::Poll,
+        ..SpreadSettings::nile()
+    };
+    for (label, spread) in [
+        ("nile", SpreadSettings::nile()),
+        ("cascadia", SpreadSettings::cascadia()),
+        ("nile, full texts", full),
+        ("every node polls", poll),
+    ] {
+        run(label, &spread, nodes, zones);
+    }
+}
+
+fn run(label: &str, spread: &SpreadSettings, nodes: usize, zones: usize) {
+    let mut driver = fleet(spread, nodes, zones);
+    // What is measured is a change of a service that exists.
+    let first = (0..20).map(|id| put(1_000 + id, &format!("s{id}"), 0, &[]));
+    let first = first.map(|it| driver.submit(0, &it)).collect();
+    settle(&mut driver, first);
+    driver.run(30_000);
+
+    let (before, reads) = (sent(&driver), driver.reads + driver.polls);
+    driver.run(60_000);
+    let quiet = cost(&before, &sent(&driver));
+    let reads = driver.reads + driver.polls - reads;
+
+    let before = sent(&driver);
+    let change = put(1, "s1", newest(&driver, "s1"), &[]);
+    let token = driver.submit(0, &change);
+    let one_ms = settle(&mut driver, vec![token]);
+    let one = cost(&before, &sent(&driver));
+
+    driver.run(120_000);
+    let before = sent(&driver);
+    let started = driver.now;
+    let mut tokens = Vec::new();
+    for round in 0..5 {
+        for service in 0..20 {
+            let id = 2_000 + 20 * round + service;
+            let service = format!("s{service}");
+            let change = put(id, &service, newest(&driver, &service), &[]);
+            tokens.push(driver.submit(0, &change));
+        }
+        driver.run(200);
+    }
+    settle(&mut driver, tokens);
+    let burst_ms = driver.now.since(started);
+    let burst = cost(&before, &sent(&driver));
+    let delayed: u64 = stats(&driver).map(|it| it.delayed).sum();
+    println!(
+        "{label:26}{one_ms:9}{:9.0}{:9}{burst_ms:9}{:9.0}{:9}{delayed:9}{:9.0}{:9}{:9.1}",
+        one.0,
+        one.1,
+        burst.0,
+        burst.1,
+        quiet.0 / 60.0,
+        quiet.1 / 60,
+        reads as f64 / 60.0
+    );
+}
+
+fn fleet(spread: &SpreadSettings, nodes: usize, zones: usize) -> Driver {
+    let mut driver = Driver::new(&[]);
+    for index in 0..nodes * zones {
+        let zone = index % zones;
+        driver.add_with(Settings {
+            node: node(index),
+            incarnation: 1,
+            region: name(&format!("region-{}", zone / 3)),
+            zone: name(&format!("zone-{zone}")),
+            peers: (0..index).map(node).collect(),
+            spread: spread.clone(),
+            ..Settings::default()
+        });
+    }
+    driver.run(20_000);
+    driver
+}
+
+/// Lets time pass until every answer is there and every node holds the log in the table.
+fn settle(driver: &mut Driver, tokens: Vec<Token>) -> u64 {
+    let start = driver.now;
+    loop {
+        driver.run(5);
+        let head = Seq(driver.entries().len() as u64);
+        let answered = tokens.iter().all(|it| driver.replies.contains_key(it));
+        let mut kernels = driver.kernels.iter();
+        if answered && kernels.all(|it| it.state().log.seq() == head) {
+            return driver.now.since(start);
+        }
+    }
+}
+
+/// The newest revision in the table.
+fn newest(driver: &Driver, service: &str) -> u64 {
+    let entries = driver.entries();
+    let mut changes = entries.iter().flat_map(|it| &it.batch.changes).rev();
+    let newest = changes.find(|it| it.service.as_str() == service);
+    newest.map_or(0, |it| it.revision.0)
+}
+
+fn stats(driver: &Driver) -> impl Iterator<Item = Stats> {
+    driver.kernels.iter().map(|it| it.state().spread.stats())
+}
+
+fn sent(driver: &Driver) -> Vec<u64> {
+    stats(driver).map(|it| it.sent.values().sum()).collect()
+}
+
+/// Mean and largest number of bytes that a node sent.
+fn cost(before: &[u64], after: &[u64]) -> (f64, u64) {
+    let each: Vec<u64> = after
+        .iter()
+        .zip(before)
+        .map(|(lhs, rhs)| lhs - rhs)
+        .collect();
+    let sum: u64 = each.iter().sum();
+    let worst = each.iter().copied().max().unwrap_or_default();
+    (sum as f64 / each.len().max(1) as f64, worst)
+}
--- a/crates/kernel/src/spread/history.rs
+++ b/crates/kernel/src/spread/history.rs
@@ -138,6 +138,25 @@
     }
 
     fn pack(&self, log: &Log, from: Seq, form: SpreadForm) -> Range {
+        let full = wire::pack(&self.changes(log, from, SpreadForm::Full));
+        let body = match form {
+            SpreadForm::Full => full,
+            SpreadForm::Delta => {
+                // Many short texts that resemble one another compress better together than their deltas.
+                let deltas = wire::pack(&self.changes(log, from, SpreadForm::Delta));
+                std::cmp::min_by_key(deltas, full, Vec::len)
+            }
+        };
+        Range {
+            from,
+            to: self.seq,
+            digest: log.digest(),
+            body,
+            ids: recent_ids(log, from),
+        }
+    }
+
+    fn changes(&self, log: &Log, from: Seq, form: SpreadForm) -> Vec<NetChange> {
         let deleted = self.deleted.iter().filter(|it| from.0 > 0 && it.0 > from);
         let deleted = deleted.map(|(made, service)| NetChange {
             service: service.clone(),
@@ -152,14 +171,7 @@
             author: it.author.as_ref().to_owned(),
             form: self.form(service, it, from, form),
         });
-        let changes: Vec<NetChange> = deleted.chain(newer).collect();
-        Range {
-            from,
-            to: self.seq,
-            digest: log.digest(),
-            body: wire::pack(&changes),
-            ids: recent_ids(log, from),
-        }
+        deleted.chain(newer).collect()
     }
 
     /// Applies a range whole or not at all.
--- a/crates/kernel/src/spread/relay.rs
+++ b/crates/kernel/src/spread/relay.rs
@@ -96,6 +96,7 @@
             .entry(target)
             .or_insert(Waiting { from, due, held });
         waiting.from = waiting.from.min(from);
+        waiting.due = waiting.due.min(due);
     }
 }
 
