Spread: relays of one zone at a time, bounded unpacking

A change of the view made every node rank every member for the relays of all zones; a node now ranks its own zone's, and only a committer or the status node all of them. Unpacking allocates what the frame names, up to the bound, in place of the bound.

--- a/crates/kernel/src/spread/relay.rs
+++ b/crates/kernel/src/spread/relay.rs
@@ -225,9 +225,12 @@
 ///
 /// The zones are few (17 at the size built for), so this is bounded whatever the number of nodes.
 fn to_zones(cx: &Context<'_>, state: &mut State, seq: Seq) -> Vec<(NodeId, NodeId)> {
-    let relays = tree::relays(state, cx.settings).values();
-    let nth = |it: &Vec<NodeId>| it.get(seq.0 as usize % it.len().max(1)).copied();
-    relays.filter_map(nth).map(|it| (it, it)).collect()
+    let zones = tree::zones(state);
+    let relays = zones.iter().filter_map(|zone| {
+        let relays = tree::relays(state, cx.settings, zone);
+        relays.get(seq.0 as usize % relays.len().max(1)).copied()
+    });
+    relays.map(|it| (it, it)).collect()
 }
 
 /// Reads the table's head unless an earlier failure asks to wait.
--- a/crates/kernel/src/spread/status.rs
+++ b/crates/kernel/src/spread/status.rs
@@ -214,8 +214,12 @@
 
 /// Every zone's report, as far as they reached this node.
 fn everything(cx: &Context<'_>, state: &mut State) -> Summary {
-    let relays = tree::relays(state, cx.settings).values();
-    let roots: Vec<NodeId> = relays.filter_map(|it| it.first().copied()).collect();
+    let zones = tree::zones(state);
+    let roots = zones.iter().filter_map(|zone| {
+        let relays = tree::relays(state, cx.settings, zone);
+        relays.first().copied()
+    });
+    let roots: Vec<NodeId> = roots.collect();
     let mut all = Summary::default();
     for root in roots {
         if root == cx.settings.node {
--- a/crates/kernel/src/spread/tree.rs
+++ b/crates/kernel/src/spread/tree.rs
@@ -1,6 +1,6 @@
 //! Who pushes to whom: relays of a zone, and the trees below them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
     id::{Name, NodeId, Seq},
@@ -18,7 +18,7 @@
 /// Relays and trees of the present view, computed when first asked for.
 #[derive(Debug, Default)]
 pub struct Trees {
-    relays: Option<BTreeMap<Name, Vec<NodeId>>>,
+    relays: BTreeMap<Name, Vec<NodeId>>,
     status: Option<NodeId>,
     ranked: BTreeMap<(NodeId, u64), Vec<NodeId>>,
 }
@@ -33,30 +33,32 @@
     }
 }
 
-/// The relays of every zone, at most `settings.spread.relays` each.
-pub fn relays<'a>(state: &'a mut State, settings: &Settings) -> &'a BTreeMap<Name, Vec<NodeId>> {
+/// The zones of the present view.
+pub fn zones(state: &State) -> BTreeSet<Name> {
+    state.members.ready().map(|it| it.zone.clone()).collect()
+}
+
+/// The relays of a zone, at most `settings.spread.relays`.
+///
+/// One zone at a time: nodes come and go many times a minute, and most nodes only need their own zone's.
+pub fn relays<'a>(state: &'a mut State, settings: &Settings, zone: &Name) -> &'a [NodeId] {
     let State {
         members, spread, ..
     } = state;
-    spread.trees.relays.get_or_insert_with(|| {
-        let mut zones: BTreeMap<Name, Vec<NodeId>> = BTreeMap::new();
-        for it in members.ready() {
-            zones.entry(it.zone.clone()).or_default().push(it.id);
-        }
-        for (zone, nodes) in &mut zones {
-            *nodes = rendezvous(&format!("relay/{zone}"), std::mem::take(nodes));
-            nodes.truncate(settings.spread.relays.max(1));
-            nodes.shrink_to_fit();
-        }
-        zones
-    })
+    let relays = &mut spread.trees.relays;
+    if !relays.contains_key(zone) {
+        let nodes = members.ready().filter(|it| it.zone == *zone);
+        let mut nodes = rendezvous(&format!("relay/{zone}"), nodes.map(|it| it.id));
+        nodes.truncate(settings.spread.relays.max(1));
+        nodes.shrink_to_fit();
+        relays.insert(zone.clone(), nodes);
+    }
+    relays.get(zone).map_or(&[], Vec::as_slice)
 }
 
 /// Whether this node is a relay of its zone.
 pub fn is_relay(state: &mut State, settings: &Settings) -> bool {
-    relays(state, settings)
-        .get(&settings.zone)
-        .is_some_and(|it| it.contains(&settings.node))
+    relays(state, settings, &settings.zone).contains(&settings.node)
 }
 
 /// The nodes that this one pushes to, in the tree below `root` that a push up to `seq` takes.
@@ -72,8 +74,7 @@
 
 /// The nodes that report to this one, if it is not a zone's root that reports to the status node.
 pub fn reporters(state: &mut State, settings: &Settings) -> Vec<NodeId> {
-    let roots = relays(state, settings).get(&settings.zone);
-    match roots.and_then(|it| it.first().copied()) {
+    match relays(state, settings, &settings.zone).first().copied() {
         Some(root) => children(state, settings, root, Seq(0)),
         None => Vec::new(),
     }
@@ -82,10 +83,7 @@
 /// Where this node reports to: its parent below the zone's first relay, or from there the status node.
 pub fn reports_to(state: &mut State, settings: &Settings) -> Option<NodeId> {
     let degree = settings.spread.degree.max(1);
-    let root = relays(state, settings)
-        .get(&settings.zone)?
-        .first()
-        .copied()?;
+    let root = relays(state, settings, &settings.zone).first().copied()?;
     let ranked = ranked(state, settings, root, 0);
     match ranked.iter().position(|it| *it == settings.node)? {
         0 => status_node(state),
--- a/crates/kernel/src/spread/wire.rs
+++ b/crates/kernel/src/spread/wire.rs
@@ -118,10 +118,18 @@
 fn expand(dictionary: &[u8], bytes: &[u8], max: usize) -> Result<Vec<u8>, BadRange> {
     match bytes.split_first() {
         Some((&PLAIN, raw)) if raw.len() <= max => Ok(raw.to_vec()),
-        // The bound keeps a short message from expanding until the process runs out of memory.
-        Some((&ZSTD, packed)) => zstd::bulk::Decompressor::with_dictionary(dictionary)
-            .and_then(|mut it| it.decompress(packed, max))
-            .map_err(|_| BadRange),
+        Some((&ZSTD, packed)) => {
+            // The bound keeps a short message from expanding until the process runs out of memory.
+            let len = zstd::zstd_safe::get_frame_content_size(packed);
+            let len = len.ok().flatten().ok_or(BadRange)?;
+            let len = usize::try_from(len).map_err(|_| BadRange)?;
+            if len > max {
+                return Err(BadRange);
+            }
+            let unpacked = zstd::bulk::Decompressor::with_dictionary(dictionary)
+                .and_then(|mut it| it.decompress(packed, len));
+            unpacked.map_err(|_| BadRange)
+        }
         _ => Err(BadRange),
     }
 }
