--- a/crates/kernel/examples/overload/actors.rs
+++ b/crates/kernel/examples/overload/actors.rs
@@ -71,8 +71,8 @@
     }
 
     pub fn endpoint(&self, slots: u16) -> Endpoint {
-        reach: Default::default(),
         Endpoint {
+            reach: Default::default(),
             node: self.node,
             incarnation: 1,
             traffic: self.node.0,
