--- a/crates/kernel/src/admission.rs
+++ b/crates/kernel/src/admission.rs
@@ -5,10 +5,9 @@
 //! answered exactly once, by a [`Wake`], unless its caller cancels it first.
 
 mod limit;
+mod load;
 mod queue;
 
-use std::{fmt, str::FromStr};
-
 use crate::{
     clock::Ms,
     document::Class,
@@ -16,6 +15,8 @@
     refusal::{Reason, Refusal},
 };
 
+pub use load::{BadLoad, Load};
+
 use limit::Limit;
 pub(crate) use queue::{CLASSES, index as class_index};
 use queue::{Entry, Queue, index};
@@ -31,8 +32,9 @@
     pub patience: [f64; CLASSES],
     /// Longest time without a start that background work endures while it waits, in ms. Default: 2000.
     pub aging: u64,
-    /// How long a peak of the other classes holds slots back from background work, in ms. Default: 1000.
-    pub reserve: u64,
+    /// Time over which the demand of the other classes is averaged, to hold slots back for them, in ms.
+    /// Default: 1000.
+    pub memory: u64,
 }
 
 impl Default for AdmissionSettings {
@@ -42,7 +44,7 @@
             weights: [60.0, 30.0, 10.0],
             patience: [2.0, 8.0, f64::INFINITY],
             aging: 2_000,
-            reserve: 1_000,
+            memory: 1_000,
         }
     }
 }
@@ -112,17 +114,6 @@
     Answered,
 }
 
-/// Load of an upstream, sent back with each answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Requests running.
-    pub running: u16,
-    /// Requests waiting, other than background ones.
-    pub waiting: u16,
-    /// Requests that may run at once at present.
-    pub limit: u16,
-}
-
 /// Admits work to one upstream.
 #[derive(Debug)]
 pub struct Admission {
@@ -133,9 +124,11 @@
     queues: [Queue; CLASSES],
     /// Slot time consumed by each class divided by its weight.
     consumed: [f64; CLASSES],
-    /// Peaks of demand of the foreground classes in the current and the previous period.
-    peaks: [usize; 2],
-    period: Ms,
+    /// Highest consumption at which a run started.
+    level: f64,
+    /// Mean number of foreground requests running and waiting, and when it was last brought up to date.
+    demand: f64,
+    observed: Ms,
     /// When background work last started, or began to wait after none did.
     progress: Ms,
     tickets: u64,
@@ -151,8 +144,9 @@
             running: [0; CLASSES],
             queues: Default::default(),
             consumed: [0.0; CLASSES],
-            peaks: [0; 2],
-            period: Ms(0),
+            level: 0.0,
+            demand: 0.0,
+            observed: Ms(0),
             progress: Ms(0),
             tickets: 0,
         }
@@ -171,7 +165,7 @@
         if late && !self.must_probe(class) {
             return Offer::Refuse(Refusal::new(Reason::Expired));
         }
-        self.count_demand(now, class);
+        self.observe(now);
         if self.queues[index(class)].is_empty() && self.has_room(class) {
             return Offer::Run(self.start(now, class));
         }
@@ -189,6 +183,7 @@
     pub fn done(&mut self, now: Ms, permit: Permit, finish: Finish, out: &mut Vec<Wake>) {
         let class = permit.class;
         let took = now.since(permit.started);
+        self.observe(now);
         self.running[index(class)] -= 1;
         self.consumed[index(class)] += took.max(1) as f64 / self.settings.weights[index(class)];
         match finish {
@@ -210,19 +205,19 @@
 
     /// Refuses what can no longer finish in time and starts what may run. Due at [`Admission::due`].
     pub fn tick(&mut self, now: Ms, out: &mut Vec<Wake>) {
+        self.observe(now);
         self.dispatch(now, out);
+        self.review(now, out);
     }
 
     /// When [`Admission::tick`] is next needed, if anything waits.
     pub fn due(&self) -> Option<Ms> {
-        let aging = self.progress + self.settings.aging;
-        let review = (self.period + self.settings.reserve).min(aging);
-        let background = !self.queue(Class::Background).is_empty();
+        let review = (self.waiting() > 0).then_some(self.observed + REVIEW);
         let expiry = CLASS_ORDER.into_iter().filter_map(|class| {
             let deadline = self.queue(class).first()?.deadline;
             Some(Ms(deadline.0.saturating_sub(self.limit.service(class))))
         });
-        expiry.chain(background.then_some(review)).min()
+        expiry.chain(review).min()
     }
 
     /// Follows the upstream's phase. Leaving [`Phase::Ready`] refuses every waiting request at once.
@@ -286,34 +281,24 @@
         }
     }
 
-    /// Slots that background work may hold: those that the recent peak of the other classes leaves, less one.
+    /// Slots that background work may hold: those that the usual demand of the other classes leaves.
     ///
     /// A run cannot be interrupted. Without the reserve, long background runs fill every slot in a
-    /// quiet moment, and the next interactive request waits for one of them to end.
+    /// quiet moment, and the next interactive request waits for one of them to end. Demand that arrives
+    /// independently varies by about the square root of its mean, so that much is held back on top.
     fn background_room(&self) -> usize {
-        let peak = self.peaks[0].max(self.peaks[1]);
-        self.limit.get().saturating_sub(peak + 1).max(1)
+        let reserve = (self.demand + self.demand.sqrt()).max(1.0);
+        let room = self.limit.get() as f64 - reserve;
+        (room.round().max(1.0)) as usize
     }
 
-    fn count_demand(&mut self, now: Ms, class: Class) {
-        self.roll(now);
-        let arriving = usize::from(class != Class::Background);
-        self.peaks[0] = self.peaks[0].max(self.foreground() + arriving);
-    }
-
-    fn foreground(&self) -> usize {
+    /// Brings the mean foreground demand up to `now`; called before each change of it.
+    fn observe(&mut self, now: Ms) {
+        let elapsed = now.since(self.observed) as f64 / self.settings.memory as f64;
         let held = |it: Class| self.running[index(it)] + self.queue(it).len();
-        held(Class::Interactive) + held(Class::Exact)
-    }
-
-    /// Begins a new period of demand when the present one is over.
-    fn roll(&mut self, now: Ms) {
-        if now.since(self.period) >= self.settings.reserve {
-            let quiet = now.since(self.period) >= 2 * self.settings.reserve;
-            let held = self.foreground();
-            self.peaks = [held, if quiet { held } else { self.peaks[0] }];
-            self.period = now;
-        }
+        let current = (held(Class::Interactive) + held(Class::Exact)) as f64;
+        self.demand += (1.0 - (-elapsed).exp()) * (current - self.demand);
+        self.observed = self.observed.max(now);
     }
 
     /// Refuses a request that would wait too long to be of use, with the time until it would not.
@@ -344,13 +329,26 @@
 
     /// Estimated wait of the request of `class` at `place`, counted from one, in its queue, in ms.
     fn wait_of(&self, class: Class, place: usize) -> u64 {
+        let service = self.limit.service(class) as f64;
+        (place as f64 * service / self.entitled(class)) as u64
+    }
+
+    /// Slots that a class can count on: its share, and for background work what the others usually leave.
+    fn entitled(&self, class: Class) -> f64 {
+        let limit = self.limit.get() as f64;
         let weight = |it: Class| self.settings.weights[index(it)];
         let rivals = CLASS_ORDER
             .into_iter()
             .filter(|it| *it == class || !self.queue(*it).is_empty());
-        let share = weight(class) / rivals.map(weight).sum::<f64>();
-        let service = self.limit.service(class) as f64;
-        (place as f64 * service / (self.limit.get() as f64 * share)) as u64
+        let share = limit * weight(class) / rivals.map(weight).sum::<f64>();
+        match class {
+            Class::Interactive | Class::Exact => share,
+            Class::Background => {
+                let all = CLASS_ORDER.into_iter().map(weight).sum::<f64>();
+                let spare = (limit - self.demand).min(self.background_room() as f64);
+                spare.max(limit * weight(class) / all)
+            }
+        }
     }
 
     fn enqueue(&mut self, now: Ms, request: Request) -> Ticket {
@@ -367,24 +365,22 @@
         ticket
     }
 
-    /// Brings a class that begins to wait level with the others, so that idling earns no credit.
+    /// Brings a class that begins to wait level with the work under way, so that idling earns no credit.
+    ///
+    /// The level is that at which the last run started, not that of the other classes: a background run
+    /// counts six times as much as an interactive one, and a class that waits behind it must not pay for it.
     fn join(&mut self, now: Ms, class: Class) {
-        let busy = CLASS_ORDER.into_iter().filter(|it| {
-            *it != class && (!self.queue(*it).is_empty() || self.running[index(*it)] > 0)
-        });
-        let floor = busy
-            .map(|it| self.consumed[index(it)])
-            .fold(f64::INFINITY, f64::min);
-        if floor.is_finite() {
-            self.consumed[index(class)] = self.consumed[index(class)].max(floor);
-        }
+        let consumed = &mut self.consumed[index(class)];
+        *consumed = consumed.max(self.level);
         if class == Class::Background {
             self.progress = self.progress.max(now);
         }
     }
 
     fn start(&mut self, now: Ms, class: Class) -> Permit {
+        self.level = self.level.max(self.charge(class));
         self.running[index(class)] += 1;
+        self.limit.started(self.running());
         if class == Class::Background {
             self.progress = now;
         }
@@ -395,7 +391,6 @@
     }
 
     fn dispatch(&mut self, now: Ms, out: &mut Vec<Wake>) {
-        self.roll(now);
         self.expire(now, out);
         while let Some(class) = self.next_class(now) {
             let Some(entry) = self.queues[index(class)].pop() else {
@@ -420,6 +415,28 @@
         }
     }
 
+    /// Refuses waiting work that would expire in its place in the queue.
+    ///
+    /// It was offered when there was more room. Left to wait, its caller would learn only near the deadline
+    /// that nothing came of it, too late to go elsewhere.
+    fn review(&mut self, now: Ms, out: &mut Vec<Wake>) {
+        for class in CLASS_ORDER {
+            let entitled = self.entitled(class);
+            let service = self.limit.service(class) as f64;
+            let mut place = 0.0;
+            let late = self.queues[index(class)].take_if(|it| {
+                place += 1.0;
+                let spare = it.deadline.since(now) as f64 - service;
+                let late = place > 1.0 && place * service / entitled > spare;
+                place -= f64::from(u8::from(late));
+                late
+            });
+            let after = self.wait_of(class, 1);
+            let refusal = Refusal::after(Reason::Overloaded, after);
+            out.extend(late.into_iter().map(|it| Wake::Refuse(it.ticket, refusal)));
+        }
+    }
+
     /// The class whose first request runs next, if a slot is free for any.
     fn next_class(&self, now: Ms) -> Option<Class> {
         let ready = |it: &Class| !self.queue(*it).is_empty() && self.has_room(*it);
@@ -439,40 +456,10 @@
     }
 }
 
+/// Time after which the chances of waiting work are looked at again, in ms.
+const REVIEW: u64 = 100;
 const CLASS_ORDER: [Class; CLASSES] = [Class::Interactive, Class::Exact, Class::Background];
 
 fn clamp(count: usize) -> u16 {
     u16::try_from(count).unwrap_or(u16::MAX)
 }
-
-/// The text is not a valid [`Load`].
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("load {0:?} is not valid: use running/waiting/limit, such as 3/0/6")]
-pub struct BadLoad(pub String);
-
-impl fmt::Display for Load {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}/{}", self.running, self.waiting, self.limit)
-    }
-}
-
-impl FromStr for Load {
-    type Err = BadLoad;
-
-    fn from_str(text: &str) -> Result<Load, BadLoad> {
-        let bad = || BadLoad(text.chars().take(40).collect());
-        let mut parts = text
-            .split('/')
-            .map(|it| it.parse::<u16>().map_err(|_| bad()));
-        let mut next = || parts.next().unwrap_or_else(|| Err(bad()));
-        let load = Load {
-            running: next()?,
-            waiting: next()?,
-            limit: next()?,
-        };
-        match parts.next() {
-            None => Ok(load),
-            Some(_) => Err(bad()),
-        }
-    }
-}
