--- a/crates/kernel/src/once/bucket.rs
+++ b/crates/kernel/src/once/bucket.rs
@@ -6,6 +6,8 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use rand::Rng;
+
 use crate::{
     clock::Ms,
     event,
@@ -14,7 +16,7 @@
     members::Members,
     once::{
         BUCKETS, Claim, GRANT_MS, Message, PACE_MS, Reply, Settlement, Verdict, holder,
-        ledger::{Decision, Effect, Entry, Ledger, judge},
+        ledger::{Decision, Effect, Entry, Ledger, Process, judge},
         reply, row_key,
         seal::Sealer,
     },
@@ -27,12 +29,19 @@
 /// Most requests that one write of a row carries.
 const BATCH_MAX: usize = 128;
 
+/// The longest time between two writes of a row whose writes collide, in ms.
+const PACE_MAX_MS: u64 = 800;
+
 /// A row of more bytes takes no new claims: too many are open or of unknown outcome.
 const ROW_MAX: usize = 128 * 1024;
 
 /// A bucket with more sealed claims within the retention takes no new ones: 8 bytes of memory each.
 const INDEX_MAX: usize = 1_000_000;
 
+/// From this share on a bucket that fills up is logged, every so often.
+const WARN_PERCENT: usize = 70;
+const WARN_MS: u64 = 60_000;
+
 /// One bucket that this node commits for.
 #[derive(Debug, Default)]
 pub(super) struct Bucket {
@@ -42,14 +51,65 @@
     /// Number of the newest request.
     newest: u64,
     flight: Option<Flight>,
-    /// When the last write began.
-    wrote: Ms,
+    /// When a bucket that fills up was last logged.
+    warned: Ms,
+    /// When the next write may begin.
+    due: Ms,
+    pace: Pace,
     /// Until when the table counts as down.
     down: Ms,
     sealer: Sealer,
     lookups: BTreeMap<CallId, Ask>,
 }
 
+/// Time between two writes, in ms. It doubles with each collision or throttled write and shrinks with each
+/// success.
+///
+/// While views differ, or regions have lost each other, a bucket has several owners. At full pace each, with
+/// the row as they wrote it last, nearly every write would collide and the table's rate would go into
+/// collisions. So an owner that met one waits longer, at random, and reads the row right before it writes:
+/// only writes within one round trip of each other still collide, and the batches grow instead.
+#[derive(Clone, Copy, Debug)]
+struct Pace(u64);
+
+impl Default for Pace {
+    fn default() -> Pace {
+        Pace(PACE_MS)
+    }
+}
+
+impl Pace {
+    fn slower(self) -> Pace {
+        Pace((self.0 * 2).min(PACE_MAX_MS))
+    }
+
+    fn faster(self) -> Pace {
+        Pace((self.0 - self.0 / 8).max(PACE_MS))
+    }
+
+    fn contended(self) -> Contended {
+        match self.0 > PACE_MS {
+            true => Contended::Yes,
+            false => Contended::No,
+        }
+    }
+
+    /// Time until the next write.
+    fn wait(self, rng: &mut impl Rng) -> u64 {
+        match self.contended() {
+            Contended::Yes => rng.random_range(self.0 / 2..self.0 * 3 / 2),
+            Contended::No => self.0,
+        }
+    }
+}
+
+/// Whether other nodes write the row too.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Contended {
+    Yes,
+    No,
+}
+
 /// What this node knows of the row.
 #[derive(Debug, Default)]
 enum Known {
@@ -126,11 +186,37 @@
     Refused(String),
 }
 
+impl Said {
+    /// Whether it tells that something is written.
+    fn promises(&self) -> bool {
+        matches!(
+            self,
+            Said::Verdict(Verdict::Granted) | Said::Settled | Said::Resolved
+        )
+    }
+}
+
 impl Bucket {
     pub(super) fn footprint(&self) -> usize {
         self.size + self.sealer.footprint()
     }
 
+    /// Whether the bucket takes no new claims. Operators are told well before that.
+    fn full(&mut self, cx: &mut Context<'_>, id: u16) -> bool {
+        let used = (self.size * 100 / ROW_MAX).max(self.sealer.keys() * 100 / INDEX_MAX);
+        if used >= WARN_PERCENT && cx.now.since(self.warned) > WARN_MS {
+            self.warned = cx.now;
+            let pairs = vec![
+                ("row", row_key(id)),
+                ("percent", used.to_string()),
+                ("row_bytes", self.size.to_string()),
+                ("kept", self.sealer.keys().to_string()),
+            ];
+            cx.log("claims_filling", pairs);
+        }
+        used >= 100
+    }
+
     fn call(&self) -> Option<CallId> {
         match self.flight.as_ref()? {
             Flight::Read { call, .. } | Flight::Write { call, .. } | Flight::Index(call, _) => {
@@ -177,7 +263,7 @@
     let found = ledgers
         .into_iter()
         .flat_map(|it| it.entries)
-        .filter(|it| it.unknown(cx.now, |it| lives(members, it)))
+        .filter(|it| it.unknown(cx.now, |it| process(members, it)))
         .collect();
     reply(cx, token, Reply::Listed(found));
 }
@@ -220,10 +306,14 @@
                     read,
                 };
                 bucket.size = size;
+                if bucket.pace.contended() == Contended::Yes {
+                    bucket.row = Known::Nothing;
+                }
+                bucket.pace = bucket.pace.faster();
                 bucket.sealer.written(cx, &dropped);
                 asks.into_iter().for_each(|it| confirm(cx, state, it));
             } else {
-                failed_write(cx, state, id, (read, asks), answer);
+                failed_write(cx, state, id, asks, answer);
             }
         }
         Some(Flight::Read { read, .. }) => loaded(cx, state, id, read, answer),
@@ -279,8 +369,8 @@
         return;
     };
     let idle = bucket.queue.is_empty() && !bucket.sealer.stored();
-    let paced = bucket.wrote != Ms(0) && cx.now.since(bucket.wrote) < PACE_MS;
-    if bucket.flight.is_some() || idle || paced {
+    let early = cx.now < bucket.due.max(bucket.down);
+    if bucket.flight.is_some() || idle || early {
         return;
     }
     let Known::Row { ledger, .. } = &bucket.row else {
@@ -317,7 +407,7 @@
     dropped.extend(bucket.sealer.apply(&mut after));
     let count = bucket.queue.len().min(BATCH_MAX);
     let batch: Vec<Ask> = bucket.queue.drain(..count).collect();
-    let full = bucket.size > ROW_MAX || bucket.sealer.keys() > INDEX_MAX;
+    let full = bucket.full(cx, id);
     let (mut asks, mut says, mut again) = (Vec::new(), Vec::new(), Vec::new());
     for ask in batch {
         let claims = matches!(ask.work, Work::Claim(..));
@@ -327,6 +417,9 @@
             continue;
         }
         match judge_ask(cx, &state.members, &bucket.sealer, &mut after, read, &ask) {
+            // A request that is sent twice meets its own change, which is not written yet: to say so now
+            // would grant a claim whose write may still collide.
+            Next::Say(said) if said.promises() && after != before => asks.push(ask),
             Next::Say(said) => says.push((ask, said)),
             Next::Write => asks.push(ask),
             Next::Reread => again.push(ask),
@@ -366,7 +459,7 @@
     read: u64,
     ask: &Ask,
 ) -> Next {
-    let lives = |it: &Entry| lives(members, it);
+    let process = |it: &Entry| process(members, it);
     let stale = ask.number > read;
     match &ask.work {
         // Its holder has given up by now: a claim that is written for it would stay open for nothing.
@@ -376,7 +469,7 @@
             if sealed && let Some(name) = sealer.find(&claim.key) {
                 return Next::Lookup(name);
             }
-            match ledger.claim(cx.now, claim, lives) {
+            match ledger.claim(cx.now, claim, process) {
                 (_, Effect::Changed) => Next::Write,
                 // What an older row says may have been settled, released or resolved through another node.
                 (Verdict::Busy | Verdict::Unknown { .. } | Verdict::Mismatch, _) if stale => {
@@ -391,7 +484,7 @@
             Effect::Missing if stale && sealer.find(&it.key).is_none() => Next::Reread,
             _ => Next::Say(Said::Settled),
         },
-        Work::Resolve(_, it) => match ledger.resolve(cx.now, it, lives) {
+        Work::Resolve(_, it) => match ledger.resolve(cx.now, it, process) {
             Effect::Changed => Next::Write,
             _ if stale => Next::Reread,
             Effect::Refused(why) => Next::Say(Said::Refused(why.to_owned())),
@@ -413,7 +506,10 @@
 ) {
     let value = ledger.encode();
     let size = value.len();
-    bucket.sealer.consider(cx, id, &ledger, size);
+    // Of several owners that seal the same claims only one succeeds; they leave it until it is pressing.
+    if bucket.pace.contended() == Contended::No || size > ROW_MAX / 2 {
+        bucket.sealer.consider(cx, id, &ledger, size);
+    }
     let key = row_key(id);
     let read = bucket.newest;
     let call = cx.table(TableOp::Commit {
@@ -423,7 +519,7 @@
         }],
         writes: vec![Write::Put { key, value }],
     });
-    bucket.wrote = cx.now;
+    bucket.due = cx.now + bucket.pace.wait(cx.rng);
     bucket.flight = Some(Flight::Write {
         call,
         version,
@@ -440,7 +536,7 @@
     cx: &mut Context<'_>,
     state: &mut State,
     id: u16,
-    (read, mut asks): (u64, Vec<Ask>),
+    mut asks: Vec<Ask>,
     answer: &TableAnswer,
 ) {
     let Some(bucket) = state.once.buckets.get_mut(&id) else {
@@ -457,14 +553,18 @@
         TableAnswer::Failed(fault) => {
             let after = holder::hint(fault);
             bucket.down = cx.now + after;
+            bucket.pace = bucket.pace.slower();
             let why = fault.to_string();
+            asks.extend(std::mem::take(&mut bucket.queue));
             asks.into_iter()
                 .for_each(|it| fail(cx, state, it, after, &why));
         }
         // Another owner wrote first.
-        TableAnswer::Conflict(rows) => {
+        TableAnswer::Conflict(_) => {
+            bucket.pace = bucket.pace.slower();
+            bucket.due = cx.now + bucket.pace.wait(cx.rng);
+            bucket.row = Known::Nothing;
             requeue(bucket, asks);
-            load(cx, bucket, id, read, rows);
         }
         TableAnswer::Committed | TableAnswer::Rows(_) => requeue(bucket, asks),
     }
@@ -565,7 +665,7 @@
         );
     };
     let verdict = match entries.iter().find(|it| it.key == claim.key) {
-        Some(it) => judge(cx.now, it, claim, |it| lives(&state.members, it)),
+        Some(it) => judge(cx.now, it, claim, |it| process(&state.members, it)),
         // Another key has the same hash. Refusing is safe, and at 64 bits it all but never happens.
         None => Verdict::Mismatch,
     };
@@ -633,9 +733,12 @@
     }
 }
 
-/// Whether the process that holds `entry` still runs, as far as this node knows.
-fn lives(members: &Members, entry: &Entry) -> bool {
-    members
-        .alive()
-        .any(|it| it.id == entry.holder && it.incarnation == entry.incarnation)
+/// How the process that holds `entry` is, as far as this node knows.
+fn process(members: &Members, entry: &Entry) -> Process {
+    let mut alive = members.alive();
+    match alive.find(|it| it.id == entry.holder) {
+        Some(it) if it.incarnation > entry.incarnation => Process::Restarted,
+        Some(_) => Process::Lives,
+        None => Process::Absent,
+    }
 }
