laburnum-ctl: conflicts with a deleted service read as such; delete needs a service

Cause: deleting an absent service submitted a change that could only conflict, and a conflict with a deletion read 'made revision 0'. Change: delete reads the service first; the words tell who deleted it.

--- a/crates/ctl/src/commands/change.rs
+++ b/crates/ctl/src/commands/change.rs
@@ -21,7 +21,16 @@
 pub async fn submit(file: &Path, change: Change, err: &mut dyn Write) -> Result<Report, Failure> {
     let text = files::read(file)?;
     match Document::parse(&text) {
-        Ok(document) => send(document.service, Edit::Put { text }, change, err).await,
+        Ok(document) => {
+            let client = Client::new(change.node);
+            let service = document.service;
+            let base = match change.base {
+                Base::Revision(revision) => revision,
+                Base::Latest => latest(&client, &service).await?,
+            };
+            let edit = Edit::Put { text };
+            send(&client, service, base, edit, change, err).await
+        }
         parsed => Ok(Report {
             outcome: Outcome::Refused,
             text: show::checked(file, &parsed),
@@ -32,20 +41,22 @@
 
 /// Submits the deletion of a service.
 pub async fn delete(service: Name, change: Change, err: &mut dyn Write) -> Result<Report, Failure> {
-    send(service, Edit::Delete, change, err).await
+    let client = Client::new(change.node);
+    let base = match change.base {
+        Base::Revision(revision) => revision,
+        Base::Latest => client.service(&service).await?.revision,
+    };
+    send(&client, service, base, Edit::Delete, change, err).await
 }
 
 async fn send(
+    client: &Client,
     service: Name,
+    base: Revision,
     edit: Edit,
     change: Change,
     err: &mut dyn Write,
 ) -> Result<Report, Failure> {
-    let client = Client::new(change.node);
-    let base = match change.base {
-        Base::Revision(revision) => revision,
-        Base::Latest => latest(&client, &service).await?,
-    };
     let body = SubmitBody {
         id: change.id.to_string(),
         service,
@@ -54,14 +65,14 @@
         author: change.act.author,
         reason: change.act.reason,
     };
-    let told = match submission::settle(&client, change.id, &body, change.patience).await {
+    let told = match submission::settle(client, change.id, &body, change.patience).await {
         Settled::Told(verdict) => verdict,
         Settled::Failed(error) => return Err(error.into()),
         Settled::Unknown => return Ok(unknown(&body)),
     };
     let mut report = told_of(&body, change.id, &told);
     if let (Wait::For(patience), VerdictBody::Accepted { seq, .. }) = (change.wait, &told) {
-        let waited = wait::everywhere(&client, *seq, patience, err).await?;
+        let waited = wait::everywhere(client, *seq, patience, err).await?;
         report.outcome = waited.outcome();
         report.text.push_str(&waited.text());
         report.json["everywhere"] = json!(waited.done());
@@ -85,11 +96,15 @@
 
 fn told_of(body: &SubmitBody, id: SubmitId, verdict: &VerdictBody) -> Report {
     let mut report = told(id, verdict);
-    if let VerdictBody::Conflict { revision, .. } = verdict {
-        report.text.push_str(&format!(
-            "read it with \"laburnum-ctl get {}\", merge, and submit again with --base {revision}\n",
-            body.service
-        ));
+    let service = &body.service;
+    match verdict {
+        VerdictBody::Conflict { revision, .. } if *revision == Revision(0) => {
+            report.text.push_str("to make it anew, submit it with --base 0\n");
+        }
+        VerdictBody::Conflict { revision, .. } => report.text.push_str(&format!(
+            "read it with \"laburnum-ctl get {service}\", merge, and submit again with --base {revision}\n"
+        )),
+        _ => {}
     }
     report
 }
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -8,7 +8,7 @@
     UnknownBody, VerdictBody,
 };
 use laburnum_kernel::{
-    Ms, Name,
+    Ms, Name, Revision,
     document::{BadDocument, Document},
 };
 use similar::TextDiff;
@@ -44,9 +44,13 @@
             author,
             diff,
         } => {
-            let mut text = format!(
-                "conflict: {author} made revision {revision} first; nothing was changed\n{diff}"
-            );
+            let winner = match (author.as_str(), revision) {
+                ("", Revision(0)) => "there is no such service".to_owned(),
+                ("", _) => format!("the service is at revision {revision}"),
+                (_, Revision(0)) => format!("{author} deleted the service first"),
+                _ => format!("{author} made revision {revision} first"),
+            };
+            let mut text = format!("conflict: {winner}; nothing was changed\n{diff}");
             if !text.ends_with('\n') {
                 text.push('\n');
             }
