--- a/crates/node/tests/admin.rs
+++ b/crates/node/tests/api/faults.rs
@@ -1,8 +1,7 @@
-//! The contract of the operators' API, over real sockets.
+//! What the API refuses, and the bounds that it keeps.
 
 use std::{
     convert::Infallible,
-    net::SocketAddr,
     pin::Pin,
     sync::{Arc, Mutex, PoisonError},
     task::{self, Poll},
@@ -12,173 +11,19 @@
 use axum::body::{Body, Bytes};
 use futures_core::Stream;
 use http::{Method, Request, StatusCode, header};
-use http_body_util::BodyExt;
-use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::TokioExecutor,
-};
 use laburnum_edge::{
-    Clock, LinkError, Memory, Platform,
-    api::{BODY_MAX, ErrorBody, SubmitAnswer, VerdictBody},
+    Memory, Platform,
+    api::{BODY_MAX, VerdictBody},
     platform::Answer,
 };
-use laburnum_kernel::{
-    Revision,
-    platform::{ObjectAnswer, ObjectOp, TableAnswer, TableOp},
-};
-use laburnum_node::{
-    Config, Node,
-    admin::{Admin, Bounds},
-    node::StartError,
-};
+use laburnum_kernel::platform::{ObjectAnswer, ObjectOp, TableAnswer, TableOp};
+use laburnum_node::admin::Bounds;
 use serde_json::{Value, json};
 use test_case::test_case;
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
-    sync::oneshot,
-};
+use tokio::sync::oneshot;
 use tower::ServiceExt;
 
-const DRAFTING: &str = include_str!("../../../examples/nile/drafting-desk.toml");
-const REGISTRY: &str = include_str!("../../../examples/nile/court-registry.toml");
-const SUBMISSIONS: &str = "/v1/submissions";
-
-/// A node and its API on a port of its own.
-struct Served {
-    node: Node,
-    admin: Admin,
-    address: SocketAddr,
-}
-
-struct Answered {
-    status: StatusCode,
-    body: Vec<u8>,
-}
-
-impl Served {
-    async fn start(platform: Arc<dyn Platform>, bounds: Bounds) -> Served {
-        let node = node(platform).await;
-        let admin = Admin {
-            bounds,
-            ..Admin::new(node.control().clone(), Arc::default())
-        };
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("an address");
-        let router = admin.clone().router();
-        tokio::spawn(async move { axum::serve(listener, router).await });
-        Served {
-            node,
-            admin,
-            address,
-        }
-    }
-
-    async fn plain() -> Served {
-        Served::start(Arc::new(Memory::default()), Bounds::default()).await
-    }
-
-    async fn ask(&self, request: http::request::Builder, body: impl Into<Body>) -> Answered {
-        let client: Client<HttpConnector, Body> =
-            Client::builder(TokioExecutor::new()).build(HttpConnector::new());
-        let request = request.body(body.into()).expect("a request");
-        let answer = client.request(request).await.expect("an answer");
-        let status = answer.status();
-        let body = answer.into_body().collect().await.expect("a whole body");
-        let body = body.to_bytes().to_vec();
-        Answered { status, body }
-    }
-
-    fn request(&self, method: Method, path: &str) -> http::request::Builder {
-        Request::builder()
-            .method(method)
-            .uri(format!("http://{}{path}", self.address))
-    }
-
-    async fn get(&self, path: &str) -> Answered {
-        self.ask(self.request(Method::GET, path), "").await
-    }
-
-    async fn submit(&self, body: &Value) -> Answered {
-        self.send(Method::POST, SUBMISSIONS, body.to_string()).await
-    }
-
-    async fn send(&self, method: Method, path: &str, body: String) -> Answered {
-        let request = self.request(method, path);
-        let request = request.header(header::CONTENT_TYPE, "application/json");
-        self.ask(request, body).await
-    }
-
-    /// Sends `text` as it is and reads until the node closes or `end` was read.
-    async fn raw(&self, text: &str, end: &str) -> String {
-        let mut stream = TcpStream::connect(self.address).await.expect("connected");
-        stream.write_all(text.as_bytes()).await.expect("sent");
-        let mut answer = Vec::new();
-        let mut chunk = [0; 1024];
-        while !String::from_utf8_lossy(&answer).contains(end) {
-            match stream.read(&mut chunk).await {
-                Ok(0) | Err(_) => break,
-                Ok(count) => answer.extend_from_slice(&chunk[..count]),
-            }
-        }
-        String::from_utf8_lossy(&answer).into_owned()
-    }
-
-    async fn close(self) {
-        self.node.close().await;
-    }
-}
-
-impl Answered {
-    fn error(&self) -> String {
-        let body: ErrorBody = serde_json::from_slice(&self.body).expect("an error body");
-        body.error
-    }
-
-    fn verdict(&self) -> VerdictBody {
-        let body: SubmitAnswer = serde_json::from_slice(&self.body).expect("a verdict");
-        body.verdict
-    }
-
-    fn json(&self) -> Value {
-        serde_json::from_slice(&self.body).expect("JSON")
-    }
-}
-
-/// Starts a node on free ports; tries others if a test beside this one was quicker to bind one of them.
-async fn node(platform: Arc<dyn Platform>) -> Node {
-    loop {
-        let config = Config {
-            caller: free().await,
-            control: free().await,
-            traffic: free().await,
-            admin: free().await,
-            ..Config::default()
-        };
-        match Node::start(config, Clock::system(), platform.clone()).await {
-            Ok(node) => return node,
-            Err(
-                StartError::Bind { .. }
-                | StartError::Link(LinkError::Bind { .. } | LinkError::Probe { .. }),
-            ) => {}
-            Err(error) => panic!("{error}"),
-        }
-    }
-}
-
-async fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await;
-    listener
-        .and_then(|it| it.local_addr())
-        .expect("a free port")
-}
-
-fn put(id: &str, service: &str, base: u64, text: &str) -> Value {
-    json!({
-        "id": id, "service": service, "base": base, "edit": {"put": {"text": text}},
-        "author": "amal", "reason": "first version",
-    })
-}
+use crate::support::{REGISTRY, SUBMISSIONS, Served, put};
 
 /// `put` with one field replaced.
 fn with(field: &str, value: Value) -> String {
@@ -372,30 +217,3 @@
     assert_eq!(answer.json()["id"], "0000000000000000000000000000002a");
     served.close().await;
 }
-
-#[tokio::test(flavor = "multi_thread")]
-async fn submitted_documents_are_listed_and_read_back() {
-    let served = Served::plain().await;
-    let answer = served
-        .submit(&put("1", "court-registry", 0, REGISTRY))
-        .await;
-    assert_eq!(answer.status, StatusCode::OK);
-    let VerdictBody::Accepted { revision, .. } = answer.verdict() else {
-        panic!("{:?}", answer.verdict());
-    };
-    assert_eq!(revision, Revision(1));
-    let answer = served.submit(&put("2", "drafting-desk", 0, DRAFTING)).await;
-    assert_eq!(answer.status, StatusCode::OK);
-
-    let list = served.get("/v1/services").await.json();
-    let expected = json!([
-        {"service": "court-registry", "revision": 1, "owner": "registry team", "routes": 3, "upstreams": 0},
-        {"service": "drafting-desk", "revision": 1, "owner": "drafting team", "routes": 5, "upstreams": 0},
-    ]);
-    assert_eq!(list["services"], expected);
-    let service = served.get("/v1/services/court-registry").await.json();
-    assert_eq!(service["text"], REGISTRY);
-    assert_eq!(service["revision"], 1);
-    assert_eq!(service["seq"], list["seq"]);
-    served.close().await;
-}
--- /dev/null
+++ b/crates/node/tests/api/main.rs
@@ -0,0 +1,6 @@
+//! The contract of the operators' API, over real sockets.
+
+mod changes;
+mod faults;
+mod operators;
+mod support;
--- /dev/null
+++ b/crates/node/tests/api/support.rs
@@ -0,0 +1,164 @@
+//! A node and its operators' API over real sockets.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use axum::body::Body;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::BodyExt;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use laburnum_edge::{
+    Clock, LinkError, Memory, Platform,
+    api::{ErrorBody, SubmitAnswer, VerdictBody},
+};
+use laburnum_node::{
+    Config, Node,
+    admin::{Admin, Bounds},
+    node::StartError,
+};
+use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+pub const REGISTRY: &str = include_str!("../../../../examples/nile/court-registry.toml");
+pub const SUBMISSIONS: &str = "/v1/submissions";
+
+/// A node and its API on a port of its own.
+pub struct Served {
+    pub node: Node,
+    pub admin: Admin,
+    pub address: SocketAddr,
+}
+
+pub struct Answered {
+    pub status: StatusCode,
+    pub body: Vec<u8>,
+}
+
+impl Served {
+    pub async fn start(platform: Arc<dyn Platform>, bounds: Bounds) -> Served {
+        let node = node(platform).await;
+        let admin = Admin {
+            bounds,
+            ..Admin::new(node.control().clone(), Arc::default())
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let router = admin.clone().router();
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        Served {
+            node,
+            admin,
+            address,
+        }
+    }
+
+    pub async fn plain() -> Served {
+        Served::start(Arc::new(Memory::default()), Bounds::default()).await
+    }
+
+    pub async fn ask(&self, request: http::request::Builder, body: impl Into<Body>) -> Answered {
+        let client: Client<HttpConnector, Body> =
+            Client::builder(TokioExecutor::new()).build(HttpConnector::new());
+        let request = request.body(body.into()).expect("a request");
+        let answer = client.request(request).await.expect("an answer");
+        let status = answer.status();
+        let body = answer.into_body().collect().await.expect("a whole body");
+        let body = body.to_bytes().to_vec();
+        Answered { status, body }
+    }
+
+    pub fn request(&self, method: Method, path: &str) -> http::request::Builder {
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+    }
+
+    pub async fn get(&self, path: &str) -> Answered {
+        self.ask(self.request(Method::GET, path), "").await
+    }
+
+    pub async fn submit(&self, body: &Value) -> Answered {
+        self.send(Method::POST, SUBMISSIONS, body.to_string()).await
+    }
+
+    pub async fn send(&self, method: Method, path: &str, body: String) -> Answered {
+        let request = self.request(method, path);
+        let request = request.header(header::CONTENT_TYPE, "application/json");
+        self.ask(request, body).await
+    }
+
+    /// Sends `text` as it is and reads until the node closes or `end` was read.
+    pub async fn raw(&self, text: &str, end: &str) -> String {
+        let mut stream = TcpStream::connect(self.address).await.expect("connected");
+        stream.write_all(text.as_bytes()).await.expect("sent");
+        let mut answer = Vec::new();
+        let mut chunk = [0; 1024];
+        while !String::from_utf8_lossy(&answer).contains(end) {
+            match stream.read(&mut chunk).await {
+                Ok(0) | Err(_) => break,
+                Ok(count) => answer.extend_from_slice(&chunk[..count]),
+            }
+        }
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+
+    pub async fn close(self) {
+        self.node.close().await;
+    }
+}
+
+impl Answered {
+    pub fn error(&self) -> String {
+        let body: ErrorBody = serde_json::from_slice(&self.body).expect("an error body");
+        body.error
+    }
+
+    pub fn verdict(&self) -> VerdictBody {
+        let body: SubmitAnswer = serde_json::from_slice(&self.body).expect("a verdict");
+        body.verdict
+    }
+
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).expect("JSON")
+    }
+}
+
+/// Starts a node on free ports; tries others if a test beside this one was quicker to bind one of them.
+pub async fn node(platform: Arc<dyn Platform>) -> Node {
+    loop {
+        let config = Config {
+            caller: free().await,
+            control: free().await,
+            traffic: free().await,
+            admin: free().await,
+            ..Config::default()
+        };
+        match Node::start(config, Clock::system(), platform.clone()).await {
+            Ok(node) => return node,
+            Err(
+                StartError::Bind { .. }
+                | StartError::Link(LinkError::Bind { .. } | LinkError::Probe { .. }),
+            ) => {}
+            Err(error) => panic!("{error}"),
+        }
+    }
+}
+
+pub async fn free() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    listener
+        .and_then(|it| it.local_addr())
+        .expect("a free port")
+}
+
+pub fn put(id: &str, service: &str, base: u64, text: &str) -> Value {
+    json!({
+        "id": id, "service": service, "base": base, "edit": {"put": {"text": text}},
+        "author": "amal", "reason": "first version",
+    })
+}
