--- a/crates/kernel/src/once/holder.rs
+++ b/crates/kernel/src/once/holder.rs
@@ -8,6 +8,7 @@
     guard::Fingerprint,
     id::{CallId, NodeId, Token},
     kernel::{Context, State},
+    members::Record,
     once::{
         Answer, AttemptId, Claim, Ended, FORWARD_MS, GRANT_MS, INLINE_MAX, KEY_MAX, Kept, Key,
         Message, Outcome, Reply, Settlement, Verdict, bucket, reply, row_key,
@@ -16,8 +17,15 @@
     utils::rendezvous,
 };
 
-/// An outcome that is not acknowledged is sent again after this long, in ms.
-const RESEND_MS: u64 = 1_000;
+/// An outcome that is not acknowledged is sent again after this long, in ms, and then after ever longer.
+const RESEND_MS: u64 = 700;
+
+/// The longest time until an outcome is sent again, in ms.
+const RESEND_MAX_MS: u64 = 8_000;
+
+/// Every so many times an outcome is sent to another owner than the first choice. It is seldom: when the
+/// table is slow, second writers of a row would only slow it further.
+const DEPUTY_TURNS: u32 = 3;
 
 /// Most claims that wait for a verdict; more are refused.
 const ASKING_MAX: usize = 4_096;
@@ -44,6 +52,9 @@
     /// Attempts of which a caller was told that they were not run. A grant that still arrives for one is
     /// given back; a grant for an attempt that is not here is left alone, so that forgetting is safe.
     abandoned: VecDeque<(AttemptId, Key)>,
+    /// Owners by bucket, until the members change: a ranking hashes every member, which for each claim would
+    /// cost more than the claim.
+    targets: BTreeMap<(u16, Turn), NodeId>,
 }
 
 #[derive(Debug)]
@@ -55,7 +66,7 @@
 }
 
 /// Whom the claim was sent to last.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Turn {
     Owner,
     Deputy,
@@ -66,10 +77,23 @@
     token: Option<Token>,
     settlement: Settlement,
     sent: Ms,
-    turn: Turn,
+    turns: u32,
     store: Store,
 }
 
+impl Settling {
+    fn turn(&self) -> Turn {
+        match self.turns % DEPUTY_TURNS {
+            2 => Turn::Deputy,
+            _ => Turn::Owner,
+        }
+    }
+
+    fn due(&self) -> Ms {
+        self.sent + (RESEND_MS << self.turns.min(3)).min(RESEND_MAX_MS)
+    }
+}
+
 /// Whether a large answer is an object yet.
 #[derive(Debug)]
 enum Store {
@@ -212,7 +236,7 @@
             outcome,
         },
         sent: cx.now,
-        turn: Turn::Owner,
+        turns: 0,
         store,
     };
     state.once.holder.settling.insert(attempt, settling);
@@ -257,12 +281,9 @@
     }
     let mut resend = Vec::new();
     for (attempt, it) in &mut holder.settling {
-        if now.since(it.sent) > RESEND_MS {
+        if now > it.due() {
             it.sent = now;
-            it.turn = match it.turn {
-                Turn::Owner => Turn::Deputy,
-                Turn::Deputy => Turn::Owner,
-            };
+            it.turns += 1;
             resend.push(*attempt);
         }
     }
@@ -313,7 +334,7 @@
             outcome: Outcome::NotRun,
         },
         sent: cx.now,
-        turn: Turn::Owner,
+        turns: 0,
         store: Store::Done,
     };
     state.once.holder.settling.insert(attempt, settling);
@@ -345,7 +366,7 @@
         state.once.holder.storing.insert(call, attempt);
         return;
     }
-    let (settlement, turn) = (it.settlement.clone(), it.turn);
+    let (settlement, turn) = (it.settlement.clone(), it.turn());
     match target(cx, state, &settlement.key, turn) {
         to if to == cx.settings.node => bucket::settle(cx, state, to, settlement),
         to => cx.send(to, event::Message::Once(Message::Settle(settlement))),
@@ -359,24 +380,34 @@
     }
 }
 
+/// The members changed.
+pub(super) fn forget_targets(state: &mut State) {
+    state.once.holder.targets.clear();
+}
+
 /// The node to commit for a bucket. The first choice is the same for the whole fleet, so that a row has
 /// one writer; the second is a node of this region, in case the regions have lost each other.
-fn target(cx: &Context<'_>, state: &State, key: &Key, turn: Turn) -> NodeId {
-    let row = row_key(key.bucket());
-    let ready = state.members.ready();
-    let owner = rendezvous(&row, ready.map(|it| it.id)).first().copied();
+fn target(cx: &Context<'_>, state: &mut State, key: &Key, turn: Turn) -> NodeId {
+    let place = (key.bucket(), turn);
+    if let Some(known) = state.once.holder.targets.get(&place) {
+        return *known;
+    }
+    let row = row_key(place.0);
     let found = match turn {
-        Turn::Owner => owner,
+        Turn::Owner => {
+            let ready = state.members.ready().map(|it| it.id);
+            rendezvous(&row, ready).first().copied()
+        }
         Turn::Deputy => {
-            let near = state
-                .members
-                .ready()
-                .filter(|it| it.region == cx.settings.region);
-            let ranked = rendezvous(&row, near.map(|it| it.id));
-            ranked.into_iter().find(|it| Some(*it) != owner)
+            let owner = target(cx, state, key, Turn::Owner);
+            let near = |it: &&Record| it.region == cx.settings.region && it.id != owner;
+            let ready = state.members.ready().filter(near).map(|it| it.id);
+            rendezvous(&row, ready).first().copied()
         }
     };
-    found.unwrap_or(cx.settings.node)
+    let node = found.unwrap_or(cx.settings.node);
+    state.once.holder.targets.insert(place, node);
+    node
 }
 
 fn replay(cx: &mut Context<'_>, token: Token, answer: &ObjectAnswer) {
