--- a/crates/kernel/examples/overload/sim.rs
+++ b/crates/kernel/examples/overload/sim.rs
@@ -10,7 +10,7 @@
     Ms, Name, NodeId,
     admission::{Admission, AdmissionSettings, Finish, Offer, Permit, Request, Ticket, Wake},
     document::{self, Class, Repeat},
-    members::Phase,
+    members::{Phase, Reach},
     pick::{Choice, Outcome, Picker, Place},
     refusal::Refusal,
     retry::{Budget, Deadline, Failure, Next, Retry, Tree, Untried},
@@ -613,6 +613,7 @@
             region: name("region"),
             zone: name(&format!("zone-{}", self.zone)),
             phase: Phase::Ready,
+            reach: Reach::Reachable,
             slots,
         }
     }
--- a/crates/kernel/src/drain.rs
+++ b/crates/kernel/src/drain.rs
@@ -19,8 +19,8 @@
 /// with a refusal rather than a closed port.
 pub const NOTICE_MS: u64 = 2_000;
 
-/// Longest time to wait for requests in progress.
-pub const GRACE_MS: u64 = 60_000;
+/// Longest time to wait for requests in progress where no document says `drain.grace`.
+pub const GRACE_MS: u64 = 30_000;
 
 /// Time that the record `Gone` is given to spread before the exit.
 pub const FAREWELL_MS: u64 = 500;
@@ -31,8 +31,8 @@
     /// Nobody asked it to leave.
     #[default]
     Serving,
-    /// Takes no new work; requests are in progress.
-    Waiting { since: Ms },
+    /// Takes no new work; requests are in progress and have `grace` ms from `since` on.
+    Waiting { since: Ms, grace: u64 },
     /// No request is in progress.
     Idle { since: Ms },
     /// The record `Gone` spreads.
@@ -54,20 +54,30 @@
     if state.drain != Drain::Serving {
         return;
     }
-    state.drain = Drain::Waiting { since: cx.now };
+    state.drain = Drain::Waiting {
+        since: cx.now,
+        grace: grace(state),
+    };
     members::leave(cx, state, Phase::Draining);
     cx.log("drain", vec![("state", "draining".to_owned())]);
 }
 
+/// The grace that the document of the upstream's service gives.
+fn grace(state: &State) -> u64 {
+    let offer = state.members.own().offer.as_ref();
+    let service = offer.and_then(|it| state.log.services().get(&it.service));
+    service.map_or(GRACE_MS, |it| it.document.drain.grace)
+}
+
 fn idle(state: &mut State) {
-    if let Drain::Waiting { since } = state.drain {
+    if let Drain::Waiting { since, .. } = state.drain {
         state.drain = Drain::Idle { since };
     }
 }
 
 fn tick(cx: &mut Context<'_>, state: &mut State) {
     match state.drain {
-        Drain::Waiting { since } if cx.now.since(since) >= GRACE_MS => {
+        Drain::Waiting { since, grace } if cx.now.since(since) >= grace => {
             cx.log("drain", vec![("state", "grace-over".to_owned())]);
             gone(cx, state);
         }
--- a/crates/kernel/src/view.rs
+++ b/crates/kernel/src/view.rs
@@ -75,8 +75,10 @@
 /// Publishes a new view whenever something in it changed, at most one in [`TICK_MS`].
 ///
 /// A build visits every member. Without the bound a herd of small changes would rebuild the view for
-/// each of them and starve the control thread. The node's own changes are rare and go out at once: a
-/// node that drains must refuse from then on.
+/// each of them and starve the control thread. What is rare goes out at once: the node's own changes,
+/// because a node that drains must refuse from then on; quarantines, because the caller of a request that
+/// crashes its upstream is about to send it again; and what this node accepted, because whoever submitted
+/// it may read it back at once.
 #[derive(Debug, Default)]
 pub struct Publisher {
     stale: bool,
@@ -85,10 +87,11 @@
 
 fn handle(cx: &mut Context<'_>, state: &mut State, event: &Event) {
     match event {
-        Event::Notice(Notice::Applied { .. } | Notice::Members | Notice::Quarantine) => {
-            state.publisher.stale = true;
+        Event::Notice(Notice::Applied { .. } | Notice::Members) => state.publisher.stale = true,
+        Event::Start
+        | Event::Notice(Notice::Accepted { .. } | Notice::Own | Notice::Quarantine) => {
+            return publish(cx, state);
         }
-        Event::Start | Event::Notice(Notice::Own) => return publish(cx, state),
         Event::Tick => {}
         _ => return,
     }
--- a/crates/kernel/tests/common/claims.rs
+++ b/crates/kernel/tests/common/claims.rs
@@ -161,6 +161,8 @@
     pub paused: BTreeSet<usize>,
     /// Nodes that are dead.
     pub dead: BTreeSet<usize>,
+    /// Nodes without an upstream.
+    pub bare: BTreeSet<usize>,
     /// Pairs of nodes between which claims and quarantines are lost.
     pub cut: BTreeSet<(usize, usize)>,
     /// What happened: claims, quarantines and log lines.
@@ -223,6 +225,7 @@
             replies: BTreeMap::new(),
             paused: BTreeSet::new(),
             dead: BTreeSet::new(),
+            bare: BTreeSet::new(),
             cut: BTreeSet::new(),
             trace: Vec::new(),
             loss: 0,
@@ -263,10 +266,14 @@
         self.items = waiting;
     }
 
-    /// One tick at every node that runs.
+    /// One tick at every node that runs, and each second a heartbeat of its upstream.
     pub fn tick(&mut self) {
+        let beat = self.now.0.is_multiple_of(1_000);
         for idx in 0..self.kernels.len() {
             if !self.paused.contains(&idx) {
+                if beat && !self.bare.contains(&idx) {
+                    self.announce(idx);
+                }
                 self.step(idx, Event::Tick);
             }
         }
@@ -375,12 +382,16 @@
 
     fn begin(&mut self, idx: usize) {
         self.step(idx, Event::Start);
+        self.announce(idx);
+        self.step(idx, Event::Upstream(UpstreamEvent::Ready));
+    }
+
+    fn announce(&mut self, idx: usize) {
         let announced = UpstreamEvent::Announced {
             service: service(),
             slots: 3,
         };
         self.step(idx, Event::Upstream(announced));
-        self.step(idx, Event::Upstream(UpstreamEvent::Ready));
     }
 
     fn act(&mut self, idx: usize, action: Action) {
--- a/crates/kernel/tests/guard.rs
+++ b/crates/kernel/tests/guard.rs
@@ -71,6 +71,7 @@
 fn upstream_gone_before_the_report() {
     let mut fleet = Fleet::new(3);
     for idx in 0..2 {
+        fleet.bare.insert(idx);
         fleet.step(idx, Event::Upstream(UpstreamEvent::Gone));
         fleet.run(500);
         crash(&mut fleet, idx, &[CULPRIT, idx as u64 + 1]);
--- a/crates/kernel/tests/pick.rs
+++ b/crates/kernel/tests/pick.rs
@@ -9,7 +9,7 @@
     Ms, Name, NodeId,
     admission::Load,
     document::Class,
-    members::Phase,
+    members::{Phase, Reach},
     pick::{Choice, Outcome, Picker, Place},
     refusal::{Reason, Refusal},
     view::Endpoint,
@@ -42,6 +42,7 @@
                 region: name(region),
                 zone: name(zone),
                 phase: Phase::Ready,
+                reach: Reach::Reachable,
                 slots: 6,
             }
         })
