--- a/crates/kernel/examples/overload/scenario.rs
+++ b/crates/kernel/examples/overload/scenario.rs
@@ -12,6 +12,9 @@
     Managed,
 }
 
+/// When a silent upstream falls silent, in us.
+pub const SILENT_FROM: u64 = 20_000_000;
+
 /// How an upstream behaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Upstreams {
@@ -19,6 +22,8 @@
     Equal,
     /// Every third is three times slower.
     Slow,
+    /// The first swallows every request from [`SILENT_FROM`] on; members still announce it as ready.
+    Silent,
     /// All announce three times the slots that they have processors for, and slow down beyond.
     Oversold,
 }
@@ -101,6 +106,13 @@
             },
         ));
     }
+    let (load, upstreams) = (scaled(0.5), Upstreams::Silent);
+    let silent = Scenario {
+        load,
+        upstreams,
+        ..base.clone()
+    };
+    all.push(("1 silent 0.5x".to_owned(), silent));
     for (label, load) in [
         ("quiet", [0.4, 0.05, 0.0]),
         ("background flood", [0.4, 0.05, 4.0]),
--- a/crates/kernel/examples/overload/sim.rs
+++ b/crates/kernel/examples/overload/sim.rs
@@ -17,7 +17,7 @@
 use crate::{
     actors::{Entry, Owner},
     report::Report,
-    scenario::{Policy, Scenario},
+    scenario::{Policy, SILENT_FROM, Scenario},
     step::{Answer, Step},
 };
 
@@ -217,6 +217,9 @@
     }
 
     fn at_owner(&mut self, call: usize, attempt: u32, owner: usize) {
+        if self.owners[owner].silent && self.now >= SILENT_FROM {
+            return;
+        }
         if self.policy == Policy::Baseline {
             self.owners[owner].backlog.push_back((call, attempt));
             return self.run_backlog(owner);
@@ -357,11 +360,14 @@
         let now = self.ms();
         let call = &self.calls[id];
         let entry = &mut self.entries[call.entry];
-        let load = self.owners[owner].admission.load();
+        let load = match outcome {
+            Outcome::Failed => None,
+            _ => Some(self.owners[owner].admission.load()),
+        };
         let node = self.owners[owner].node;
         entry
             .picker
-            .finished(now, node, CLASSES[call.class], outcome, Some(load));
+            .finished(now, node, CLASSES[call.class], outcome, load);
     }
 
     fn succeed(&mut self, id: usize, work: u64) {
@@ -391,7 +397,14 @@
         }
         match self.policy {
             Policy::Baseline if attempt <= RETRIES => self.attempt(id),
-            Policy::Baseline | Policy::Managed => self.give_up(id),
+            Policy::Baseline => self.give_up(id),
+            Policy::Managed => {
+                if let Some(node) = self.calls[id].tried.last() {
+                    let owner = usize::from(node.0.port());
+                    self.learn(id, owner, Outcome::Failed);
+                }
+                self.give_up(id);
+            }
         }
     }
 
