Spread: a few partners for comparisons, smaller parts, any peer for a node that is not ready

Cause: a comparison with any peer of the zone opens a connection each time; a part of 56 KiB took a paced server longer than its asker waited. Change: a node compares with six peers of its zone and three of others and replaces one now and then; parts are 16 KiB; a node that is not ready asks any peer, as those that are ready may be few. In the herd's test all but three nodes restart, so that refusals are certain, and a restarted kernel is told its peers: with the thin membership it had only heard of those started before it.

--- a/crates/kernel/src/spread/catchup.rs
+++ b/crates/kernel/src/spread/catchup.rs
@@ -17,6 +17,9 @@
 /// Time after which a refused asker may come back, for each catch-up under way, in ms.
 const SLOT_WAIT_MS: u64 = 500;
 
+/// Most bytes of one part. Well below a frame, so that a paced asker hears something every few seconds.
+const PART_MAX: usize = 16 * 1024;
+
 /// Catch-ups being served.
 pub type Slots = BTreeMap<NodeId, Slot>;
 
@@ -105,8 +108,8 @@
     let Some(slot) = state.spread.slots.get_mut(&to) else {
         return;
     };
-    let of = slot.blob.len().div_ceil(RANGE_MAX) as u32;
-    let Some(bytes) = slot.blob.chunks(RANGE_MAX).nth(idx as usize) else {
+    let of = slot.blob.len().div_ceil(PART_MAX) as u32;
+    let Some(bytes) = slot.blob.chunks(PART_MAX).nth(idx as usize) else {
         slot.asked = None;
         return;
     };
--- a/crates/kernel/src/spread/repair.rs
+++ b/crates/kernel/src/spread/repair.rs
@@ -1,6 +1,6 @@
 //! Repair: whatever was lost on its way is fetched from a peer.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rand::{Rng, seq::IteratorRandom};
 
@@ -39,6 +39,13 @@
 /// One comparison in this many is with a peer of another zone.
 const ABROAD: u32 = 4;
 
+/// Peers of the zone, and of other zones, that a node compares with.
+const NEAR_MAX: usize = 6;
+const ABROAD_MAX: usize = 3;
+
+/// Every this many comparisons a node takes another peer to compare with.
+const REPLACED: u32 = 16;
+
 /// What this node knows to be lacking, and how it fetches it.
 #[derive(Debug, Default)]
 pub struct Repair {
@@ -49,6 +56,26 @@
     want: Want,
     due: Ms,
     ballot: Ballot,
+    near: Vec<NodeId>,
+    abroad: Vec<NodeId>,
+}
+
+/// Which peers are meant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reach {
+    /// Those of this node's zone.
+    Near,
+    /// Those of other zones.
+    Abroad,
+}
+
+impl Reach {
+    fn other(self) -> Reach {
+        match self {
+            Reach::Near => Reach::Abroad,
+            Reach::Abroad => Reach::Near,
+        }
+    }
 }
 
 /// The present pull.
@@ -265,17 +292,53 @@
     let period = cx.settings.spread.repair.max(2);
     let jitter = cx.rng.random_range(period / 2..=period * 3 / 2);
     state.spread.repair.due = cx.now + jitter;
-    let abroad = cx.rng.random_ratio(1, ABROAD);
-    let zone = &cx.settings.zone;
-    let peer = match abroad {
-        true => peer_where(cx, state, |it| it.zone != *zone),
-        false => peer_where(cx, state, |it| it.zone == *zone),
+    // A new node has to find peers that are ready, which may be few.
+    if !state.spread.ready() {
+        if let Some(to) = peer_where(cx, state, |_| true) {
+            question(cx, state, to);
+        }
+        return;
+    }
+    let reach = match cx.rng.random_ratio(1, ABROAD) {
+        true => Reach::Abroad,
+        false => Reach::Near,
     };
-    if let Some(to) = peer.or_else(|| peer_where(cx, state, |_| true)) {
+    let peer = partner(cx, state, reach);
+    let other = reach.other();
+    if let Some(to) = peer.or_else(|| partner(cx, state, other)) {
         question(cx, state, to);
     }
 }
 
+/// A random one of the few peers that this node compares with.
+///
+/// Were it any peer, every comparison would open a connection; so a node keeps some, and replaces one now
+/// and then, so that no group of nodes only ever compares within itself.
+fn partner(cx: &mut Context<'_>, state: &mut State, reach: Reach) -> Option<NodeId> {
+    let State {
+        members, spread, ..
+    } = state;
+    let (own, zone) = (cx.settings.node, &cx.settings.zone);
+    let suits = |it: &&Record| it.id != own && (it.zone == *zone) == (reach == Reach::Near);
+    let alive: BTreeSet<NodeId> = members.alive().filter(suits).map(|it| it.id).collect();
+    let (partners, most) = match reach {
+        Reach::Near => (&mut spread.repair.near, NEAR_MAX),
+        Reach::Abroad => (&mut spread.repair.abroad, ABROAD_MAX),
+    };
+    partners.retain(|it| alive.contains(it));
+    if partners.len() == most && cx.rng.random_ratio(1, REPLACED) {
+        partners.remove(cx.rng.random_range(0..most));
+    }
+    if partners.len() < most {
+        let others = alive.iter().filter(|it| !partners.contains(it));
+        let drawn = others
+            .copied()
+            .choose_multiple(cx.rng, most - partners.len());
+        partners.extend(drawn);
+    }
+    partners.iter().copied().choose(cx.rng)
+}
+
 fn question(cx: &mut Context<'_>, state: &mut State, to: NodeId) {
     let message = Message::Compare {
         standing: state.spread.standing(),
--- a/crates/kernel/tests/common/driver.rs
+++ b/crates/kernel/tests/common/driver.rs
@@ -154,8 +154,10 @@
 
     /// Ends a kernel's process and starts it anew: it holds nothing.
     pub fn restart(&mut self, index: usize) {
+        let others = (0..self.kernels.len()).filter(|it| *it != index);
         let settings = Settings {
             incarnation: self.now.0,
+            peers: others.map(node).collect(),
             ..self.kernels[index].settings().clone()
         };
         self.kernels[index] = Kernel::new(settings, self.now.0 + index as u64);
