--- a/crates/kernel/src/pick.rs
+++ b/crates/kernel/src/pick.rs
@@ -24,7 +24,7 @@
 
 /// Penalties on the expected time for an endpoint in the own zone, in the own region, beyond, and for one
 /// that the members cannot reach.
-const PENALTY: [f64; TIERS] = [1.0, 1.2, 3.0, 10.0];
+const PENALTY: [f64; TIERS] = [1.0, 1.2, 3.0, 1_000.0];
 const TIERS: usize = 4;
 /// Factor below which one cost is clearly better than another; otherwise the draw decides.
 ///
