Members: a drained upstream that dies without a word does not block the next one

Cause: its lapse left the node at Draining, from where no upstream can become ready. Change: the lapse of a draining upstream returns the node to Warming, unless the whole node leaves. Conclusion: the upstream after it is announced and used; a test holds it.

--- a/crates/kernel/src/members/upstream.rs
+++ b/crates/kernel/src/members/upstream.rs
@@ -35,8 +35,17 @@
     }
     if members.own.offer.is_some() && cx.now.since(members.heartbeat) >= LEASE_MS {
         cx.log("upstream", vec![("state", "lapsed".to_owned())]);
-        // The phase stays: a heartbeat after the lapse brings the same upstream back.
-        members.change_own(cx.now, |it| it.offer = None, Pace::Urgent);
+        // A heartbeat after the lapse brings the same upstream back in its phase. One that drained is
+        // over: left at Draining, the node would refuse the next upstream on its host for ever.
+        let phase = match (members.leaving, members.own.phase) {
+            (false, Phase::Draining) => Phase::Warming,
+            (_, phase) => phase,
+        };
+        let change = |it: &mut super::Record| {
+            it.offer = None;
+            it.phase = phase;
+        };
+        members.change_own(cx.now, change, Pace::Urgent);
         cx.raise(Notice::Own);
     }
 }
--- a/crates/kernel/tests/members.rs
+++ b/crates/kernel/tests/members.rs
@@ -238,6 +238,20 @@
     assert_eq!((back.phase, back.offer.is_some()), (Phase::Ready, true));
 }
 
+/// The upstream beside node 2 drains and dies without withdrawing its announcement. The next upstream on
+/// the same host announces itself and is used.
+#[test]
+fn the_upstream_after_a_drained_one_is_used() {
+    let mut net = Net::settled(14, &ZONES);
+    announce(&mut net, 2);
+    net.step(id(2), Event::Upstream(UpstreamEvent::Draining));
+    net.run(LEASE_MS + 1_000);
+    announce(&mut net, 2);
+    net.run(3_000);
+    let next = net.record(9, 2).expect("a member");
+    assert_eq!((next.phase, next.offer.is_some()), (Phase::Ready, true));
+}
+
 #[test_case(Phase::Warming, Phase::Ready, true)]
 #[test_case(Phase::Ready, Phase::Warming, true)]
 #[test_case(Phase::Ready, Phase::Draining, true)]
