Spread: submission ids as 16 bytes

A random id took 19 bytes as a number of variable length; a message of 100 changes shrinks from 2,905 to 2,630 bytes and one of a single change from 92 to 89 (spread_bytes). The run over kernels now changes a hundred services once each, with random ids: before, short ids hid what ids cost and a long window met conflicts.

--- a/crates/kernel/examples/spread_run.rs
+++ b/crates/kernel/examples/spread_run.rs
@@ -7,13 +7,18 @@
 mod driver;
 
 use laburnum_kernel::{
-    Seq, Settings, Token,
+    Seq, Settings, SubmitId, Token,
+    accept::Submission,
     settings::{SpreadForm, SpreadMode, SpreadSettings},
     spread::Stats,
+    utils::hash64,
 };
 
 use driver::{Driver, name, node, put};
 
+/// Services, each of which the burst changes once.
+const SERVICES: u64 = 100;
+
 fn main() {
     let mut numbers = std::env::args().skip(1).filter_map(|it| it.parse().ok());
     let nodes: usize = numbers.next().unwrap_or(40);
@@ -54,8 +59,10 @@
 fn run(label: &str, spread: &SpreadSettings, nodes: usize, zones: usize) {
     let mut driver = fleet(spread, nodes, zones);
     // What is measured is a change of a service that exists.
-    let first = (0..20).map(|id| put(1_000 + id, &format!("s{id}"), 0, &[]));
-    let first = first.map(|it| driver.submit(0, &it)).collect();
+    let first = (0..SERVICES)
+        .map(|it| change(&driver, 1, it))
+        .collect::<Vec<_>>();
+    let first = first.iter().map(|it| driver.submit(0, it)).collect();
     settle(&mut driver, first);
     driver.run(30_000);
 
@@ -65,8 +72,8 @@
     let reads = driver.reads + driver.polls - reads;
 
     let before = sent(&driver);
-    let change = put(1, "s1", newest(&driver, "s1"), &[]);
-    let token = driver.submit(0, &change);
+    let one = change(&driver, 2, 1);
+    let token = driver.submit(0, &one);
     let one_ms = settle(&mut driver, vec![token]);
     let one = cost(&before, &sent(&driver));
 
@@ -74,14 +81,12 @@
     let before = sent(&driver);
     let started = driver.now;
     let mut tokens = Vec::new();
-    for round in 0..5 {
-        for service in 0..20 {
-            let id = 2_000 + 20 * round + service;
-            let service = format!("s{service}");
-            let change = put(id, &service, newest(&driver, &service), &[]);
-            tokens.push(driver.submit(0, &change));
+    for service in 0..SERVICES {
+        let change = change(&driver, 3, service);
+        tokens.push(driver.submit(0, &change));
+        if service % 20 == 19 {
+            driver.run(200);
         }
-        driver.run(200);
     }
     settle(&mut driver, tokens);
     let burst_ms = driver.now.since(started);
@@ -99,6 +104,17 @@
     );
 }
 
+/// A change of a service, with an id as random as operators' are.
+fn change(driver: &Driver, round: u64, service: u64) -> Submission {
+    let id = hash64(&[&round.to_le_bytes(), &service.to_le_bytes()]);
+    let name = format!("s{service}");
+    let base = newest(driver, &name);
+    Submission {
+        id: SubmitId(u128::from(id) << 64 | u128::from(!id)),
+        ..put(u128::from(1_000 * round + service), &name, base, &[])
+    }
+}
+
 fn fleet(spread: &SpreadSettings, nodes: usize, zones: usize) -> Driver {
     let mut driver = Driver::new(&[]);
     for index in 0..nodes * zones {
--- a/crates/kernel/src/spread/history.rs
+++ b/crates/kernel/src/spread/history.rs
@@ -5,7 +5,7 @@
     sync::Arc,
 };
 
-use super::wire::{self, Form, NetChange, Range};
+use super::wire::{self, Form, IdBytes, NetChange, Range};
 use crate::{
     clock::Ms,
     id::{Name, Revision, Seq, SubmitId},
@@ -196,7 +196,7 @@
             to: range.to,
             digest: range.digest,
             changes: changes.into_values().collect(),
-            ids: range.ids.clone(),
+            ids: range.ids.iter().map(submissions).collect(),
         };
         log.advance(next).map_err(|_| Refusal::Digest)
     }
@@ -267,14 +267,21 @@
     }
 }
 
-fn recent_ids(log: &Log, from: Seq) -> Vec<(Seq, Vec<SubmitId>)> {
+fn submissions((seq, ids): &(Seq, Vec<IdBytes>)) -> (Seq, Vec<SubmitId>) {
+    let ids = ids.iter().map(|it| SubmitId(u128::from_le_bytes(*it)));
+    (*seq, ids.collect())
+}
+
+fn recent_ids(log: &Log, from: Seq) -> Vec<(Seq, Vec<IdBytes>)> {
     let batches: Vec<_> = log.ids_after(from).collect();
     let mut count = 0;
     let newest = batches.into_iter().rev().take_while(|it| {
         count += it.1.len();
         count <= IDS_MAX
     });
-    let mut newest: Vec<_> = newest.cloned().collect();
+    let bytes = |it: &SubmitId| it.0.to_le_bytes();
+    let newest = newest.map(|(seq, ids)| (*seq, ids.iter().map(bytes).collect()));
+    let mut newest: Vec<_> = newest.collect();
     newest.reverse();
     newest
 }
--- a/crates/kernel/src/spread/wire.rs
+++ b/crates/kernel/src/spread/wire.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    id::{Name, Revision, Seq, SubmitId},
+    id::{Name, Revision, Seq},
     platform::VALUE_MAX,
     utils::hash64,
 };
@@ -34,9 +34,12 @@
     /// Packed list of [`NetChange`].
     pub body: Vec<u8>,
     /// Submissions accepted in the range, so that a committer here recognises one that is sent again.
-    pub ids: Vec<(Seq, Vec<SubmitId>)>,
+    pub ids: Vec<(Seq, Vec<IdBytes>)>,
 }
 
+/// A [`crate::SubmitId`] as it travels. It is random, so that a number of variable length would take 19 bytes.
+pub type IdBytes = [u8; 16];
+
 /// The latest change of one service within a range.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NetChange {
