--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod drain;
 pub mod event;
 pub mod guard;
+pub mod health;
 pub mod hot;
 pub mod id;
 pub mod kernel;
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -9,20 +9,23 @@
 };
 use laburnum_edge::api::{AnnounceBody, ErrorBody, ServiceBody, SubmitAnswer, SubmitBody};
 use laburnum_kernel::{
-    Call, Event, Name, Reply,
+    Call, Name, Reply,
     accept::{self, Submission},
-    event::UpstreamEvent,
+    members::Phase,
 };
 
-use crate::{control::Control, traffic::UpstreamAddress};
+use crate::{
+    control::{Closed, Control},
+    upstream::{Announcement, Upstream},
+};
 
 /// What the API needs.
 #[derive(Clone, Debug)]
 pub struct Admin {
     /// The control thread.
     pub control: Control,
-    /// Where the upstream beside this node listens.
-    pub upstream: UpstreamAddress,
+    /// The upstream beside this node.
+    pub upstream: Upstream,
 }
 
 impl Admin {
@@ -34,7 +37,7 @@
             .route("/v1/submissions", post(submit))
             .route("/v1/services/{name}", get(service))
             .route("/v1/status", get(status))
-            .route("/v1/upstream", put(announce))
+            .route("/v1/upstream", put(announce).delete(withdraw))
             .with_state(self)
     }
 }
@@ -94,19 +97,25 @@
 }
 
 async fn announce(State(admin): State<Admin>, Json(body): Json<AnnounceBody>) -> Response {
-    if let Ok(mut address) = admin.upstream.write() {
-        *address = Some(body.address);
-    }
-    let announced = Event::Upstream(UpstreamEvent::Announced {
+    let phase = match body.ready {
+        true => Phase::Ready,
+        false => Phase::Warming,
+    };
+    let announced = admin.upstream.announce(Announcement {
         service: body.service,
+        address: body.address,
         slots: body.slots,
+        phase,
     });
-    let phase = match body.ready {
-        true => UpstreamEvent::Ready,
-        false => UpstreamEvent::Warming,
-    };
-    let told = admin.control.tell(announced);
-    match told.and_then(|()| admin.control.tell(Event::Upstream(phase))) {
+    done(announced)
+}
+
+async fn withdraw(State(admin): State<Admin>) -> Response {
+    done(admin.upstream.withdraw())
+}
+
+fn done(result: Result<(), Closed>) -> Response {
+    match result {
         Ok(()) => StatusCode::NO_CONTENT.into_response(),
         Err(error) => refuse(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
     }
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -20,7 +20,9 @@
         zone: setting(&mut args, "zone", &mut faults).unwrap_or(default.zone),
         peers: peers(&mut args, &mut faults),
         platform: setting(&mut args, "platform", &mut faults),
-        spread: default.spread,
+        workers: setting(&mut args, "workers", &mut faults).unwrap_or(default.workers),
+        grace: setting(&mut args, "grace", &mut faults).unwrap_or(default.grace),
+        ..default
     };
     let rest = args.finish();
     faults.extend(rest.iter().map(|it| format!("unknown argument {it:?}")));
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -4,6 +4,8 @@
 
 use laburnum_kernel::settings::SpreadSettings;
 
+use crate::traffic::{pool::PoolSettings, serve::Bounds};
+
 /// Settings of a node.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -25,6 +27,16 @@
     pub platform: Option<SocketAddr>,
     /// How configuration spreads.
     pub spread: SpreadSettings,
+    /// Threads that carry requests. Default: 2.
+    pub workers: usize,
+    /// What callers may hold. Default: [`Bounds::default`].
+    pub callers: Bounds,
+    /// What other nodes may hold. Default: 4096 connections with 1024 requests each.
+    pub nodes: Bounds,
+    /// Connections to the upstream. Default: [`PoolSettings::default`].
+    pub pool: PoolSettings,
+    /// Longest wait for requests in progress when the node stops, in ms. Default: 30 s.
+    pub grace: u64,
 }
 
 impl Default for Config {
@@ -40,6 +52,15 @@
             peers: Vec::new(),
             platform: None,
             spread: SpreadSettings::default(),
+            workers: 2,
+            callers: Bounds::default(),
+            nodes: Bounds {
+                connections: 4096,
+                streams: 1024,
+                ..Bounds::default()
+            },
+            pool: PoolSettings::default(),
+            grace: 30_000,
         }
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod logs;
 pub mod node;
 pub mod traffic;
+pub mod upstream;
 
 pub use crate::{config::Config, node::Node};
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -26,11 +26,33 @@
     }
 }
 
-#[tokio::main]
-async fn run(config: laburnum_node::Config) -> Result<(), Box<dyn std::error::Error>> {
+fn run(config: laburnum_node::Config) -> Result<(), Box<dyn std::error::Error>> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(config.workers)
+        .thread_name("traffic")
+        .enable_all()
+        .build()?;
+    let result = runtime.block_on(serve(config));
+    // A forced stop leaves tasks behind; they end with the process.
+    runtime.shutdown_background();
+    result
+}
+
+/// Runs until a signal has drained the node, or a second one cut that short.
+async fn serve(config: laburnum_node::Config) -> Result<(), Box<dyn std::error::Error>> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
     let node = Node::start(config, Clock::system(), Arc::new(Memory::default())).await?;
     logs::event("started", &[]);
-    signal(SignalKind::terminate())?.recv().await;
-    node.close().await;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    logs::event("draining", &[]);
+    tokio::select! {
+        () = node.close() => logs::event("stopped", &[("how", "drained".to_owned())]),
+        _ = terminate.recv() => logs::event("stopped", &[("how", "forced".to_owned())]),
+        _ = interrupt.recv() => logs::event("stopped", &[("how", "forced".to_owned())]),
+    }
     Ok(())
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,17 +1,31 @@
 //! A running node: its threads and sockets.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
-use axum::Router;
+use axum::{Router, body::Body};
+use http::{Request, Response};
+use hyper::body::Incoming;
 use laburnum_edge::{Clock, LinkError, Platform};
-use laburnum_kernel::{NodeId, Settings, id::BadName};
-use tokio::{net::TcpListener, runtime::Handle, sync::watch, task::JoinHandle};
+use laburnum_kernel::{Event, NodeId, Settings, id::BadName, pick::Place};
+use tokio::{
+    net::TcpListener,
+    runtime::Handle,
+    sync::watch,
+    task::JoinSet,
+    time::{Instant, sleep, timeout_at},
+};
+use tower::ServiceExt;
 
 use crate::{
     admin::Admin,
     config::Config,
     control::{Control, ControlThread},
-    traffic::{Traffic, UpstreamAddress},
+    traffic::{
+        Traffic,
+        faults::Faults,
+        serve::{Server, Speech},
+    },
+    upstream::Upstream,
 };
 
 /// The node cannot start.
@@ -35,10 +49,24 @@
 /// A running node.
 pub struct Node {
     control: ControlThread,
+    traffic: Traffic,
+    upstream: Upstream,
+    grace: Duration,
+    /// Ends the sockets of callers and operators.
+    callers: Servers,
+    /// Ends the socket of other nodes.
+    nodes: Servers,
+}
+
+/// Servers that stop together.
+struct Servers {
     stop: watch::Sender<bool>,
-    servers: Vec<JoinHandle<()>>,
+    tasks: JoinSet<()>,
 }
 
+/// Interval in which a draining node looks for requests in progress.
+const DRAIN_POLL: Duration = Duration::from_millis(5);
+
 impl Node {
     /// Opens every socket and starts the threads. Must be called inside a tokio runtime.
     pub async fn start(
@@ -56,26 +84,68 @@
             spread: config.spread.clone(),
             ..Settings::default()
         };
+        let node = settings.node;
+        let place = Place {
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+        };
         let caller = bind("caller", config.caller).await?;
         let traffic = bind("traffic", config.traffic).await?;
         let admin = bind("admin", config.admin).await?;
-        let control = ControlThread::start(settings, clock, platform, Handle::current())?;
-        let upstream = UpstreamAddress::default();
-        let path = Traffic::new(control.control().clone(), upstream.clone());
+        let control = ControlThread::start(settings, clock.clone(), platform, Handle::current())?;
+        let handle = control.control().clone();
+        let faults = Arc::new(Faults::new(clock.clone()));
+        let upstream = Upstream::start(handle.clone(), clock.clone(), config.pool);
+        let path = Traffic::start(
+            node,
+            place,
+            handle.clone(),
+            clock,
+            upstream.clone(),
+            faults.clone(),
+        );
         let api = Admin {
-            control: control.control().clone(),
-            upstream,
+            control: handle,
+            upstream: upstream.clone(),
         };
-        let (stop, stopped) = watch::channel(false);
-        let servers = vec![
-            serve(caller, path.clone().entry(), stopped.clone()),
-            serve(traffic, path.owner(), stopped.clone()),
-            serve(admin, api.router(), stopped),
-        ];
+        let (mut callers, mut nodes) = (Servers::default(), Servers::default());
+        let entry = path.clone();
+        callers.serve(
+            Server {
+                listener: caller,
+                speech: Speech::Both,
+                bounds: config.callers.clone(),
+                faults: faults.clone(),
+            },
+            move |peer| entry.entry(peer),
+        );
+        let router = api.router();
+        callers.serve(
+            Server {
+                listener: admin,
+                speech: Speech::Both,
+                bounds: config.callers,
+                faults: faults.clone(),
+            },
+            move |_| operators(router.clone()),
+        );
+        let owner = path.clone();
+        nodes.serve(
+            Server {
+                listener: traffic,
+                speech: Speech::Http2,
+                bounds: config.nodes,
+                faults,
+            },
+            move |_| owner.owner(),
+        );
         Ok(Node {
             control,
-            stop,
-            servers,
+            traffic: path,
+            upstream,
+            grace: Duration::from_millis(config.grace),
+            callers,
+            nodes,
         })
     }
 
@@ -84,14 +154,77 @@
         self.control.control()
     }
 
-    /// Takes no new connections, waits for every request in progress and stops.
+    /// The upstream beside the node.
+    pub fn upstream(&self) -> &Upstream {
+        &self.upstream
+    }
+
+    /// Drains and stops: the upstream takes no new work, and every request in progress gets its answer.
+    ///
+    /// What takes longer than the grace is cut. Dropping the future stops at once.
     pub async fn close(self) {
-        let _ = self.stop.send(true);
-        for server in self.servers {
-            let _ = server.await;
-        }
+        let end = Instant::now() + self.grace;
+        // A closed control thread has nobody left to tell.
+        let _ = self.control.control().tell(Event::Stop);
+        self.traffic.drain();
+        // The upstream's requests in progress may call other services through this node: callers are
+        // served until the last of them is done.
+        let _ = timeout_at(end, self.owned()).await;
+        let _ = timeout_at(end, self.callers.close()).await;
+        // Callers of this node may have been the last to need its upstream.
+        let _ = timeout_at(end, owned(&self.traffic)).await;
+        let _ = timeout_at(end, self.nodes.close()).await;
         self.control.close();
     }
+
+    async fn owned(&self) {
+        owned(&self.traffic).await;
+    }
+}
+
+async fn owned(traffic: &Traffic) {
+    while traffic.owned() > 0 {
+        sleep(DRAIN_POLL).await;
+    }
+}
+
+impl Default for Servers {
+    fn default() -> Servers {
+        Servers {
+            stop: watch::Sender::new(false),
+            tasks: JoinSet::new(),
+        }
+    }
+}
+
+impl Servers {
+    fn serve<S, F>(&mut self, server: Server, make: F)
+    where
+        S: tower::Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
+            + Clone
+            + Send
+            + 'static,
+        S::Future: Send,
+        F: Fn(SocketAddr) -> S + Send + 'static,
+    {
+        self.tasks.spawn(server.run(self.stop.subscribe(), make));
+    }
+
+    /// Takes no new connections and waits until every request in progress has its answer.
+    async fn close(mut self) {
+        let _ = self.stop.send(true);
+        while self.tasks.join_next().await.is_some() {}
+    }
+}
+
+fn operators(
+    router: Router,
+) -> impl tower::Service<Request<Incoming>, Response = Response<Body>, Error = Infallible, Future: Send>
++ Clone
++ Send {
+    tower::service_fn(move |request: Request<Incoming>| {
+        router.clone().oneshot(request.map(Body::new))
+    })
 }
 
 async fn bind(flag: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
@@ -103,18 +236,3 @@
             source,
         })
 }
-
-fn serve(
-    listener: TcpListener,
-    router: Router,
-    mut stopped: watch::Receiver<bool>,
-) -> JoinHandle<()> {
-    tokio::spawn(async move {
-        let stop = async move {
-            let _ = stopped.wait_for(|it| *it).await;
-        };
-        let _ = axum::serve(listener, router)
-            .with_graceful_shutdown(stop)
-            .await;
-    })
-}
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -1,167 +1,186 @@
 //! The request path: caller, entry node, owner node, upstream.
+//!
+//! Any node is an entry: it finds the service and the route, picks an endpoint and forwards the request to
+//! the node beside it, the owner. The owner alone admits work to its upstream and knows what became of it, so
+//! every answer says in [`headers::OUTCOME`] whether the request was run. The decisions are the kernel's
+//! ([`laburnum_kernel::pick`], [`laburnum_kernel::retry`], [`laburnum_kernel::admission`],
+//! [`laburnum_kernel::once`]); the modules here move the bytes.
+
+pub mod body;
+pub mod denial;
+mod entry;
+pub mod faults;
+mod gate;
+pub mod headers;
+mod once;
+mod owner;
+mod peers;
+pub mod pool;
+pub mod serve;
+mod services;
+mod stall;
 
 use std::{
+    convert::Infallible,
     net::SocketAddr,
-    sync::{Arc, RwLock},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
 };
 
-use axum::{
-    Router,
-    body::Body,
-    extract::{Request, State},
-    http::{HeaderValue, StatusCode, Uri, Version, header},
-    response::{IntoResponse, Response},
-};
-use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::TokioExecutor,
+use axum::body::Body;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use laburnum_edge::Clock;
+use laburnum_kernel::{Ms, NodeId, View, pick::Place, retry::Deadline};
+use tokio::{
+    sync::Semaphore,
+    time::{Instant, MissedTickBehavior, interval},
 };
-use laburnum_kernel::{Name, members::Phase, pick};
 
-use crate::control::Control;
+use crate::{control::Control, upstream::Upstream};
 
-/// Says whether the request was run: [`RAN`], [`NOT_RUN`] or [`UNKNOWN`].
-pub const OUTCOME: &str = "laburnum-outcome";
-/// The upstream ran the request and this is its whole answer.
-pub const RAN: &str = "ran";
-/// No byte of the request reached an upstream.
-pub const NOT_RUN: &str = "not-run";
-/// The request may or may not have been run.
-pub const UNKNOWN: &str = "unknown";
-/// The service that a request between nodes is for.
-const SERVICE: &str = "laburnum-service";
+use faults::Faults;
+use gate::Gate;
+use peers::Peers;
+use services::Services;
 
-/// Where the upstream beside this node listens.
-pub type UpstreamAddress = Arc<RwLock<Option<SocketAddr>>>;
-
-/// What the request path needs.
+/// The request path of one node; cheap to clone.
 #[derive(Clone)]
-pub struct Traffic {
+pub struct Traffic(Arc<Shared>);
+
+struct Shared {
+    node: NodeId,
     control: Control,
-    upstream: UpstreamAddress,
-    nodes: Client<HttpConnector, Body>,
-    upstreams: Client<HttpConnector, Body>,
+    clock: Clock,
+    upstream: Upstream,
+    gate: Gate,
+    peers: Peers,
+    services: Services,
+    faults: Arc<Faults>,
+    draining: AtomicBool,
+    /// Held by the one request that is suspected of a crash and runs.
+    suspects: Arc<Semaphore>,
+    /// Bounds claims on their way.
+    claims: Arc<Semaphore>,
+    /// Requests at the owner, and settlements on their way.
+    owned: AtomicUsize,
 }
 
+/// Interval in which queues, connections and the upstream's phase are looked after.
+const TICK: Duration = Duration::from_millis(10);
+/// Ticks between two looks at idle connections.
+const PRUNE_TICKS: u64 = 1_000;
+/// Most claims on their way at once; more are refused, for each may cost the platform a write.
+const CLAIMS_MAX: usize = 64;
+
 impl Traffic {
-    /// A request path that reads views from `control`.
-    pub fn new(control: Control, upstream: UpstreamAddress) -> Traffic {
-        let mut nodes = Client::builder(TokioExecutor::new());
-        nodes.http2_only(true);
-        Traffic {
+    /// The request path of `node` at `place`. Must be called inside a tokio runtime.
+    pub fn start(
+        node: NodeId,
+        place: Place,
+        control: Control,
+        clock: Clock,
+        upstream: Upstream,
+        faults: Arc<Faults>,
+    ) -> Traffic {
+        let traffic = Traffic(Arc::new(Shared {
+            node,
             control,
+            gate: Gate::new(clock.clone()),
+            clock,
             upstream,
-            nodes: nodes.build(HttpConnector::new()),
-            upstreams: Client::builder(TokioExecutor::new()).build(HttpConnector::new()),
-        }
+            peers: Peers::default(),
+            services: Services::new(place),
+            faults,
+            draining: AtomicBool::new(false),
+            suspects: Arc::new(Semaphore::new(1)),
+            claims: Arc::new(Semaphore::new(CLAIMS_MAX)),
+            owned: AtomicUsize::new(0),
+        }));
+        let shared = Arc::downgrade(&traffic.0);
+        tokio::spawn(async move {
+            let mut ticks = interval(TICK);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            for count in 1_u64.. {
+                ticks.tick().await;
+                let Some(traffic) = shared.upgrade().map(Traffic) else {
+                    return;
+                };
+                traffic.follow(&traffic.view());
+                traffic.0.gate.tick();
+                if count.is_multiple_of(PRUNE_TICKS) {
+                    traffic.0.peers.prune();
+                }
+            }
+        });
+        traffic
     }
 
-    /// Serves callers.
-    pub fn entry(self) -> Router {
-        Router::new().fallback(entry).with_state(self)
+    /// Serves one caller's connection.
+    pub fn entry(
+        &self,
+        peer: SocketAddr,
+    ) -> impl tower::Service<
+        Request<Incoming>,
+        Response = Response<Body>,
+        Error = Infallible,
+        Future: Send,
+    > + Clone
+    + Send
+    + use<> {
+        let traffic = self.clone();
+        tower::service_fn(move |request| {
+            let traffic = traffic.clone();
+            async move { Ok(traffic.enter(request, peer).await) }
+        })
     }
 
-    /// Serves other nodes.
-    pub fn owner(self) -> Router {
-        Router::new().fallback(owner).with_state(self)
+    /// Serves one connection of another node.
+    pub fn owner(
+        &self,
+    ) -> impl tower::Service<
+        Request<Incoming>,
+        Response = Response<Body>,
+        Error = Infallible,
+        Future: Send,
+    > + Clone
+    + Send
+    + use<> {
+        let traffic = self.clone();
+        tower::service_fn(move |request: Request<Incoming>| {
+            let traffic = traffic.clone();
+            async move { Ok(traffic.own(request.map(Body::new)).await) }
+        })
     }
-}
 
-async fn entry(State(traffic): State<Traffic>, mut request: Request) -> Response {
-    let Some(service) = service_of(&request) else {
-        let why = "name the service in the Host header";
-        return refuse(StatusCode::BAD_REQUEST, why);
-    };
-    let view = traffic.control.view();
-    let Some(found) = view.services.get(&service) else {
-        return refuse(
-            StatusCode::NOT_FOUND,
-            "no such service; submit its document first",
-        );
-    };
-    let (method, path) = (request.method().as_str(), request.uri().path());
-    if found.document.route(method, path).is_none() {
-        return refuse(StatusCode::NOT_FOUND, "no route for this method and path");
+    /// Refuses new work for the upstream beside this node from now on; requests of callers go elsewhere.
+    pub fn drain(&self) {
+        self.0.draining.store(true, Ordering::SeqCst);
+        self.follow(&self.view());
     }
-    let Some(endpoint) = pick::pick(&mut rand::rng(), &found.endpoints) else {
-        return refuse(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "no upstream is ready; retry later",
-        );
-    };
-    let value = HeaderValue::from_str(service.as_str());
-    if let Ok(value) = value {
-        request.headers_mut().insert(SERVICE, value);
-    }
-    forward(&traffic.nodes, endpoint.traffic, request, Version::HTTP_2).await
-}
 
-async fn owner(State(traffic): State<Traffic>, request: Request) -> Response {
-    let view = traffic.control.view();
-    let wanted = request.headers().get(SERVICE).map(HeaderValue::as_bytes);
-    let ready = view.own.as_ref().is_some_and(|it| {
-        it.phase == Phase::Ready && wanted == Some(it.service.as_str().as_bytes())
-    });
-    let address = traffic.upstream.read().ok().and_then(|it| *it);
-    match address {
-        Some(address) if ready => {
-            forward(&traffic.upstreams, address, request, Version::HTTP_11).await
-        }
-        _ => refuse(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "the upstream is not ready; retry elsewhere",
-        ),
+    /// Requests at the upstream beside this node, and outcomes of theirs that are not kept yet.
+    pub fn owned(&self) -> usize {
+        self.0.owned.load(Ordering::SeqCst)
     }
-}
 
-async fn forward(
-    client: &Client<HttpConnector, Body>,
-    address: SocketAddr,
-    mut request: Request,
-    version: Version,
-) -> Response {
-    let path = request.uri().path_and_query().map_or("/", |it| it.as_str());
-    let Ok(uri) = format!("http://{address}{path}").parse::<Uri>() else {
-        return refuse(StatusCode::BAD_REQUEST, "the request's path is not valid");
-    };
-    *request.uri_mut() = uri;
-    *request.version_mut() = version;
-    request.headers_mut().remove(header::HOST);
-    request.headers_mut().remove(header::CONNECTION);
-    match client.request(request).await {
-        Ok(response) => {
-            let mut response = response.into_response();
-            let headers = response.headers_mut();
-            headers
-                .entry(OUTCOME)
-                .or_insert(HeaderValue::from_static(RAN));
-            response
-        }
-        Err(error) if error.is_connect() => refuse(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "the upstream cannot be reached; retry",
-        ),
-        Err(_) => outcome(
-            StatusCode::BAD_GATEWAY,
-            UNKNOWN,
-            "the answer was lost on its way",
-        ),
+    fn view(&self) -> Arc<View> {
+        self.0.control.view()
     }
-}
 
-fn service_of(request: &Request) -> Option<Name> {
-    let host = request
-        .headers()
-        .get(header::HOST)
-        .and_then(|it| it.to_str().ok())
-        .or_else(|| request.uri().authority().map(|it| it.as_str()))?;
-    host.split(':').next()?.parse().ok()
-}
+    fn now(&self) -> Ms {
+        self.0.clock.now()
+    }
 
-fn refuse(status: StatusCode, why: &str) -> Response {
-    outcome(status, NOT_RUN, why)
-}
+    fn draining(&self) -> bool {
+        self.0.draining.load(Ordering::SeqCst)
+    }
 
-fn outcome(status: StatusCode, outcome: &'static str, why: &str) -> Response {
-    (status, [(OUTCOME, outcome)], format!("{why}\n")).into_response()
+    /// The moment of `deadline` for timers.
+    fn instant(&self, deadline: Deadline) -> Instant {
+        Instant::now() + Duration::from_millis(deadline.left(self.now()))
+    }
 }
--- /dev/null
+++ b/crates/node/src/traffic/body.rs
@@ -0,0 +1,331 @@
+//! Message bodies: bounded, counted, and handed back when nobody read them.
+
+use std::{
+    future::Future,
+    pin::Pin,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use axum::{BoxError, body::Body};
+use bytes::{Bytes, BytesMut};
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use http_body_util::BodyExt;
+use tokio::{
+    sync::mpsc,
+    time::{Instant, Sleep, timeout_at},
+};
+
+/// Why a body is not whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BodyFault {
+    /// It is longer than the document allows.
+    #[error("the body is longer than limits.body of the service's document; send less")]
+    TooLong,
+    /// It ended before its declared length, or its connection broke.
+    #[error("the body ended early; send it again whole")]
+    Cut,
+    /// It was not complete at the deadline.
+    #[error(
+        "the body was not complete at the deadline; send it faster or raise the route's deadline"
+    )]
+    Late,
+}
+
+/// Reads a whole body of at most `limit` bytes until `deadline`.
+pub async fn collect<B>(body: B, limit: u64, deadline: Instant) -> Result<Bytes, BodyFault>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+{
+    let hint = body.size_hint();
+    if hint.lower() > limit {
+        return Err(BodyFault::TooLong);
+    }
+    match timeout_at(deadline, gather(body, limit)).await {
+        Ok(result) => result,
+        Err(_) => Err(BodyFault::Late),
+    }
+}
+
+async fn gather<B>(mut body: B, limit: u64) -> Result<Bytes, BodyFault>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+{
+    let expected = body.size_hint().exact();
+    let mut whole = Bytes::new();
+    let mut parts = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyFault::Cut)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if (whole.len() + parts.len() + data.len()) as u64 > limit {
+            return Err(BodyFault::TooLong);
+        }
+        // One frame is the common case and is kept without a copy.
+        match whole.is_empty() && parts.is_empty() {
+            true => whole = data,
+            false => {
+                parts.extend_from_slice(&std::mem::take(&mut whole));
+                parts.extend_from_slice(&data);
+            }
+        }
+    }
+    let bytes = match parts.is_empty() {
+        true => whole,
+        false => parts.freeze(),
+    };
+    match expected {
+        Some(it) if it != bytes.len() as u64 => Err(BodyFault::Cut),
+        _ => Ok(bytes),
+    }
+}
+
+/// How a body ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It was read whole.
+    Whole,
+    /// It failed.
+    Failed(BodyFault),
+    /// Its reader left.
+    Dropped,
+}
+
+/// A body that fails at a limit, at the deadline and short of its declared length, and tells `ended` once how
+/// it ended.
+pub struct Bounded<B, F: FnOnce(End)> {
+    inner: B,
+    left: u64,
+    /// Bytes that the sender declared and has not sent yet.
+    missing: Option<u64>,
+    timer: Pin<Box<Sleep>>,
+    ended: Option<F>,
+}
+
+impl<B: HttpBody, F: FnOnce(End)> Bounded<B, F> {
+    /// Bounds `inner` to `limit` bytes until `deadline`.
+    pub fn new(inner: B, limit: u64, deadline: Instant, ended: F) -> Bounded<B, F> {
+        Bounded {
+            missing: inner.size_hint().exact(),
+            inner,
+            left: limit,
+            timer: Box::pin(tokio::time::sleep_until(deadline)),
+            ended: Some(ended),
+        }
+    }
+}
+
+impl<B, F> HttpBody for Bounded<B, F>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+    F: FnOnce(End) + Unpin,
+{
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        let frame = match Pin::new(&mut self.inner).poll_frame(cx) {
+            Poll::Ready(frame) => frame,
+            Poll::Pending if self.timer.as_mut().poll(cx).is_pending() => return Poll::Pending,
+            Poll::Pending => return self.fail(BodyFault::Late),
+        };
+        match frame {
+            Some(Ok(frame)) => match self.count(&frame) {
+                Ok(()) => Poll::Ready(Some(Ok(frame))),
+                Err(fault) => self.fail(fault),
+            },
+            Some(Err(_)) => self.fail(BodyFault::Cut),
+            None if self.missing.is_some_and(|it| it > 0) => self.fail(BodyFault::Cut),
+            None => {
+                self.end(End::Whole);
+                Poll::Ready(None)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        // A reader that trusts this asks no further, so it is only told once the end was noted.
+        self.ended.is_none() && self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+impl<B, F: FnOnce(End)> Bounded<B, F> {
+    fn count(&mut self, frame: &Frame<Bytes>) -> Result<(), BodyFault> {
+        let length = frame.data_ref().map_or(0, |it| it.len() as u64);
+        self.left = self.left.checked_sub(length).ok_or(BodyFault::TooLong)?;
+        if let Some(missing) = &mut self.missing {
+            *missing = missing.checked_sub(length).ok_or(BodyFault::Cut)?;
+        }
+        Ok(())
+    }
+
+    fn fail(&mut self, fault: BodyFault) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        self.end(End::Failed(fault));
+        Poll::Ready(Some(Err(fault.into())))
+    }
+
+    fn end(&mut self, end: End) {
+        if let Some(ended) = self.ended.take() {
+            ended(end);
+        }
+    }
+}
+
+impl<B, F: FnOnce(End)> Drop for Bounded<B, F> {
+    fn drop(&mut self) {
+        // Many readers stop at the last declared byte without asking for the end.
+        let end = match self.missing {
+            Some(0) => End::Whole,
+            _ => End::Dropped,
+        };
+        self.end(end);
+    }
+}
+
+/// A request body that can be taken back as long as none of its bytes were read.
+///
+/// A refusal that says not run leaves the request free to go elsewhere, but only whole: a body of which
+/// even one byte went to the first upstream would arrive short at the second.
+#[derive(Clone)]
+pub struct Intact(Arc<Mutex<Reading>>);
+
+enum Reading {
+    Untouched(Body),
+    Started(Body),
+    Taken,
+}
+
+impl Intact {
+    /// Wraps `body`; clones share it.
+    pub fn new(body: Body) -> Intact {
+        Intact(Arc::new(Mutex::new(Reading::Untouched(body))))
+    }
+
+    /// Takes the body back if nothing was read; other clones then fail.
+    pub fn reclaim(&self) -> Option<Body> {
+        let mut reading = self.lock();
+        match std::mem::replace(&mut *reading, Reading::Taken) {
+            Reading::Untouched(body) => Some(body),
+            Reading::Started(_) | Reading::Taken => None,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Reading> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl HttpBody for Intact {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        let mut reading = self.lock();
+        match &mut *reading {
+            Reading::Started(body) => Pin::new(body).poll_frame(cx).map_err(BoxError::from),
+            Reading::Taken => Poll::Ready(Some(Err(BodyFault::Cut.into()))),
+            Reading::Untouched(body) => {
+                let frame = Pin::new(body).poll_frame(cx);
+                if frame.is_ready()
+                    && let Reading::Untouched(body) =
+                        std::mem::replace(&mut *reading, Reading::Taken)
+                {
+                    *reading = Reading::Started(body);
+                }
+                frame.map_err(BoxError::from)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &*self.lock() {
+            Reading::Untouched(body) | Reading::Started(body) => body.is_end_stream(),
+            Reading::Taken => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &*self.lock() {
+            Reading::Untouched(body) | Reading::Started(body) => body.size_hint(),
+            Reading::Taken => SizeHint::default(),
+        }
+    }
+}
+
+/// Frames that wait between an upstream and a slow reader.
+const PUMP_FRAMES: usize = 4;
+
+/// A body that a task of its own reads, so that a reader that stalls cannot put off `ended` past the deadline.
+///
+/// HTTP/2 flow control stops polling a body whose reader does not read. Without the task the deadline
+/// would never be looked at, and one stalled reader would keep a slot of the upstream for good.
+pub fn pump<B, F>(inner: B, limit: u64, deadline: Instant, ended: F) -> Body
+where
+    B: HttpBody<Data = Bytes> + Unpin + Send + 'static,
+    F: FnOnce(End) + Unpin + Send + 'static,
+{
+    let hint = inner.size_hint();
+    let mut body = Bounded::new(inner, limit, deadline, ended);
+    let (sender, frames) = mpsc::channel(PUMP_FRAMES);
+    tokio::spawn(async move {
+        let work = async {
+            while let Some(frame) = body.frame().await {
+                let last = frame.is_err();
+                if sender.send(Piece::Frame(frame)).await.is_err() || last {
+                    return;
+                }
+            }
+            // The reader sees the end only after it: a dropped channel alone counts as a cut body.
+            let _ = sender.send(Piece::End).await;
+        };
+        tokio::select! {
+            () = work => {}
+            // The reader left: drop the upstream's answer at once rather than at its next byte.
+            () = sender.closed() => {}
+            () = tokio::time::sleep_until(deadline + Duration::from_millis(1)) => {}
+        }
+    });
+    Body::new(Pumped { frames, hint })
+}
+
+struct Pumped {
+    frames: mpsc::Receiver<Piece>,
+    hint: SizeHint,
+}
+
+enum Piece {
+    Frame(Result<Frame<Bytes>, BoxError>),
+    End,
+}
+
+impl HttpBody for Pumped {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        self.frames.poll_recv(cx).map(|it| match it {
+            Some(Piece::Frame(frame)) => Some(frame),
+            Some(Piece::End) => None,
+            None => Some(Err(BodyFault::Cut.into())),
+        })
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.hint
+    }
+}
--- /dev/null
+++ b/crates/node/src/traffic/entry.rs
@@ -0,0 +1,418 @@
+//! The entry: finds the route, picks an owner, forwards, and retries what may be retried.
+
+use std::{net::SocketAddr, str::FromStr, sync::Arc, time::Duration};
+
+use axum::body::Body;
+use bytes::Bytes;
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header,
+    request::Parts, uri::PathAndQuery,
+};
+use http_body::Body as _;
+use hyper::body::Incoming;
+use laburnum_kernel::{
+    Name, NodeId,
+    admission::Load,
+    document::{Class, Document, Repeat},
+    pick::{Choice, Outcome},
+    refusal::{Reason, Refusal},
+    retry::{Deadline, Failure, Next, Retry, Tree, Untried},
+    view::Endpoint,
+};
+use tokio::time::sleep;
+
+use super::{
+    Traffic,
+    body::{self, Bounded, End, Intact},
+    denial::Denial,
+    headers::{
+        self, ATTEMPT, BUDGET, DEADLINE, LOAD, NEVER, NOT_RUN, OUTCOME, RAN, REASON, REPEAT,
+        REQUEST, RETRY_AFTER_MS, SERVICE,
+    },
+    peers,
+    services::{Flight, Service},
+};
+
+/// Bodies of up to this many bytes are held so that the request can be sent again.
+const HELD_MAX: u64 = 64 * 1024;
+/// Largest share of the time left, as its divisor, that is kept back for the way home.
+const MARGIN_SHARE: u64 = 10;
+/// Most time kept back for the way home, in ms.
+const MARGIN_MAX: u64 = 10;
+
+/// A request that can be forwarded.
+struct Plan {
+    service: Arc<Service>,
+    name: Name,
+    document: Arc<Document>,
+    class: Class,
+    repeat: Repeat,
+    deadline: Deadline,
+    tree: Tree,
+    path: PathAndQuery,
+    method: Method,
+    headers: HeaderMap,
+}
+
+/// The request's body, as far as it can be sent again.
+enum Payload {
+    Held(Bytes),
+    Streamed(Intact),
+}
+
+/// How one attempt ended.
+enum Attempt {
+    Answered(Response<Body>),
+    Failed(Failure, Response<Body>),
+    /// The owner gave an answer that no retry can better.
+    Final(Response<Body>),
+}
+
+impl Traffic {
+    /// Carries one request of a caller.
+    pub(super) async fn enter(
+        &self,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> Response<Body> {
+        let (parts, incoming) = request.into_parts();
+        let result = match self.plan(parts) {
+            Ok(plan) => self.carry(plan, incoming).await,
+            Err(denial) => Err(denial),
+        };
+        result.unwrap_or_else(|denial| {
+            if let Denial::Bad { reason, .. } = denial {
+                self.0.faults.count(reason, Some(peer));
+            }
+            denial.response()
+        })
+    }
+
+    fn plan(&self, parts: Parts) -> Result<Plan, Denial> {
+        let name = service_name(&parts)?;
+        let now = self.now();
+        let view = self.view();
+        let Some(found) = view.services.get(&name) else {
+            let why = format!(
+                "no service {name:?}: submit its document first",
+                name = name.as_str()
+            );
+            return Err(Denial::bad(StatusCode::NOT_FOUND, "no-service", why));
+        };
+        let path = parts.uri.path_and_query().cloned();
+        let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
+        let Some(route) = found.document.route(parts.method.as_str(), path.path()) else {
+            let why = "no route for this method and path: add one to the service's document";
+            return Err(Denial::bad(StatusCode::NOT_FOUND, "no-route", why));
+        };
+        let asked = headers::number(&parts.headers, &DEADLINE).map_err(bad_number)?;
+        let deadline = Deadline::after(now, route.deadline);
+        let deadline = match asked {
+            // A caller's own deadline and retries only ever shrink what the route grants, so it does not
+            // matter who sends them: a spoofed one harms its own request alone.
+            Some(left) => deadline.min(Deadline::after(now, left)),
+            None => deadline,
+        };
+        let tree = tree(&parts.headers)?;
+        if route.repeat == Repeat::Never {
+            super::once::key_of(&parts.headers)?;
+        }
+        let mut headers = parts.headers;
+        headers::strip_hop(&mut headers);
+        headers::strip_internal(&mut headers);
+        headers.remove(header::HOST);
+        Ok(Plan {
+            service: self.0.services.get(now, &view, &name, found),
+            class: route.class,
+            repeat: route.repeat,
+            document: found.document.clone(),
+            name,
+            deadline,
+            tree,
+            path,
+            method: parts.method,
+            headers,
+        })
+    }
+
+    async fn carry(&self, plan: Plan, incoming: Incoming) -> Result<Response<Body>, Denial> {
+        let mut payload = self.payload(&plan, incoming).await?;
+        let policy = &plan.document.retry;
+        let mut retry = Retry::new(policy, plan.repeat, plan.deadline, plan.tree);
+        let mut tried: Vec<NodeId> = Vec::new();
+        for number in 1_u32.. {
+            let now = self.now();
+            let choice = {
+                let state = plan.service.lock();
+                state.picker.pick(now, &mut rand::rng(), plan.class, &tried)
+            };
+            let endpoint = match choice {
+                Choice::Send(endpoint) => endpoint,
+                Choice::Refuse(refusal) => return Err(Denial::Refused(refusal)),
+            };
+            tried.push(endpoint.node);
+            let tree = retry.attempt();
+            let request = self.request(&plan, &payload, tree, number);
+            let (failure, response) = match self.attempt(&plan, &endpoint, request).await {
+                Attempt::Answered(response) | Attempt::Final(response) => return Ok(response),
+                Attempt::Failed(failure, response) => (failure, response),
+            };
+            let Next::Retry { after } = self.next(&plan, &mut retry, &mut tried, failure) else {
+                return Ok(response);
+            };
+            let Some(again) = payload.again() else {
+                return Ok(response);
+            };
+            payload = again;
+            if after > 0 {
+                sleep(Duration::from_millis(after)).await;
+            }
+        }
+        Err(Denial::Refused(Refusal::new(Reason::Expired)))
+    }
+
+    async fn payload(&self, plan: &Plan, incoming: Incoming) -> Result<Payload, Denial> {
+        let limit = plan.document.limits.body;
+        let hint = incoming.size_hint();
+        if hint.lower() > limit {
+            return Err(Denial::of_body(body::BodyFault::TooLong));
+        }
+        let deadline = self.instant(plan.deadline);
+        if hint.exact().is_some_and(|it| it <= HELD_MAX) {
+            let bytes = body::collect(incoming, limit, deadline).await;
+            return Ok(Payload::Held(bytes.map_err(Denial::of_body)?));
+        }
+        let bounded = Bounded::new(incoming, limit, deadline, |_| ());
+        Ok(Payload::Streamed(Intact::new(Body::new(bounded))))
+    }
+
+    fn next(
+        &self,
+        plan: &Plan,
+        retry: &mut Retry,
+        tried: &mut Vec<NodeId>,
+        failure: Failure,
+    ) -> Next {
+        let now = self.now();
+        let mut state = plan.service.lock();
+        let untried = match tried.len() < state.picker.len() {
+            true => Untried::Some,
+            false => Untried::None,
+        };
+        if untried == Untried::None {
+            tried.clear();
+        }
+        retry.next(now, &mut rand::rng(), &mut state.budget, failure, untried)
+    }
+
+    fn request(&self, plan: &Plan, payload: &Payload, tree: Tree, number: u32) -> Request<Body> {
+        let mut request = Request::new(payload.body());
+        *request.method_mut() = plan.method.clone();
+        *request.uri_mut() = uri(&plan.name, &plan.path);
+        let left = plan.deadline.left(self.now());
+        let left = left - (left / MARGIN_SHARE).min(MARGIN_MAX);
+        let headers = request.headers_mut();
+        *headers = plan.headers.clone();
+        insert_text(headers, SERVICE, plan.name.as_str());
+        insert_text(headers, BUDGET, &tree.to_string());
+        headers.insert(DEADLINE, HeaderValue::from(left));
+        headers.insert(ATTEMPT, HeaderValue::from(number));
+        headers.insert(REQUEST, HeaderValue::from(rand::random::<u64>()));
+        if plan.repeat == Repeat::Never {
+            headers.insert(REPEAT, NEVER);
+        }
+        request
+    }
+
+    async fn attempt(&self, plan: &Plan, endpoint: &Endpoint, request: Request<Body>) -> Attempt {
+        let number = request.headers().get(REQUEST).cloned();
+        let service = plan.service.clone();
+        let mut flight = Flight::start(&self.0.clock, service, endpoint.node, plan.class);
+        let deadline = self.instant(plan.deadline);
+        let response = match endpoint.node == self.0.node {
+            true => self.own(request).await,
+            false => match self.0.peers.send(endpoint.traffic, request, deadline).await {
+                peers::Sent::Answered(response) => response.map(Body::new),
+                peers::Sent::Unsent => {
+                    flight.ended(Outcome::Failed);
+                    let refusal = Refusal::new(Reason::NotReady);
+                    let response = Denial::Refused(refusal).response();
+                    return Attempt::Failed(Failure::NotRun(refusal), response);
+                }
+                peers::Sent::Lost => {
+                    flight.ended(Outcome::Failed);
+                    return lost(self.lost_denial(plan));
+                }
+            },
+        };
+        if response.headers().get(REQUEST) != number.as_ref() {
+            // An answer to another request would show one family's draft to another.
+            self.0
+                .faults
+                .count("crossed-answer", Some(endpoint.traffic));
+            flight.ended(Outcome::Failed);
+            let why =
+                "the answer belonged to another request and was dropped; ask again if you may";
+            return lost(Denial::unknown("crossed", why));
+        }
+        flight.loaded(load(response.headers()));
+        self.judge(plan, flight, response)
+    }
+
+    fn judge(&self, plan: &Plan, flight: Flight, response: Response<Body>) -> Attempt {
+        let outcome = response.headers().get(OUTCOME).cloned();
+        let refusal = refusal(response.headers());
+        if outcome == Some(RAN) {
+            return Attempt::Answered(self.hand_on(plan, flight, response));
+        }
+        if outcome != Some(NOT_RUN) {
+            flight.ended(Outcome::Failed);
+            return Attempt::Failed(Failure::Unknown, clean(response));
+        }
+        match refusal {
+            Some(refusal) => {
+                flight.ended(Outcome::Refused(refusal));
+                Attempt::Failed(Failure::NotRun(refusal), clean(response))
+            }
+            None => {
+                flight.answered();
+                Attempt::Final(clean(response))
+            }
+        }
+    }
+
+    /// Streams an answer to the caller and notes how it ended.
+    fn hand_on(&self, plan: &Plan, flight: Flight, response: Response<Body>) -> Response<Body> {
+        let limit = plan.document.limits.body;
+        let deadline = self.instant(plan.deadline);
+        let (parts, body) = clean(response).into_parts();
+        if body.is_end_stream() {
+            flight.answered();
+            return Response::from_parts(parts, body);
+        }
+        let body = Bounded::new(body, limit, deadline, move |end| match end {
+            End::Whole => flight.answered(),
+            End::Failed(_) => flight.ended(Outcome::Failed),
+            End::Dropped => drop(flight),
+        });
+        Response::from_parts(parts, Body::new(body))
+    }
+
+    fn lost_denial(&self, plan: &Plan) -> Denial {
+        match plan.deadline.left(self.now()) {
+            0 => Denial::unknown(
+                super::denial::DEADLINE,
+                "no answer by the deadline: the request may have been run",
+            ),
+            _ => Denial::unknown(
+                "node-lost",
+                "the connection broke: the request may have been run",
+            ),
+        }
+    }
+}
+
+impl Payload {
+    fn body(&self) -> Body {
+        match self {
+            Payload::Held(bytes) => Body::from(bytes.clone()),
+            Payload::Streamed(intact) => Body::new(intact.clone()),
+        }
+    }
+
+    /// The payload for another attempt, if it is still whole.
+    fn again(self) -> Option<Payload> {
+        match self {
+            Payload::Held(bytes) => Some(Payload::Held(bytes)),
+            Payload::Streamed(intact) => {
+                let body = intact.reclaim()?;
+                Some(Payload::Streamed(Intact::new(body)))
+            }
+        }
+    }
+}
+
+fn lost(denial: Denial) -> Attempt {
+    Attempt::Failed(Failure::Unknown, denial.response())
+}
+
+/// The service that the caller asks for: the URI's authority, or else the Host field.
+fn service_name(parts: &Parts) -> Result<Name, Denial> {
+    let why = "name the service once, in the Host header";
+    let bad = || Denial::bad(StatusCode::BAD_REQUEST, "no-host", why);
+    let mut hosts = parts.headers.get_all(header::HOST).iter();
+    let host = hosts.next();
+    if hosts.next().is_some() {
+        return Err(bad());
+    }
+    let host = match parts.uri.authority() {
+        Some(authority) => authority.as_str(),
+        None => host.and_then(|it| it.to_str().ok()).ok_or_else(bad)?,
+    };
+    let name = host.split(':').next().unwrap_or_default();
+    name.parse().map_err(|_| bad())
+}
+
+fn tree(headers: &HeaderMap) -> Result<Tree, Denial> {
+    let mut values = headers.get_all(BUDGET).iter();
+    let Some(value) = values.next() else {
+        return Ok(Tree::default());
+    };
+    let tree = value.to_str().ok().and_then(|it| Tree::from_str(it).ok());
+    match (tree, values.next()) {
+        (Some(tree), None) => Ok(tree),
+        _ => {
+            let why =
+                "header laburnum-budget is not valid: pass it on as received, or leave it out";
+            Err(Denial::bad(StatusCode::BAD_REQUEST, "bad-header", why))
+        }
+    }
+}
+
+fn bad_number(error: headers::BadNumber) -> Denial {
+    Denial::bad(StatusCode::BAD_REQUEST, "bad-header", error.to_string())
+}
+
+fn uri(name: &Name, path: &PathAndQuery) -> Uri {
+    let uri = Uri::builder()
+        .scheme("http")
+        .authority(name.as_str())
+        .path_and_query(path.clone())
+        .build();
+    // A service's name is always a valid authority and the path was parsed before.
+    uri.unwrap_or_default()
+}
+
+fn insert_text(headers: &mut HeaderMap, name: HeaderName, text: &str) {
+    if let Ok(value) = HeaderValue::from_str(text) {
+        headers.insert(name, value);
+    }
+}
+
+/// Reads `running/waiting/limit`.
+fn load(headers: &HeaderMap) -> Option<Load> {
+    let mut parts = headers.get(LOAD)?.to_str().ok()?.split('/');
+    let mut next = || parts.next()?.parse().ok();
+    Some(Load {
+        running: next()?,
+        waiting: next()?,
+        limit: next()?,
+    })
+}
+
+fn refusal(headers: &HeaderMap) -> Option<Refusal> {
+    let reason = headers.get(REASON)?.to_str().ok()?.parse().ok()?;
+    let after = headers::number(headers, &RETRY_AFTER_MS).ok().flatten();
+    Some(Refusal::after(reason, after.unwrap_or(0)))
+}
+
+/// Removes what only nodes need to know.
+fn clean(mut response: Response<Body>) -> Response<Body> {
+    let headers = response.headers_mut();
+    [SERVICE, REQUEST, LOAD, DEADLINE, BUDGET, ATTEMPT, REPEAT]
+        .iter()
+        .for_each(|it| {
+            headers.remove(it);
+        });
+    response
+}
--- /dev/null
+++ b/crates/node/src/traffic/headers.rs
@@ -0,0 +1,112 @@
+//! Header fields of the request path, and what is kept from whom.
+
+use http::{HeaderMap, HeaderName, HeaderValue, header};
+
+/// Every field of the system's own starts so; such fields of callers and upstreams are never passed on.
+pub const PREFIX: &str = "laburnum-";
+/// Whether the request was run: [`RAN`], [`NOT_RUN`] or [`UNKNOWN`].
+pub const OUTCOME: HeaderName = HeaderName::from_static("laburnum-outcome");
+/// Why a request was refused or failed.
+pub const REASON: HeaderName = HeaderName::from_static("laburnum-reason");
+/// Milliseconds after which a refused request may be sent again.
+pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("laburnum-retry-after-ms");
+/// Milliseconds that are left for the request. It only shrinks on the way.
+pub const DEADLINE: HeaderName = HeaderName::from_static("laburnum-deadline");
+/// Retries that are left to the whole tree of calls. It only shrinks on the way.
+pub const BUDGET: HeaderName = HeaderName::from_static("laburnum-budget");
+/// Between nodes: the service that the request is for.
+pub const SERVICE: HeaderName = HeaderName::from_static("laburnum-service");
+/// Between nodes: which attempt at the request this is, from 1.
+pub const ATTEMPT: HeaderName = HeaderName::from_static("laburnum-attempt");
+/// Between nodes: `never` if the entry's document says that the request runs at most once.
+pub const REPEAT: HeaderName = HeaderName::from_static("laburnum-repeat");
+/// Between nodes: number of the exchange; the answer must carry the same one.
+pub const REQUEST: HeaderName = HeaderName::from_static("laburnum-request");
+/// Between nodes: load of the upstream as `running/waiting/limit`.
+pub const LOAD: HeaderName = HeaderName::from_static("laburnum-load");
+/// Says that the answer is the kept one of an earlier run.
+pub const REPLAYED: HeaderName = HeaderName::from_static("laburnum-replayed");
+/// Chosen by the caller; requests with the same one run at most once.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// The upstream ran the request and this is its whole answer.
+pub const RAN: HeaderValue = HeaderValue::from_static("ran");
+/// No byte of the request reached an upstream, or the upstream itself said that it was not run.
+pub const NOT_RUN: HeaderValue = HeaderValue::from_static("not-run");
+/// The request may or may not have been run.
+pub const UNKNOWN: HeaderValue = HeaderValue::from_static("unknown");
+/// Value of [`REPEAT`] for requests that run at most once.
+pub const NEVER: HeaderValue = HeaderValue::from_static("never");
+
+/// Fields that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// Removes the fields that concern one connection only, with those that `connection` names.
+pub fn strip_hop(headers: &mut HeaderMap) {
+    if headers.contains_key(header::CONNECTION) {
+        let named: Vec<HeaderName> = headers
+            .get_all(header::CONNECTION)
+            .iter()
+            .filter_map(|it| it.to_str().ok())
+            .flat_map(|it| it.split(','))
+            .filter_map(|it| it.trim().parse().ok())
+            // Framing belongs to the HTTP library; a caller cannot have it dropped.
+            .filter(|it| it != header::CONTENT_LENGTH && it != header::HOST)
+            .collect();
+        named.iter().for_each(|it| {
+            headers.remove(it);
+        });
+    }
+    HOP_BY_HOP.iter().for_each(|it| {
+        headers.remove(it);
+    });
+}
+
+/// Removes every field of the system's own.
+///
+/// A caller that could set them would choose its own class, claim another's answer or pass as a node.
+pub fn strip_internal(headers: &mut HeaderMap) {
+    if !headers.keys().any(|it| it.as_str().starts_with(PREFIX)) {
+        return;
+    }
+    let internal: Vec<HeaderName> = headers
+        .keys()
+        .filter(|it| it.as_str().starts_with(PREFIX))
+        .cloned()
+        .collect();
+    internal.iter().for_each(|it| {
+        headers.remove(it);
+    });
+}
+
+/// The field is there but is no whole number, or is there twice.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("header {0} is not valid: send it once, as a whole number, or leave it out")]
+pub struct BadNumber(pub HeaderName);
+
+/// Reads a whole number.
+pub fn number(headers: &HeaderMap, name: &HeaderName) -> Result<Option<u64>, BadNumber> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    let parsed = value.to_str().ok().and_then(|it| it.parse().ok());
+    match (parsed, values.next()) {
+        (Some(it), None) => Ok(Some(it)),
+        _ => Err(BadNumber(name.clone())),
+    }
+}
+
+/// The length that the message declares.
+pub fn content_length(headers: &HeaderMap) -> Option<u64> {
+    number(headers, &header::CONTENT_LENGTH).ok().flatten()
+}
--- /dev/null
+++ b/crates/node/src/traffic/owner.rs
@@ -0,0 +1,564 @@
+//! The owner: admits requests to the upstream beside this node and says what became of them.
+
+use std::{
+    pin::pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use axum::body::Body;
+use bytes::Bytes;
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, Version, header,
+};
+use http_body::Body as _;
+use hyper::body::Incoming;
+use laburnum_kernel::{
+    Name, View,
+    admission::{self, Finish},
+    document::{Class, Repeat},
+    guard::{self, Fingerprint},
+    health::Sign,
+    members::Phase,
+    refusal::{Reason, Refusal},
+    retry::{Deadline, Tree},
+};
+use tokio::{
+    sync::OwnedSemaphorePermit,
+    time::{Instant, timeout, timeout_at},
+};
+
+use crate::upstream::{Present, Run};
+
+use super::{
+    Traffic,
+    body::{self, BodyFault, Bounded, End, Intact},
+    denial::{self, Denial},
+    gate::{Slot, Standing},
+    headers::{
+        self, ATTEMPT, BUDGET, DEADLINE, LOAD, NEVER, NOT_RUN, OUTCOME, RAN, REPEAT, REQUEST,
+        RETRY_AFTER_MS, SERVICE,
+    },
+    pool::{Lease, Sent, Unavailable, Usage},
+};
+
+/// Bodies of up to this many bytes are read whole before anything is done with them.
+const WHOLE_MAX: u64 = 64 * 1024;
+/// Connections tried for one request as long as none took a byte of it.
+const CONNECTIONS_MAX: usize = 4;
+/// When to come back to an upstream that is not ready, in ms.
+const NOT_READY_MS: u64 = 200;
+
+/// What an entry says of a request.
+struct Asked {
+    service: Name,
+    deadline: Deadline,
+    tree: Tree,
+    repeat: Repeat,
+}
+
+/// A request on its way to the upstream.
+pub(super) struct Job {
+    pub(super) present: Arc<Present>,
+    pub(super) class: Class,
+    pub(super) repeat: Repeat,
+    pub(super) deadline: Deadline,
+    /// Longest body of the answer, in bytes.
+    pub(super) limit: u64,
+    pub(super) print: Fingerprint,
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) payload: Payload,
+}
+
+/// The request's body.
+pub(super) enum Payload {
+    /// It is at hand.
+    Whole(Bytes),
+    /// It is arriving; the flag says that it broke on its way.
+    Streamed(Intact, Arc<AtomicBool>),
+}
+
+/// A request at the upstream.
+struct Running {
+    run: Run,
+    slot: Slot,
+    suspect: Option<Suspect>,
+}
+
+/// A request that was in flight in one crash.
+struct Suspect {
+    print: Fingerprint,
+    _turn: OwnedSemaphorePermit,
+}
+
+/// What the upstream gave.
+pub(super) enum Answer {
+    /// It was read whole.
+    Whole(http::response::Parts, Bytes),
+    /// It is still arriving.
+    Streamed(Response<Body>),
+}
+
+/// Counts a request as in progress.
+pub(super) struct Owned(Traffic);
+
+impl Drop for Owned {
+    fn drop(&mut self) {
+        self.0.0.owned.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Traffic {
+    /// Carries one request from an entry to the upstream beside this node.
+    pub(super) async fn own(&self, request: Request<Body>) -> Response<Body> {
+        let number = request.headers().get(REQUEST).cloned();
+        let owned = self.owned_guard();
+        let result = self.serve(request, &owned).await;
+        let mut response = result.unwrap_or_else(|it| it.response());
+        let load = self.0.gate.load();
+        let load = format!("{}/{}/{}", load.running, load.waiting, load.limit);
+        let headers = response.headers_mut();
+        if let Ok(load) = HeaderValue::from_str(&load) {
+            headers.insert(LOAD, load);
+        }
+        if let Some(number) = number {
+            headers.insert(REQUEST, number);
+        }
+        response
+    }
+
+    /// Brings the gate up to what `view` says of the upstream.
+    pub(super) fn follow(&self, view: &View) {
+        let Some(own) = &view.own else {
+            return self.0.gate.follow(Standing {
+                phase: Phase::Gone,
+                slots: 1,
+                queue: 0,
+            });
+        };
+        let queue = view.services.get(&own.service);
+        let phase = match self.draining() {
+            true => Phase::Draining,
+            false => own.phase,
+        };
+        self.0.gate.follow(Standing {
+            phase,
+            slots: own.slots,
+            queue: queue.map_or(0, |it| it.document.limits.queue as usize),
+        });
+    }
+
+    pub(super) fn owned_guard(&self) -> Owned {
+        self.0.owned.fetch_add(1, Ordering::SeqCst);
+        Owned(self.clone())
+    }
+
+    async fn serve(
+        &self,
+        request: Request<Body>,
+        _owned: &Owned,
+    ) -> Result<Response<Body>, Denial> {
+        if self.draining() {
+            return Err(Denial::Refused(Refusal::new(Reason::Draining)));
+        }
+        let job = self.job(request).await?;
+        match job.repeat {
+            Repeat::Never => self.run_once(job).await,
+            Repeat::Idempotent => {
+                let slot = self.admit(&job).await?;
+                let limit = self.instant(job.deadline);
+                match self.exchange(job, slot, limit).await? {
+                    Answer::Whole(parts, bytes) => {
+                        Ok(Response::from_parts(parts, Body::from(bytes)))
+                    }
+                    Answer::Streamed(response) => Ok(response),
+                }
+            }
+        }
+    }
+
+    async fn job(&self, request: Request<Body>) -> Result<Job, Denial> {
+        let (parts, incoming) = request.into_parts();
+        let asked = self.asked(&parts.headers)?;
+        let view = self.view();
+        self.follow(&view);
+        let present = self.0.upstream.present().ok_or_else(not_ready)?;
+        let found = view.services.get(&asked.service);
+        let (Some(found), true) = (found, present.service == asked.service) else {
+            return Err(not_ready());
+        };
+        let Some(route) = found
+            .document
+            .route(parts.method.as_str(), parts.uri.path())
+        else {
+            // The entry knows a newer or an older document; another owner may know the same.
+            return Err(not_ready());
+        };
+        // While a change spreads the two nodes may hold different documents: the stricter one counts.
+        let repeat = match (asked.repeat, route.repeat) {
+            (Repeat::Idempotent, Repeat::Idempotent) => Repeat::Idempotent,
+            _ => Repeat::Never,
+        };
+        let deadline = asked
+            .deadline
+            .min(Deadline::after(self.now(), route.deadline));
+        let limit = found.document.limits.body;
+        let payload = read(incoming, repeat, limit, self.instant(deadline)).await?;
+        let mut headers = parts.headers;
+        let key = headers.get(headers::IDEMPOTENCY_KEY);
+        let key = key.and_then(|it| it.to_str().ok()).unwrap_or_default();
+        let path = parts.uri.path_and_query().map_or("/", |it| it.as_str());
+        let print = Fingerprint::of(
+            &asked.service,
+            parts.method.as_str(),
+            path,
+            key,
+            &payload.digest(),
+        );
+        if view.quarantined.holds(print) {
+            return Err(Denial::Refused(Refusal::new(Reason::Quarantined)));
+        }
+        let uri = path.parse().unwrap_or_default();
+        headers::strip_hop(&mut headers);
+        headers::strip_internal(&mut headers);
+        if let Ok(host) = HeaderValue::from_str(asked.service.as_str()) {
+            headers.insert(header::HOST, host);
+        }
+        if let Ok(tree) = HeaderValue::from_str(&asked.tree.to_string()) {
+            headers.insert(BUDGET, tree);
+        }
+        Ok(Job {
+            present,
+            class: route.class,
+            repeat,
+            deadline,
+            limit,
+            print,
+            method: parts.method,
+            uri,
+            headers,
+            payload,
+        })
+    }
+
+    fn asked(&self, headers: &HeaderMap) -> Result<Asked, Denial> {
+        let text = |name: HeaderName| headers.get(&name).and_then(|it| it.to_str().ok());
+        let service = text(SERVICE).and_then(|it| it.parse().ok());
+        let tree = text(BUDGET).and_then(|it| it.parse().ok());
+        let left = headers::number(headers, &DEADLINE).ok().flatten();
+        let attempt = headers::number(headers, &ATTEMPT).ok().flatten();
+        match (service, tree, left, attempt) {
+            (Some(service), Some(tree), Some(left), Some(_)) => Ok(Asked {
+                service,
+                deadline: Deadline::after(self.now(), left),
+                tree,
+                repeat: match headers.get(REPEAT) {
+                    Some(it) if *it == NEVER => Repeat::Never,
+                    _ => Repeat::Idempotent,
+                },
+            }),
+            _ => {
+                let why = "this port is for nodes: send requests to the caller port of any node";
+                Err(Denial::bad(StatusCode::BAD_REQUEST, "not-a-node", why))
+            }
+        }
+    }
+
+    /// Waits for a slot of the upstream.
+    pub(super) async fn admit(&self, job: &Job) -> Result<Slot, Denial> {
+        let request = admission::Request {
+            class: job.class,
+            deadline: job.deadline.at(),
+        };
+        self.0.gate.enter(request).await.map_err(Denial::Refused)
+    }
+
+    /// Sends the job to the upstream and takes its answer until `limit`.
+    pub(super) async fn exchange(
+        &self,
+        job: Job,
+        slot: Slot,
+        limit: Instant,
+    ) -> Result<Answer, Denial> {
+        let suspect = self.turn(&job, limit).await?;
+        let pool = job.present.pool.clone();
+        let run = Running {
+            run: self.0.upstream.begin(job.print),
+            slot,
+            suspect,
+        };
+        let mut request = self.request_of(&job, job.payload.body());
+        let mut leased = pool.lease(limit).await;
+        for _ in 0..CONNECTIONS_MAX {
+            let mut lease = match leased {
+                Ok(lease) => lease,
+                Err(fault) => return Err(self.unavailable(run.slot, fault)),
+            };
+            match self.wait(&job, &mut lease, request, limit).await {
+                Sent::Answered(answer) => {
+                    return self.answer(&job, run, lease, answer, limit).await;
+                }
+                Sent::Unsent(unsent) => request = unsent,
+                Sent::Lost => return Err(self.lost(&job.payload, run)),
+                Sent::Silent if Instant::now() >= limit => return Err(late(run.slot)),
+                Sent::Silent => {
+                    lease.suspect();
+                    request = self.request_of(&job, job.payload.body());
+                }
+            }
+            leased = pool.lease_fresh(limit).await;
+        }
+        run.slot.finish(Finish::Failed);
+        Err(not_ready())
+    }
+
+    /// Waits until a suspect may run: one at a time, so that a second crash tells it from bystanders.
+    async fn turn(&self, job: &Job, limit: Instant) -> Result<Option<Suspect>, Denial> {
+        if !self.view().quarantined.suspects(job.print) {
+            return Ok(None);
+        }
+        let turn = self.0.suspects.clone().acquire_owned();
+        match timeout_at(limit, turn).await {
+            Ok(Ok(turn)) => Ok(Some(Suspect {
+                print: job.print,
+                _turn: turn,
+            })),
+            _ => Err(Denial::Refused(Refusal::new(Reason::Expired))),
+        }
+    }
+
+    /// Waits for the header of the answer, and finds out whether a silent connection is to be given up.
+    ///
+    /// Only a reused connection is doubted, only for a request that may be sent again, and only while the
+    /// upstream answers on a new one: a slow upstream keeps its work.
+    async fn wait(
+        &self,
+        job: &Job,
+        lease: &mut Lease,
+        request: Request<Body>,
+        limit: Instant,
+    ) -> Sent {
+        let left = limit.saturating_duration_since(Instant::now());
+        let doubtful = lease.usage() == Usage::Reused
+            && job.repeat == Repeat::Idempotent
+            && matches!(job.payload, Payload::Whole(_));
+        let patience = match doubtful {
+            true => job.present.pool.silence(left).min(left),
+            false => left,
+        };
+        let mut sending = pin!(lease.send(request));
+        if let Ok(sent) = timeout(patience, &mut sending).await {
+            return sent;
+        }
+        if patience < left {
+            tokio::select! {
+                biased;
+                sent = &mut sending => return sent,
+                alive = self.0.upstream.probe() => if alive {
+                    return Sent::Silent;
+                }
+            }
+        }
+        timeout_at(limit, sending).await.unwrap_or(Sent::Silent)
+    }
+
+    async fn answer(
+        &self,
+        job: &Job,
+        run: Running,
+        lease: Lease,
+        answer: Response<Incoming>,
+        limit: Instant,
+    ) -> Result<Answer, Denial> {
+        if let Some(refusal) = shed(&answer) {
+            run.slot.finish(Finish::Overloaded);
+            return Err(Denial::Refused(refusal));
+        }
+        let length = answer.body().size_hint();
+        let chunked = answer.headers().contains_key(header::TRANSFER_ENCODING);
+        if length.exact().is_none() && !chunked {
+            // Such a body ends when its connection does: one cut by a crash would look whole.
+            run.slot.finish(Finish::Failed);
+            let why = "the upstream's answer has no length: send Content-Length or chunks";
+            return Err(Denial::unknown("unframed-answer", why));
+        }
+        if length.lower() > job.limit {
+            run.slot.finish(Finish::Answered);
+            return Err(unfit());
+        }
+        let (mut parts, incoming) = answer.into_parts();
+        headers::strip_hop(&mut parts.headers);
+        headers::strip_internal(&mut parts.headers);
+        parts.headers.insert(OUTCOME, RAN);
+        parts.version = Version::HTTP_11;
+        let whole = job.repeat == Repeat::Never || length.upper().is_some_and(|it| it <= WHOLE_MAX);
+        if whole {
+            let bytes = body::collect(incoming, job.limit, limit).await;
+            return match bytes {
+                Ok(bytes) => {
+                    self.whole(run, lease);
+                    Ok(Answer::Whole(parts, bytes))
+                }
+                Err(fault) => Err(self.cut(run, fault)),
+            };
+        }
+        let traffic = self.clone();
+        let body = body::pump(incoming, job.limit, limit, move |end| match end {
+            End::Whole => traffic.whole(run, lease),
+            End::Failed(fault) => drop(traffic.cut(run, fault)),
+            End::Dropped => drop((run, lease)),
+        });
+        Ok(Answer::Streamed(Response::from_parts(parts, body)))
+    }
+
+    fn whole(&self, run: Running, lease: Lease) {
+        lease.put_back();
+        run.slot.finish(Finish::Answered);
+        self.0.upstream.served();
+        if let Some(suspect) = run.suspect {
+            let survived = guard::Call::Survived {
+                print: suspect.print,
+            };
+            self.0.upstream.tell(survived);
+        }
+    }
+
+    /// The answer began and did not arrive whole.
+    fn cut(&self, run: Running, fault: BodyFault) -> Denial {
+        match fault {
+            BodyFault::TooLong => {
+                run.slot.finish(Finish::Answered);
+                unfit()
+            }
+            BodyFault::Late => late(run.slot),
+            BodyFault::Cut => {
+                run.slot.finish(Finish::Failed);
+                run.run.lost();
+                Denial::unknown(
+                    "answer-cut",
+                    "the upstream's answer ended early and was dropped",
+                )
+            }
+        }
+    }
+
+    /// The connection broke before an answer.
+    fn lost(&self, payload: &Payload, run: Running) -> Denial {
+        run.slot.finish(Finish::Failed);
+        if let Payload::Streamed(_, broken) = payload
+            && broken.load(Ordering::SeqCst)
+        {
+            // Its caller cut the request, not the upstream the connection.
+            return Denial::unknown("body-cut", "the body ended early: send it again whole");
+        }
+        run.run.lost();
+        let why = "the upstream broke the connection: the request may have been run";
+        Denial::unknown("upstream-lost", why)
+    }
+
+    fn unavailable(&self, slot: Slot, fault: Unavailable) -> Denial {
+        match fault {
+            Unavailable::Refused => {
+                slot.finish(Finish::Failed);
+                self.0.upstream.observe(Sign::Refused);
+                self.0.upstream.suspect();
+                not_ready()
+            }
+            Unavailable::Late => {
+                slot.finish(Finish::Overloaded);
+                Denial::Refused(Refusal::after(Reason::Overloaded, NOT_READY_MS))
+            }
+        }
+    }
+
+    fn request_of(&self, job: &Job, body: Body) -> Request<Body> {
+        let mut request = Request::new(body);
+        *request.method_mut() = job.method.clone();
+        *request.uri_mut() = job.uri.clone();
+        *request.headers_mut() = job.headers.clone();
+        let left = job.deadline.left(self.now());
+        request.headers_mut().insert(DEADLINE, left.into());
+        request
+    }
+}
+
+impl Payload {
+    /// BLAKE3 hash of a body that is at hand; a streamed one counts as empty.
+    fn digest(&self) -> [u8; 32] {
+        match self {
+            Payload::Whole(bytes) => *blake3::hash(bytes).as_bytes(),
+            Payload::Streamed(..) => *blake3::hash(&[]).as_bytes(),
+        }
+    }
+
+    /// The body to send. A streamed one can be sent once.
+    fn body(&self) -> Body {
+        match self {
+            Payload::Whole(bytes) => Body::from(bytes.clone()),
+            Payload::Streamed(body, _) => Body::new(body.clone()),
+        }
+    }
+}
+
+/// Reads the body whole if it is short or the request runs at most once.
+///
+/// A request that runs at most once is claimed only when all of it is here: a caller that leaves in the
+/// middle of its body would otherwise use up its key with a run that never was.
+async fn read(
+    incoming: Body,
+    repeat: Repeat,
+    limit: u64,
+    deadline: Instant,
+) -> Result<Payload, Denial> {
+    let hint = incoming.size_hint();
+    let short = hint.upper().is_some_and(|it| it <= WHOLE_MAX);
+    if short || repeat == Repeat::Never {
+        let bytes = body::collect(incoming, limit, deadline).await;
+        return bytes.map(Payload::Whole).map_err(Denial::of_body);
+    }
+    if hint.lower() > limit {
+        return Err(Denial::of_body(BodyFault::TooLong));
+    }
+    let broken = Arc::new(AtomicBool::new(false));
+    let noted = broken.clone();
+    let body = Bounded::new(incoming, limit, deadline, move |end| {
+        noted.store(end != End::Whole, Ordering::SeqCst);
+    });
+    Ok(Payload::Streamed(Intact::new(Body::new(body)), broken))
+}
+
+/// What the upstream says it did not run.
+fn shed(answer: &Response<Incoming>) -> Option<Refusal> {
+    let headers = answer.headers();
+    if headers.get(OUTCOME) != Some(&NOT_RUN) {
+        return None;
+    }
+    let after = headers::number(headers, &RETRY_AFTER_MS).ok().flatten();
+    let seconds = headers::number(headers, &header::RETRY_AFTER)
+        .ok()
+        .flatten();
+    let after = after.or(seconds.map(|it| it.saturating_mul(1000)));
+    Some(Refusal::after(Reason::Overloaded, after.unwrap_or(0)))
+}
+
+fn late(slot: Slot) -> Denial {
+    slot.finish(Finish::Overloaded);
+    let why = "no whole answer by the deadline: the request may have been run";
+    Denial::unknown(denial::DEADLINE, why)
+}
+
+fn not_ready() -> Denial {
+    Denial::Refused(Refusal::after(Reason::NotReady, NOT_READY_MS))
+}
+
+fn unfit() -> Denial {
+    let why =
+        "the upstream's answer is longer than limits.body of the service's document; raise it";
+    Denial::Unfit {
+        why: why.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/traffic/services.rs
@@ -0,0 +1,181 @@
+//! What this entry has seen of each service's endpoints.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, RwLock,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use arc_swap::ArcSwap;
+use laburnum_kernel::{
+    Ms, Name, NodeId, View,
+    admission::Load,
+    document::Class,
+    pick::{Outcome, Picker, Place},
+    retry::Budget,
+    view::ServiceView,
+};
+
+/// One [`Service`] for each service that callers asked for.
+#[derive(Debug)]
+pub struct Services {
+    place: Place,
+    known: RwLock<HashMap<Name, Arc<Service>>>,
+    /// The view that the services were last brought up to.
+    view: ArcSwap<View>,
+    generation: AtomicU64,
+}
+
+/// One service.
+#[derive(Debug)]
+pub struct Service {
+    state: Mutex<State>,
+}
+
+/// What is decided by, under the service's lock.
+#[derive(Debug)]
+pub struct State {
+    /// Chooses endpoints.
+    pub picker: Picker,
+    /// Bounds retries.
+    pub budget: Budget,
+    generation: u64,
+}
+
+impl Services {
+    /// No services yet, for an entry at `place`.
+    pub fn new(place: Place) -> Services {
+        Services {
+            place,
+            known: RwLock::default(),
+            view: ArcSwap::default(),
+            generation: AtomicU64::new(0),
+        }
+    }
+
+    /// The service `name` as of `view`.
+    pub fn get(&self, now: Ms, view: &Arc<View>, name: &Name, it: &ServiceView) -> Arc<Service> {
+        let generation = self.generation(view);
+        let service = self.find(now, name, it);
+        let mut state = service.lock();
+        if state.generation != generation {
+            state.generation = generation;
+            let ramp = it.document.warmup.ramp;
+            state.picker.refresh(now, &it.endpoints, ramp);
+            state.budget.set_percent(it.document.retry.budget);
+        }
+        drop(state);
+        service
+    }
+
+    fn find(&self, now: Ms, name: &Name, it: &ServiceView) -> Arc<Service> {
+        let known = self.known.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(service) = known.get(name) {
+            return service.clone();
+        }
+        drop(known);
+        let mut known = self.known.write().unwrap_or_else(PoisonError::into_inner);
+        let service = known.entry(name.clone()).or_insert_with(|| {
+            let state = State {
+                picker: Picker::new(self.place.clone()),
+                budget: Budget::new(now, it.document.retry.budget),
+                generation: 0,
+            };
+            Arc::new(Service {
+                state: Mutex::new(state),
+            })
+        });
+        service.clone()
+    }
+
+    /// A number that changes with each new view.
+    ///
+    /// One view is held here, not one a service: after a while without requests every service would
+    /// otherwise keep a different old view of the whole fleet in memory.
+    fn generation(&self, view: &Arc<View>) -> u64 {
+        if Arc::ptr_eq(&self.view.load(), view) {
+            return self.generation.load(Ordering::Acquire);
+        }
+        let old = self.view.swap(view.clone());
+        let newer = u64::from(!Arc::ptr_eq(&old, view));
+        if newer == 1 {
+            self.forget_deleted(view);
+        }
+        self.generation.fetch_add(newer, Ordering::AcqRel) + newer
+    }
+
+    fn forget_deleted(&self, view: &View) {
+        let mut known = self.known.write().unwrap_or_else(PoisonError::into_inner);
+        known.retain(|name, _| view.services.contains_key(name));
+    }
+}
+
+impl Service {
+    /// The state, locked: hold it only for one decision.
+    pub fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// One attempt in flight. Dropping it tells the picker how it ended, cancelled unless it was said.
+#[derive(Debug)]
+pub struct Flight {
+    service: Arc<Service>,
+    clock: laburnum_edge::Clock,
+    node: NodeId,
+    class: Class,
+    started: Ms,
+    outcome: Outcome,
+    load: Option<Load>,
+}
+
+impl Flight {
+    /// An attempt at `node` that starts now.
+    pub fn start(
+        clock: &laburnum_edge::Clock,
+        service: Arc<Service>,
+        node: NodeId,
+        class: Class,
+    ) -> Flight {
+        let started = clock.now();
+        service.lock().picker.started(started, node);
+        Flight {
+            service,
+            clock: clock.clone(),
+            node,
+            class,
+            started,
+            outcome: Outcome::Cancelled,
+            load: None,
+        }
+    }
+
+    /// Takes the load that the answer told.
+    pub fn loaded(&mut self, load: Option<Load>) {
+        self.load = load;
+    }
+
+    /// The whole answer arrived.
+    pub fn answered(mut self) {
+        let latency = self.clock.now().since(self.started);
+        self.outcome = Outcome::Answered { latency };
+        self.service.lock().budget.success();
+    }
+
+    /// It ended otherwise.
+    pub fn ended(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let now = self.clock.now();
+        let mut state = self.service.lock();
+        state
+            .picker
+            .finished(now, self.node, self.class, self.outcome, self.load);
+    }
+}
