Contract tests of the request path; a caller's broken body is told from a lost node

Cause: a body that broke on its way through the entry was reported as a lost node, and a deadline that had passed was still sent on. The owner's refusal while draining holds entries off for 2 s. Conclusion: what callers see of these faults is pinned.

--- a/crates/node/src/traffic/denial.rs
+++ b/crates/node/src/traffic/denial.rs
@@ -61,12 +61,12 @@
 
     /// A request whose body did not arrive whole; nothing of it was passed on.
     pub fn of_body(fault: BodyFault) -> Denial {
-        let (status, reason) = match fault {
-            BodyFault::TooLong => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-long"),
-            BodyFault::Cut => (StatusCode::BAD_REQUEST, "body-cut"),
-            BodyFault::Late => (StatusCode::REQUEST_TIMEOUT, "body-late"),
+        let reason = match fault {
+            BodyFault::TooLong => BODY_TOO_LONG,
+            BodyFault::Cut => BODY_CUT,
+            BodyFault::Late => BODY_LATE,
         };
-        Denial::bad(status, reason, fault.to_string())
+        Denial::bad(status_of(reason), reason, fault.to_string())
     }
 
     /// Stable name, used in headers, logs and metrics.
@@ -122,9 +122,8 @@
                 _ => StatusCode::SERVICE_UNAVAILABLE,
             },
             Denial::Busy { .. } => StatusCode::CONFLICT,
-            Denial::Unknown { reason, .. } if *reason == DEADLINE => StatusCode::GATEWAY_TIMEOUT,
-            Denial::Unknown { reason, .. } if *reason == CLAIMED => StatusCode::CONFLICT,
-            Denial::Unknown { .. } | Denial::Unfit { .. } => StatusCode::BAD_GATEWAY,
+            Denial::Unknown { reason, .. } => status_of(reason),
+            Denial::Unfit { .. } => StatusCode::BAD_GATEWAY,
         }
     }
 
@@ -148,6 +147,22 @@
 /// Reason of a key whose earlier run may have taken effect.
 pub const CLAIMED: &str = "earlier-run-unknown";
 
+const BODY_TOO_LONG: &str = "body-too-long";
+const BODY_CUT: &str = "body-cut";
+const BODY_LATE: &str = "body-late";
+
+/// The status that tells of a fault by its stable name.
+fn status_of(reason: &str) -> StatusCode {
+    match reason {
+        DEADLINE => StatusCode::GATEWAY_TIMEOUT,
+        CLAIMED => StatusCode::CONFLICT,
+        BODY_TOO_LONG => StatusCode::PAYLOAD_TOO_LARGE,
+        BODY_CUT => StatusCode::BAD_REQUEST,
+        BODY_LATE => StatusCode::REQUEST_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    }
+}
+
 fn remedy(refusal: &Refusal) -> String {
     use laburnum_kernel::refusal::Remedy;
     match refusal.reason.remedy() {
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -1,6 +1,11 @@
 //! The entry: finds the route, picks an owner, forwards, and retries what may be retried.
 
-use std::{net::SocketAddr, str::FromStr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    str::FromStr,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use axum::body::Body;
 use bytes::Bytes;
@@ -23,7 +28,7 @@
 
 use super::{
     Traffic,
-    body::{self, Bounded, End, Intact},
+    body::{self, BodyFault, Bounded, End, Intact},
     denial::Denial,
     headers::{
         self, ATTEMPT, BUDGET, DEADLINE, LOAD, NEVER, NOT_RUN, OUTCOME, RAN, REASON, REPEAT,
@@ -57,7 +62,8 @@
 /// The request's body, as far as it can be sent again.
 enum Payload {
     Held(Bytes),
-    Streamed(Intact),
+    /// It is passed on as it arrives; what breaks it is noted.
+    Streamed(Intact, Arc<OnceLock<BodyFault>>),
 }
 
 /// How one attempt ended.
@@ -113,6 +119,9 @@
             Some(left) => deadline.min(Deadline::after(now, left)),
             None => deadline,
         };
+        if deadline.left(now) == 0 {
+            return Err(Denial::Refused(Refusal::new(Reason::Expired)));
+        }
         let tree = tree(&parts.headers)?;
         if route.repeat == Repeat::Never {
             super::once::key_of(&parts.headers)?;
@@ -153,7 +162,12 @@
             tried.push(endpoint.node);
             let tree = retry.attempt();
             let request = self.request(&plan, &payload, tree, number);
-            let (failure, response) = match self.attempt(&plan, &endpoint, request).await {
+            let attempt = self.attempt(&plan, &endpoint, request).await;
+            if let (Attempt::Failed(Failure::Unknown, _), Some(fault)) = (&attempt, payload.fault())
+            {
+                return Err(broken(plan.repeat, fault));
+            }
+            let (failure, response) = match attempt {
                 Attempt::Answered(response) | Attempt::Final(response) => return Ok(response),
                 Attempt::Failed(failure, response) => (failure, response),
             };
@@ -175,15 +189,22 @@
         let limit = plan.document.limits.body;
         let hint = incoming.size_hint();
         if hint.lower() > limit {
-            return Err(Denial::of_body(body::BodyFault::TooLong));
+            return Err(Denial::of_body(BodyFault::TooLong));
         }
         let deadline = self.instant(plan.deadline);
         if hint.exact().is_some_and(|it| it <= HELD_MAX) {
             let bytes = body::collect(incoming, limit, deadline).await;
             return Ok(Payload::Held(bytes.map_err(Denial::of_body)?));
         }
-        let bounded = Bounded::new(incoming, limit, deadline, |_| ());
-        Ok(Payload::Streamed(Intact::new(Body::new(bounded))))
+        let fault = Arc::new(OnceLock::new());
+        let noted = fault.clone();
+        let bounded = Bounded::new(incoming, limit, deadline, move |end| {
+            if let End::Failed(fault) = end {
+                // Only the first fault can be noted, and there is only one.
+                let _ = noted.set(fault);
+            }
+        });
+        Ok(Payload::Streamed(Intact::new(Body::new(bounded)), fault))
     }
 
     fn next(
@@ -316,7 +337,7 @@
     fn body(&self) -> Body {
         match self {
             Payload::Held(bytes) => Body::from(bytes.clone()),
-            Payload::Streamed(intact) => Body::new(intact.clone()),
+            Payload::Streamed(intact, _) => Body::new(intact.clone()),
         }
     }
 
@@ -324,12 +345,31 @@
     fn again(self) -> Option<Payload> {
         match self {
             Payload::Held(bytes) => Some(Payload::Held(bytes)),
-            Payload::Streamed(intact) => {
+            Payload::Streamed(intact, fault) => {
                 let body = intact.reclaim()?;
-                Some(Payload::Streamed(Intact::new(body)))
+                Some(Payload::Streamed(Intact::new(body), fault))
             }
         }
     }
+
+    /// What broke the body on its way, if anything.
+    fn fault(&self) -> Option<BodyFault> {
+        match self {
+            Payload::Held(_) => None,
+            Payload::Streamed(_, fault) => fault.get().copied(),
+        }
+    }
+}
+
+/// The caller's own body broke while it was passed on.
+///
+/// An owner runs nothing of a request that runs at most once before its body is whole. Of others the upstream
+/// may have seen the beginning.
+fn broken(repeat: Repeat, fault: BodyFault) -> Denial {
+    match (repeat, Denial::of_body(fault)) {
+        (Repeat::Idempotent, Denial::Bad { reason, why, .. }) => Denial::Unknown { reason, why },
+        (_, denial) => denial,
+    }
 }
 
 fn lost(denial: Denial) -> Attempt {
--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -48,6 +48,8 @@
 const WHOLE_MAX: u64 = 64 * 1024;
 /// Connections tried for one request as long as none took a byte of it.
 const CONNECTIONS_MAX: usize = 4;
+/// When to come back to an upstream that drains, in ms: long enough for its new phase to spread.
+const DRAINING_MS: u64 = 2_000;
 /// When to come back to an upstream that is not ready, in ms.
 const NOT_READY_MS: u64 = 200;
 
@@ -163,7 +165,10 @@
         _owned: &Owned,
     ) -> Result<Response<Body>, Denial> {
         if self.draining() {
-            return Err(Denial::Refused(Refusal::new(Reason::Draining)));
+            return Err(Denial::Refused(Refusal::after(
+                Reason::Draining,
+                DRAINING_MS,
+            )));
         }
         let job = self.job(request).await?;
         match job.repeat {
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -41,7 +41,7 @@
 /// Longest wait for the answer to one.
 const POLL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Longest wait for it while a request waits for the result.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Shortest time between two answers that count as signs of life, in ms.
 const SERVED_INTERVAL: u64 = 100;
 /// Longest answer to one, in bytes.
--- /dev/null
+++ b/crates/node/tests/caller_faults.rs
@@ -0,0 +1,246 @@
+//! What callers see when they are at fault, and that others see nothing of it.
+
+mod common;
+
+use axum::body::Body;
+use common::{Fake, answer, cluster, cluster_with, raw, request, send};
+use laburnum_node::traffic::serve::Bounds;
+use test_case::test_case;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+// A caller sends something that cannot be carried. It is refused with a reason, as not run, and the upstream
+// sees nothing of it.
+#[test_case("GET", "/nowhere", &[], 404, "no-route" ; "a path without a route")]
+#[test_case("DELETE", "/drafts/1", &[], 404, "no-route" ; "a method without a route")]
+#[test_case("POST", "/filings", &[], 400, "idempotency-key" ; "a filing without a key")]
+#[test_case("POST", "/filings", &[("idempotency-key", "")], 400, "idempotency-key" ; "an empty key")]
+#[test_case("POST", "/filings", &[("idempotency-key", "a"), ("idempotency-key", "b")], 400, "idempotency-key" ; "two keys")]
+#[test_case("GET", "/drafts/1", &[("laburnum-deadline", "soon")], 400, "bad-header" ; "a deadline that is no number")]
+#[test_case("GET", "/drafts/1", &[("laburnum-deadline", "0")], 504, "expired" ; "a deadline that has passed")]
+#[test_case("GET", "/drafts/1", &[("laburnum-budget", "many")], 400, "bad-header" ; "a retry budget that is none")]
+#[tokio::test(flavor = "multi_thread")]
+async fn faulty_request_is_refused_unrun(
+    method: &str,
+    path: &str,
+    fields: &[(&str, &str)],
+    status: u16,
+    reason: &str,
+) {
+    let fake = Fake::start(|_| answer("draft")).await;
+    let cluster = cluster(&[&fake]).await;
+    let mut faulty = request(method, cluster.caller(), path);
+    for (name, value) in fields {
+        faulty = faulty.header(*name, *value);
+    }
+    let got = send(faulty, "").await;
+    assert_eq!(got.head.status, status);
+    assert_eq!(got.field("laburnum-reason"), reason);
+    assert_eq!(got.field("laburnum-outcome"), "not-run");
+    assert!(fake.seen().is_empty());
+    cluster.close().await;
+}
+
+// A caller sends bytes that are no proper request. The node answers with an error or closes the connection
+// within its bounds, and a proper request is answered as before.
+#[test_case(b"GET /drafts/1 HTTP/1.1\r\n\r\n" ; "without a host")]
+#[test_case(b"GET /drafts/1 HTTP/1.1\r\nhost: desk\r\nhost: other\r\nconnection: close\r\n\r\n" ; "two hosts")]
+#[test_case(b"GET /drafts/1 HTTP/1.1\r\nhost: No Name\r\nconnection: close\r\n\r\n" ; "a host that is no name")]
+#[test_case(b"nonsense\r\n\r\n" ; "no request line")]
+#[test_case(b"PUT /drafts/1 HTTP/1.1\r\nhost: desk\r\ncontent-length: 5\r\ncontent-length: 6\r\n\r\nhello!" ; "two lengths")]
+#[test_case(b"PUT /drafts/1 HTTP/1.1\r\nhost: desk\r\ncontent-length: -1\r\n\r\n" ; "a negative length")]
+#[test_case(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\nnot a frame at all" ; "a broken frame")]
+#[test_case(b"GET /dra" ; "a header that never ends")]
+#[test_case(b"" ; "silence")]
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_bytes_harm_nobody_else(bytes: &[u8]) {
+    let fake = Fake::start(|_| answer("draft")).await;
+    let cluster = cluster_with(&[&fake], |it| it.callers.header_time = 50).await;
+    let got = raw(cluster.caller(), bytes).await;
+    assert!(!got.contains("200 OK"), "{got}");
+    assert!(fake.seen().is_empty());
+    let got = send(request("GET", cluster.caller(), "/drafts/1"), "").await;
+    assert_eq!(got.body.as_deref(), Some(&b"draft"[..]));
+    cluster.close().await;
+}
+
+// A caller's header has too many fields, or is too long. It is refused without being buffered whole.
+#[test_case(100, 10 ; "too many fields")]
+#[test_case(1, 40_000 ; "a field that is too long")]
+#[tokio::test(flavor = "multi_thread")]
+async fn oversized_header_is_refused(fields: usize, length: usize) {
+    let fake = Fake::start(|_| answer("draft")).await;
+    let cluster = cluster(&[&fake]).await;
+    let mut text = String::from("GET /drafts/1 HTTP/1.1\r\nhost: desk\r\nconnection: close\r\n");
+    for number in 0..fields {
+        text.push_str(&format!("x-{number}: {}\r\n", "y".repeat(length)));
+    }
+    text.push_str("\r\n");
+    let got = raw(cluster.caller(), text.as_bytes()).await;
+    assert!(!got.contains("200 OK"), "{got}");
+    assert!(fake.seen().is_empty());
+    cluster.close().await;
+}
+
+// A body is longer than the document allows, by its declared length or only as it arrives. It is refused, and
+// the upstream never gets a whole request that is not.
+#[test_case("PUT", "/drafts/1", "content-length: 300000\r\n\r\n", "413" ; "declared")]
+#[test_case("POST", "/filings", "idempotency-key: k\r\ncontent-length: 300000\r\n\r\n", "413" ; "declared for a filing")]
+#[test_case("POST", "/filings", "idempotency-key: k\r\ntransfer-encoding: chunked\r\n\r\n493e0\r\n", "413" ; "only as it arrives")]
+#[tokio::test(flavor = "multi_thread")]
+async fn oversized_body_is_refused(method: &str, path: &str, framing: &str, status: &str) {
+    let fake = Fake::start(|_| answer("draft")).await;
+    let cluster = cluster(&[&fake]).await;
+    let text = format!("{method} {path} HTTP/1.1\r\nhost: desk\r\nconnection: close\r\n{framing}");
+    let mut stream = TcpStream::connect(cluster.caller())
+        .await
+        .expect("a connection");
+    stream.write_all(text.as_bytes()).await.expect("written");
+    let (mut reader, mut writer) = stream.into_split();
+    let writing = tokio::spawn(async move {
+        // The node may close the connection before it took everything.
+        let _ = writer.write_all(&vec![b'x'; 300_000]).await;
+        writer
+    });
+    let mut got = vec![0; 12];
+    reader.read_exact(&mut got).await.expect("an answer");
+    assert_eq!(String::from_utf8_lossy(&got[9..]), status);
+    writing.abort();
+    assert!(fake.seen().is_empty());
+    cluster.close().await;
+}
+
+// A caller sends half of its upload and hangs up. The upstream gets no request that looks whole.
+#[test_case("PUT", "/drafts/1", "content-length: 100000" ; "streamed")]
+#[test_case("PUT", "/drafts/1", "content-length: 1000" ; "held")]
+#[test_case("POST", "/filings", "idempotency-key: k\r\ncontent-length: 100000" ; "a filing")]
+#[tokio::test(flavor = "multi_thread")]
+async fn upload_that_is_cut_is_never_seen_whole(method: &str, path: &str, fields: &str) {
+    let fake = Fake::start(|_| answer("draft")).await;
+    let cluster = cluster(&[&fake]).await;
+    let text = format!("{method} {path} HTTP/1.1\r\nhost: desk\r\n{fields}\r\n\r\nhalf");
+    let mut stream = TcpStream::connect(cluster.caller())
+        .await
+        .expect("a connection");
+    stream.write_all(text.as_bytes()).await.expect("written");
+    stream.shutdown().await.expect("half closed");
+    let mut got = String::new();
+    let _ = stream.read_to_string(&mut got).await;
+    assert!(!got.contains("200 OK"), "{got}");
+    drop(stream);
+    let got = send(request("GET", cluster.caller(), "/drafts/1"), "").await;
+    assert_eq!(got.field("laburnum-outcome"), "ran");
+    assert_eq!(fake.seen().len(), 1);
+    cluster.close().await;
+}
+
+// A long upload is streamed through both nodes and arrives whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_upload_arrives_whole() {
+    let fake = Fake::start(|_| answer("stored")).await;
+    let cluster = cluster(&[&fake]).await;
+    let body = Body::from(vec![b'x'; 150_000]);
+    let got = send(request("PUT", cluster.caller(), "/drafts/1"), body).await;
+    assert_eq!(got.body.as_deref(), Some(&b"stored"[..]));
+    assert_eq!(fake.seen()[0].body.len(), 150_000);
+    cluster.close().await;
+}
+
+// A caller sends the fields that nodes speak to one another by, to be taken for a node, to choose an attempt
+// or to have a filing run like a read. None of them arrives, and the filing still needs its key.
+#[tokio::test(flavor = "multi_thread")]
+async fn spoofed_fields_are_dropped() {
+    let fake = Fake::start(|_| answer("draft")).await;
+    let cluster = cluster(&[&fake]).await;
+    let spoofed = request("GET", cluster.caller(), "/drafts/1")
+        .header("laburnum-service", "court")
+        .header("laburnum-attempt", "9")
+        .header("laburnum-request", "7")
+        .header("laburnum-outcome", "ran")
+        .header("laburnum-load", "0/0/9999")
+        .header("laburnum-deadline", "999999")
+        .header("laburnum-budget", "200/0")
+        .header("connection", "x-hop, content-length")
+        .header("x-hop", "1");
+    let got = send(spoofed, "").await;
+    assert_eq!(got.field("laburnum-outcome"), "ran");
+    assert_eq!(got.field("laburnum-load"), "");
+    assert_eq!(got.field("laburnum-request"), "");
+    let seen = fake.seen().remove(0);
+    let fields: Vec<(&str, &str)> = seen
+        .head
+        .lines()
+        .filter_map(|it| it.split_once(": "))
+        .collect();
+    let field = |name| fields.iter().find(|it| it.0 == name).map(|it| it.1);
+    let hidden = [
+        "laburnum-service",
+        "laburnum-attempt",
+        "laburnum-request",
+        "laburnum-outcome",
+        "laburnum-load",
+        "x-hop",
+    ];
+    for name in hidden {
+        assert_eq!(field(name), None, "{name}");
+    }
+    assert_eq!(field("host"), Some("desk"));
+    let deadline: u64 = field("laburnum-deadline")
+        .expect("a deadline")
+        .parse()
+        .expect("a number");
+    assert!(deadline <= 6_000);
+    let retries = field("laburnum-budget")
+        .and_then(|it| it.split_once('/'))
+        .expect("a budget")
+        .0;
+    assert!(retries.parse::<u8>().expect("a number") <= 2);
+    cluster.close().await;
+}
+
+// Somebody who is no node speaks to the port for nodes. The request is refused and told where to go.
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_on_the_port_for_nodes_is_refused() {
+    let fake = Fake::start(|_| answer("draft")).await;
+    let cluster = cluster(&[&fake]).await;
+    let got = raw(
+        cluster.nodes[1].config.traffic,
+        b"GET /drafts/1 HTTP/1.1\r\nhost: desk\r\n\r\n",
+    )
+    .await;
+    assert!(!got.contains("200 OK"), "{got}");
+    assert!(fake.seen().is_empty());
+    cluster.close().await;
+}
+
+// More callers connect than the node takes. Those beyond the bound are closed at once; a caller that was there
+// before is served all the while, and so is a new one as soon as a place is free.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_beyond_the_bound_are_closed() {
+    let fake = Fake::start(|_| answer("draft")).await;
+    let bounds = Bounds {
+        connections: 2,
+        ..Bounds::default()
+    };
+    let cluster = cluster_with(&[&fake], |it| it.callers = bounds.clone()).await;
+    let mut first = TcpStream::connect(cluster.caller())
+        .await
+        .expect("a connection");
+    let ask = b"GET /drafts/1 HTTP/1.1\r\nhost: desk\r\n\r\n";
+    let mut byte = [0];
+    first.write_all(ask).await.expect("written");
+    first.read_exact(&mut byte).await.expect("an answer");
+    let mut second = TcpStream::connect(cluster.caller())
+        .await
+        .expect("a connection");
+    second.write_all(ask).await.expect("written");
+    second.read_exact(&mut byte).await.expect("an answer");
+    let got = raw(cluster.caller(), b"").await;
+    assert_eq!(got, "");
+    first.write_all(ask).await.expect("written");
+    first.read_exact(&mut byte).await.expect("an answer");
+    drop((first, second));
+    cluster.close().await;
+}
--- /dev/null
+++ b/crates/node/tests/common/mod.rs
@@ -0,0 +1,429 @@
+//! Nodes on loopback sockets with scripted upstreams.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::{
+    future::Future,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use axum::body::Body;
+use bytes::Bytes;
+use http::{Request, Response, header, request};
+use http_body_util::BodyExt;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use laburnum_edge::{Clock, Memory};
+use laburnum_kernel::{
+    Call, Reply, Revision, SubmitId,
+    accept::{self, Submission, Verdict},
+    log::Edit,
+    members::Phase,
+};
+use laburnum_node::{Config, Node, upstream::Announcement};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinHandle,
+};
+
+const DOCUMENT: &str = include_str!("../data/desk.toml");
+
+/// Polls `ready` until it holds, for as long as the test runner allows.
+pub async fn until(mut ready: impl FnMut() -> bool) {
+    while !ready() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// What a scripted upstream does with a request.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Writes these bytes.
+    Write(Vec<u8>),
+    /// Waits until [`Fake::release`].
+    Hold,
+    /// Waits until the node closes the connection.
+    Wait,
+    /// Closes the connection.
+    Close,
+    /// Closes the connection and stops listening, as a process that crashes does.
+    Crash,
+}
+
+/// A request as the upstream read it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// Request line and fields.
+    pub head: String,
+    /// The whole body.
+    pub body: Vec<u8>,
+    /// Which connection it came on, from 0.
+    pub connection: usize,
+}
+
+/// A scripted upstream.
+pub struct Fake {
+    /// Where it listens.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    task: JoinHandle<()>,
+}
+
+type Script = Box<dyn Fn(&Seen) -> Vec<Step> + Send + Sync>;
+
+struct Shared {
+    script: Script,
+    seen: Mutex<Vec<Seen>>,
+    /// Exchanges in which the node closed the connection before the answer was done.
+    cancelled: AtomicUsize,
+    released: watch::Sender<bool>,
+    crashed: watch::Sender<bool>,
+}
+
+/// A whole answer with this body.
+pub fn answer(body: &str) -> Vec<Step> {
+    let text = format!(
+        "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    vec![Step::Write(text.into_bytes())]
+}
+
+impl Fake {
+    /// Answers every request, but for questions for its health, by `script`.
+    pub async fn start(script: impl Fn(&Seen) -> Vec<Step> + Send + Sync + 'static) -> Fake {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let shared = Arc::new(Shared {
+            script: Box::new(script),
+            seen: Mutex::default(),
+            cancelled: AtomicUsize::new(0),
+            released: watch::Sender::new(false),
+            crashed: watch::Sender::new(false),
+        });
+        let task = tokio::spawn(accept(listener, shared.clone()));
+        Fake {
+            address,
+            shared,
+            task,
+        }
+    }
+
+    /// Requests read so far, without questions for health.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.shared.seen.lock().expect("no panic").clone()
+    }
+
+    /// Exchanges that the node cut.
+    pub fn cancelled(&self) -> usize {
+        self.shared.cancelled.load(Ordering::SeqCst)
+    }
+
+    /// Lets every [`Step::Hold`] go on.
+    pub fn release(&self) {
+        self.shared.released.send_replace(true);
+    }
+}
+
+impl Drop for Fake {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    let mut crashed = shared.crashed.subscribe();
+    let mut count = 0;
+    loop {
+        let stream = tokio::select! {
+            _ = crashed.wait_for(|it| *it) => return,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(_) => return,
+            },
+        };
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            let mut crashed = shared.crashed.subscribe();
+            tokio::select! {
+                _ = crashed.wait_for(|it| *it) => {}
+                _ = connection(stream, count, &shared) => {}
+            }
+        });
+        count += 1;
+    }
+}
+
+/// Serves one connection until it ends; `None` at its end.
+async fn connection(mut stream: TcpStream, number: usize, shared: &Shared) -> Option<()> {
+    loop {
+        let seen = read(&mut stream, number).await?;
+        if seen.head.starts_with("GET /health ") {
+            let report = r#"{"phase":"ready","busy":0,"slots":6}"#;
+            let text = format!(
+                "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{report}",
+                report.len()
+            );
+            stream.write_all(text.as_bytes()).await.ok()?;
+            continue;
+        }
+        let steps = (shared.script)(&seen);
+        shared.seen.lock().expect("no panic").push(seen);
+        for step in steps {
+            perform(&mut stream, step, shared).await?;
+        }
+    }
+}
+
+async fn perform(stream: &mut TcpStream, step: Step, shared: &Shared) -> Option<()> {
+    match step {
+        Step::Write(bytes) => stream.write_all(&bytes).await.ok(),
+        Step::Close => None,
+        Step::Crash => {
+            shared.crashed.send_replace(true);
+            None
+        }
+        Step::Hold => {
+            let mut released = shared.released.subscribe();
+            tokio::select! {
+                _ = released.wait_for(|it| *it) => Some(()),
+                () = closed(stream) => {
+                    shared.cancelled.fetch_add(1, Ordering::SeqCst);
+                    None
+                }
+            }
+        }
+        Step::Wait => {
+            closed(stream).await;
+            shared.cancelled.fetch_add(1, Ordering::SeqCst);
+            None
+        }
+    }
+}
+
+async fn closed(stream: &TcpStream) {
+    let mut byte = [0];
+    while !matches!(stream.peek(&mut byte).await, Ok(0) | Err(_)) {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+async fn read(stream: &mut TcpStream, connection: usize) -> Option<Seen> {
+    let mut bytes = Vec::new();
+    let end = loop {
+        if let Some(at) = bytes.windows(4).position(|it| it == b"\r\n\r\n") {
+            break at + 4;
+        }
+        if stream.read_buf(&mut bytes).await.ok()? == 0 {
+            return None;
+        }
+    };
+    let head = String::from_utf8_lossy(&bytes[..end]).to_lowercase();
+    let length = head
+        .lines()
+        .find_map(|it| it.strip_prefix("content-length: "))
+        .and_then(|it| it.trim().parse::<usize>().ok());
+    let chunked = head.contains("transfer-encoding: chunked");
+    let mut body = bytes.split_off(end);
+    let whole = |body: &[u8]| match length {
+        Some(length) => body.len() >= length,
+        None => !chunked || body.ends_with(b"0\r\n\r\n"),
+    };
+    while !whole(&body) {
+        if stream.read_buf(&mut body).await.ok()? == 0 {
+            return None;
+        }
+    }
+    let head = String::from_utf8_lossy(&bytes).into_owned();
+    // Methods and paths keep their case; field names come in lower case from the node.
+    Some(Seen {
+        head,
+        body,
+        connection,
+    })
+}
+
+/// A node and its settings.
+pub struct Running {
+    /// The node.
+    pub node: Node,
+    /// Its settings.
+    pub config: Config,
+}
+
+/// Nodes that know one another and the document: first an entry without upstream, then one beside each upstream.
+pub struct Cluster {
+    /// The nodes.
+    pub nodes: Vec<Running>,
+}
+
+/// Starts a cluster; `adjust` changes each node's settings before.
+pub async fn cluster_with(fakes: &[&Fake], adjust: impl Fn(&mut Config)) -> Cluster {
+    let platform = Arc::new(Memory::default());
+    let mut nodes: Vec<Running> = Vec::new();
+    for _ in 0..=fakes.len() {
+        let mut config = Config {
+            caller: free().await,
+            control: free().await,
+            traffic: free().await,
+            admin: free().await,
+            peers: nodes.iter().map(|it| it.config.control).collect(),
+            grace: 5_000,
+            ..Config::default()
+        };
+        adjust(&mut config);
+        let node = Node::start(config.clone(), Clock::system(), platform.clone()).await;
+        let node = node.expect("the node starts");
+        nodes.push(Running { node, config });
+    }
+    for (running, fake) in nodes[1..].iter().zip(fakes) {
+        let announced = running.node.upstream().announce(Announcement {
+            service: "desk".parse().expect("a name"),
+            address: fake.address,
+            slots: 6,
+            phase: Phase::Ready,
+        });
+        announced.expect("the node runs");
+    }
+    submit(&nodes[0].node).await;
+    let name = "desk".parse().expect("a name");
+    for it in &nodes {
+        let ready = || {
+            let view = it.node.control().view();
+            let service = view.services.get(&name);
+            service.is_some_and(|it| {
+                let ready = it.endpoints.iter().filter(|it| it.phase == Phase::Ready);
+                ready.count() == fakes.len()
+            })
+        };
+        until(ready).await;
+    }
+    Cluster { nodes }
+}
+
+/// Starts a cluster.
+pub async fn cluster(fakes: &[&Fake]) -> Cluster {
+    cluster_with(fakes, |_| ()).await
+}
+
+async fn submit(node: &Node) {
+    let submission = Submission {
+        id: SubmitId(1),
+        service: "desk".parse().expect("a name"),
+        base: Revision(0),
+        edit: Edit::Put {
+            text: DOCUMENT.to_owned(),
+        },
+        author: "amal".to_owned(),
+        reason: "first".to_owned(),
+    };
+    let call = Call::Accept(accept::Call::Submit(submission));
+    let reply = node.control().call(call).await.expect("a reply");
+    assert!(matches!(
+        reply,
+        Reply::Accept(accept::Reply::Verdict(Verdict::Accepted { .. }))
+    ));
+}
+
+/// Ports below those that the operating system hands out by itself.
+const PORTS: std::ops::Range<u32> = 10_000..32_000;
+
+/// An address that no other test has.
+///
+/// A port that the operating system chose is free again once it is known, and goes to the next connection of
+/// any other test: a node then fails to start, or a test talks to another test's node.
+async fn free() -> SocketAddr {
+    static TAKEN: AtomicUsize = AtomicUsize::new(0);
+    loop {
+        let taken = TAKEN.fetch_add(1, Ordering::SeqCst) as u32;
+        let offset = std::process::id().wrapping_mul(97).wrapping_add(taken);
+        let port = PORTS.start + offset % (PORTS.end - PORTS.start);
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        let free = TcpListener::bind(address).await.is_ok();
+        if free && std::net::UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+impl Cluster {
+    /// Where callers reach the entry.
+    pub fn caller(&self) -> SocketAddr {
+        self.nodes[0].config.caller
+    }
+
+    /// Drains every node.
+    pub async fn close(self) {
+        let closing = self
+            .nodes
+            .into_iter()
+            .map(|it| tokio::spawn(it.node.close()));
+        let closing: Vec<_> = closing.collect();
+        for it in closing {
+            it.await.expect("the node closes");
+        }
+    }
+}
+
+/// An answer read whole, or the fault that cut it.
+#[derive(Debug)]
+pub struct Got {
+    /// Status and fields.
+    pub head: http::response::Parts,
+    /// The body, if it was whole.
+    pub body: Option<Bytes>,
+}
+
+impl Got {
+    /// A field as text, empty if absent.
+    pub fn field(&self, name: &str) -> &str {
+        let value = self.head.headers.get(name);
+        value.and_then(|it| it.to_str().ok()).unwrap_or_default()
+    }
+}
+
+/// A caller's client.
+pub fn client() -> Client<HttpConnector, Body> {
+    Client::builder(TokioExecutor::new()).build(HttpConnector::new())
+}
+
+/// A request for the service.
+pub fn request(method: &str, caller: SocketAddr, path: &str) -> request::Builder {
+    Request::builder()
+        .method(method)
+        .uri(format!("http://{caller}{path}"))
+        .header(header::HOST, "desk")
+}
+
+/// Sends a request and reads its answer.
+pub async fn send(request: request::Builder, body: impl Into<Body>) -> Got {
+    let request = request.body(body.into()).expect("a request");
+    let answer: Response<_> = client().request(request).await.expect("an answer");
+    let (head, body) = answer.into_parts();
+    let body = body.collect().await.ok().map(|it| it.to_bytes());
+    Got { head, body }
+}
+
+/// Sends bytes over a connection of their own and reads until the node closes it.
+pub async fn raw(caller: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(caller).await.expect("a connection");
+    stream.write_all(bytes).await.expect("written");
+    let mut got = Vec::new();
+    // A reset after the answer is as good an end as a close.
+    let _ = stream.read_to_end(&mut got).await;
+    String::from_utf8_lossy(&got).into_owned()
+}
+
+/// Runs a future in the background.
+pub fn spawn<T: Send + 'static>(future: impl Future<Output = T> + Send + 'static) -> JoinHandle<T> {
+    tokio::spawn(future)
+}
--- /dev/null
+++ b/crates/node/tests/leaving.rs
@@ -0,0 +1,73 @@
+//! A node that is told to stop.
+
+mod common;
+
+use common::{Fake, Step, answer, cluster, request, send, spawn, until};
+
+fn held() -> Vec<Step> {
+    let mut steps = vec![Step::Hold];
+    steps.extend(answer("done"));
+    steps
+}
+
+// A node is told to stop while a read and a filing run at its upstream. Both get their whole answers, by way
+// of an entry on another node, and only then does the node end.
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_cuts_no_request_in_progress() {
+    let fake = Fake::start(|_| held()).await;
+    let mut cluster = cluster(&[&fake]).await;
+    let reading = spawn(send(request("GET", cluster.caller(), "/drafts/1"), ""));
+    let filing = request("POST", cluster.caller(), "/filings").header("idempotency-key", "k1");
+    let filing = spawn(send(filing, "filing"));
+    until(|| fake.seen().len() == 2).await;
+    let owner = cluster.nodes.remove(1);
+    let closing = spawn(owner.node.close());
+    // New work is refused unrun while the old goes on.
+    let refused = send(request("GET", cluster.caller(), "/drafts/2"), "").await;
+    assert_eq!(refused.field("laburnum-outcome"), "not-run");
+    assert!(!closing.is_finished());
+    fake.release();
+    for running in [reading, filing] {
+        let got = running.await.expect("an answer");
+        assert_eq!(got.body.as_deref(), Some(&b"done"[..]));
+        assert_eq!(got.field("laburnum-outcome"), "ran");
+    }
+    closing.await.expect("the node closes");
+    assert_eq!(fake.seen().len(), 2);
+    cluster.close().await;
+}
+
+// The entry is told to stop while it waits for another node's answer. Its caller gets the whole answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_that_stops_hands_on_answers_in_progress() {
+    let fake = Fake::start(|_| held()).await;
+    let mut cluster = cluster(&[&fake]).await;
+    let reading = spawn(send(request("GET", cluster.caller(), "/drafts/1"), ""));
+    until(|| fake.seen().len() == 1).await;
+    let entry = cluster.nodes.remove(0);
+    let closing = spawn(entry.node.close());
+    fake.release();
+    let got = reading.await.expect("an answer");
+    assert_eq!(got.body.as_deref(), Some(&b"done"[..]));
+    closing.await.expect("the node closes");
+    cluster.close().await;
+}
+
+// One of two nodes drains while callers keep asking. Every request is answered by an upstream: a refusal by
+// the draining node is not run, and goes to the other one.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_see_nothing_of_a_node_that_drains() {
+    let (first, second) = (
+        Fake::start(|_| answer("first")).await,
+        Fake::start(|_| answer("second")).await,
+    );
+    let mut cluster = cluster(&[&first, &second]).await;
+    let leaving = cluster.nodes.remove(1);
+    let closing = spawn(leaving.node.close());
+    for _ in 0..50 {
+        let got = send(request("GET", cluster.caller(), "/drafts/1"), "").await;
+        assert_eq!(got.field("laburnum-outcome"), "ran", "{got:?}");
+    }
+    closing.await.expect("the node closes");
+    cluster.close().await;
+}
