--- /dev/null
+++ b/crates/node/examples/added_latency.rs
@@ -0,0 +1,161 @@
+//! Measures what the request path adds to a request: `cargo run --release -p laburnum-node --example added_latency`.
+//!
+//! One upstream answers at once. It is asked directly, through its own node (entry and owner in one process)
+//! and through another node (entry, HTTP/2, owner), first by one caller at a time and then by many.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use axum::{Router, body::Body, routing::get};
+use http::{Request, header};
+use http_body_util::BodyExt;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use laburnum_edge::{Clock, Memory};
+use laburnum_kernel::{
+    Call, Revision, SubmitId,
+    accept::{self, Submission},
+    log::Edit,
+    members::Phase,
+};
+use laburnum_node::{Config, Node, upstream::Announcement};
+use tokio::net::{TcpListener, TcpStream};
+
+const DOCUMENT: &str = include_str!("../tests/data/desk.toml");
+/// Length of one measurement.
+const MEASURED: Duration = Duration::from_secs(3);
+/// Callers at once in the second round; fewer than the upstream's slots.
+const CALLERS: usize = 16;
+/// Slots of the upstream.
+const SLOTS: u16 = 64;
+
+#[tokio::main(flavor = "multi_thread", worker_threads = 4)]
+async fn main() {
+    let upstream = upstream().await;
+    let platform = Arc::new(Memory::default());
+    let (owner, owner_config) = node(Vec::new(), platform.clone(), 17_100).await;
+    let (entry, entry_config) = node(vec![owner_config.control], platform, 17_110).await;
+    let announced = owner.upstream().announce(Announcement {
+        service: "desk".parse().expect("a name"),
+        address: upstream,
+        slots: SLOTS,
+        phase: Phase::Ready,
+    });
+    announced.expect("the node runs");
+    submit(&owner).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let ways = [
+        ("direct", upstream),
+        ("own node", owner_config.caller),
+        ("two nodes", entry_config.caller),
+    ];
+    for callers in [1, CALLERS] {
+        for (name, address) in ways {
+            measure(name, address, callers).await;
+        }
+    }
+    entry.close().await;
+    owner.close().await;
+}
+
+async fn measure(name: &str, address: SocketAddr, callers: usize) {
+    let busy = cpu();
+    let start = Instant::now();
+    let running: Vec<_> = (0..callers)
+        .map(|_| tokio::spawn(caller(address, start + MEASURED)))
+        .collect();
+    let mut times = Vec::new();
+    for it in running {
+        times.extend(it.await.expect("the caller runs"));
+    }
+    let cores = (cpu() - busy).as_secs_f64() / start.elapsed().as_secs_f64();
+    times.sort_unstable();
+    let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize].as_micros();
+    let rate = times.len() as f64 / MEASURED.as_secs_f64();
+    println!(
+        "event=measured way={name:?} callers={callers} requests={} p50_us={} p99_us={} rate={rate:.0} cores={cores:.2} cpu_us={:.1}",
+        times.len(),
+        at(0.50),
+        at(0.99),
+        cores * 1e6 / rate,
+    );
+}
+
+async fn caller(address: SocketAddr, end: Instant) -> Vec<Duration> {
+    let stream = TcpStream::connect(address).await.expect("a connection");
+    stream.set_nodelay(true).expect("a socket option");
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.expect("HTTP");
+    tokio::spawn(connection);
+    let mut times = Vec::new();
+    while Instant::now() < end {
+        let request = Request::get("/drafts/7")
+            .header(header::HOST, "desk")
+            .body(Body::empty())
+            .expect("a request");
+        let start = Instant::now();
+        sender.ready().await.expect("a connection");
+        let answer = sender.send_request(request).await.expect("an answer");
+        assert_eq!(answer.status(), 200);
+        answer.into_body().collect().await.expect("a whole body");
+        times.push(start.elapsed());
+    }
+    times
+}
+
+/// Processor time of this process: callers, nodes and upstream together.
+fn cpu() -> Duration {
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields = stat.rsplit(") ").next().unwrap_or_default().split(' ');
+    // utime and stime are fields 14 and 15 of the line, in hundredths of a second.
+    let ticks: u64 = fields
+        .skip(11)
+        .take(2)
+        .filter_map(|it| it.parse::<u64>().ok())
+        .sum();
+    Duration::from_millis(10 * ticks)
+}
+
+async fn upstream() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let router = Router::new()
+        .route("/drafts/7", get(|| async { "draft" }))
+        .route(
+            "/health",
+            get(|| async { r#"{"phase":"ready","busy":0,"slots":64}"# }),
+        );
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    address
+}
+
+async fn node(peers: Vec<SocketAddr>, platform: Arc<Memory>, port: u16) -> (Node, Config) {
+    let at = |offset| SocketAddr::from(([127, 0, 0, 1], port + offset));
+    let config = Config {
+        caller: at(0),
+        control: at(1),
+        traffic: at(2),
+        admin: at(3),
+        peers,
+        ..Config::default()
+    };
+    let node = Node::start(config.clone(), Clock::system(), platform).await;
+    (node.expect("the node starts"), config)
+}
+
+async fn submit(node: &Node) {
+    let submission = Submission {
+        id: SubmitId(1),
+        service: "desk".parse().expect("a name"),
+        base: Revision(0),
+        edit: Edit::Put {
+            text: DOCUMENT.to_owned(),
+        },
+        author: "amal".to_owned(),
+        reason: "first".to_owned(),
+    };
+    let call = Call::Accept(accept::Call::Submit(submission));
+    node.control().call(call).await.expect("a reply");
+}
