Faults of other nodes: crossed answers, missing outcomes, nodes that are gone

Cause: an answer of a node without a known outcome was handed on as it was. Change: it is dropped and told as unknown; tests with a server in an owner's place. Conclusion: an entry hands on only answers that carry its own number and say what became of the request.

--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -32,7 +32,7 @@
     denial::Denial,
     headers::{
         self, ATTEMPT, BUDGET, DEADLINE, LOAD, NEVER, NOT_RUN, OUTCOME, RAN, REASON, REPEAT,
-        REQUEST, RETRY_AFTER_MS, SERVICE,
+        REQUEST, RETRY_AFTER_MS, SERVICE, UNKNOWN,
     },
     peers,
     services::{Flight, Service},
@@ -286,10 +286,15 @@
         if outcome == Some(RAN) {
             return Attempt::Answered(self.hand_on(plan, flight, response));
         }
-        if outcome != Some(NOT_RUN) {
+        if outcome == Some(UNKNOWN) {
             flight.ended(Outcome::Failed);
             return Attempt::Failed(Failure::Unknown, clean(response));
         }
+        if outcome != Some(NOT_RUN) {
+            flight.ended(Outcome::Failed);
+            let why = "the other node does not say whether it was run: update both to one version";
+            return lost(Denial::unknown("no-outcome", why));
+        }
         match refusal {
             Some(refusal) => {
                 flight.ended(Outcome::Refused(refusal));
--- /dev/null
+++ b/crates/node/tests/node_faults.rs
@@ -0,0 +1,113 @@
+//! What callers see when another node fails.
+
+mod common;
+
+use std::convert::Infallible;
+
+use axum::body::Body;
+use common::{Cluster, Fake, answer, cluster, request, send};
+use http::{HeaderMap, Request, Response};
+use hyper::{body::Incoming, server::conn::http2, service::service_fn};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use test_case::test_case;
+use tokio::{net::TcpListener, task::JoinHandle};
+
+/// Puts a server in the place of the only owner's port for nodes; the member records still name it.
+async fn replace(
+    cluster: &mut Cluster,
+    respond: impl Fn(&HeaderMap) -> Response<Body> + Clone + Send + 'static,
+) -> JoinHandle<()> {
+    let owner = cluster.nodes.remove(1);
+    let address = owner.config.traffic;
+    // Dropped without a drain: its sockets close and its control thread goes on, as if only its traffic
+    // threads had failed.
+    drop(owner.node);
+    let listener = loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => break listener,
+            Err(_) => tokio::task::yield_now().await,
+        }
+    };
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let respond = respond.clone();
+            let service = service_fn(move |request: Request<Incoming>| {
+                let response = respond(request.headers());
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let builder = http2::Builder::new(TokioExecutor::new());
+            tokio::spawn(builder.serve_connection(TokioIo::new(stream), service));
+        }
+    })
+}
+
+// The owner answers with what belongs to another exchange, or with what no owner says. The caller never sees
+// that answer: it gets an error that says "unknown", for the request may have been run.
+#[test_case(&[("laburnum-outcome", "ran"), ("laburnum-request", "7")] ; "the number of another exchange")]
+#[test_case(&[("laburnum-outcome", "ran")] ; "no number")]
+#[test_case(&[("laburnum-outcome", "not-run"), ("laburnum-reason", "draining"), ("laburnum-request", "7")] ; "another's refusal")]
+#[tokio::test(flavor = "multi_thread")]
+async fn crossed_answer_is_never_handed_on(fields: &'static [(&'static str, &'static str)]) {
+    let fake = Fake::start(|_| answer("own draft")).await;
+    let mut cluster = cluster(&[&fake]).await;
+    let server = replace(&mut cluster, move |_| {
+        let mut response = Response::builder();
+        for (name, value) in fields {
+            response = response.header(*name, *value);
+        }
+        let response = response.body(Body::from("another family's draft"));
+        response.expect("an answer")
+    })
+    .await;
+    let filing = request("POST", cluster.caller(), "/filings").header("idempotency-key", "k1");
+    let got = send(filing, "filing").await;
+    assert_eq!(got.head.status, 502);
+    assert_eq!(got.field("laburnum-outcome"), "unknown");
+    assert_eq!(got.field("laburnum-reason"), "crossed");
+    let body = got.body.expect("a whole body");
+    assert!(!String::from_utf8_lossy(&body).contains("family"));
+    server.abort();
+    cluster.close().await;
+}
+
+// The owner gives the right number and no outcome that an entry knows. Nothing can be said of the request, so
+// the caller is told "unknown".
+#[test_case("" ; "no outcome")]
+#[test_case("perhaps" ; "an outcome of a later version")]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_without_a_known_outcome_counts_as_unknown(outcome: &'static str) {
+    let fake = Fake::start(|_| answer("own draft")).await;
+    let mut cluster = cluster(&[&fake]).await;
+    let server = replace(&mut cluster, move |asked| {
+        let mut response = Response::new(Body::from("draft"));
+        let headers = response.headers_mut();
+        headers.insert("laburnum-request", asked["laburnum-request"].clone());
+        if !outcome.is_empty() {
+            headers.insert("laburnum-outcome", outcome.parse().expect("a value"));
+        }
+        response
+    })
+    .await;
+    let filing = request("POST", cluster.caller(), "/filings").header("idempotency-key", "k1");
+    let got = send(filing, "filing").await;
+    assert_eq!(got.field("laburnum-outcome"), "unknown");
+    assert!(got.head.status.is_server_error());
+    server.abort();
+    cluster.close().await;
+}
+
+// The owner's process is gone and its record has not lapsed. Nothing could be sent, so the entry says "not
+// run", at once, even for a filing.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_to_a_node_that_is_gone_was_not_run() {
+    let fake = Fake::start(|_| answer("own draft")).await;
+    let mut cluster = cluster(&[&fake]).await;
+    let server = replace(&mut cluster, |_| Response::new(Body::empty())).await;
+    server.abort();
+    let _ = server.await;
+    let filing = request("POST", cluster.caller(), "/filings").header("idempotency-key", "k1");
+    let got = send(filing, "filing").await;
+    assert_eq!(got.field("laburnum-outcome"), "not-run");
+    assert!(fake.seen().is_empty());
+    cluster.close().await;
+}
