Callers are held to the document's rate; a node without an upstream stops without notice

Cause: limits.caller had no effect, and every stop waited 2 s for entries that had nobody to hear of. Change: the entry asks the kernel's limiter by service and address; the notice is given only for an upstream. Conclusion: both as the document says.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -176,7 +176,9 @@
         let _ = timeout_at(end, owned(&self.traffic)).await;
         // An entry that has not heard of the drain meets a refusal here, and keeps off, rather than a closed
         // port, which would cost it a retry each time.
-        sleep_until(notice.min(end)).await;
+        if self.upstream.present().is_some() {
+            sleep_until(notice.min(end)).await;
+        }
         let _ = timeout_at(end, self.nodes.close()).await;
         self.control.close();
     }
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -24,7 +24,7 @@
     convert::Infallible,
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
@@ -34,7 +34,7 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use laburnum_edge::Clock;
-use laburnum_kernel::{Ms, NodeId, View, pick::Place, retry::Deadline};
+use laburnum_kernel::{Ms, NodeId, View, hot::Limiter, pick::Place, retry::Deadline};
 use tokio::{
     sync::Semaphore,
     time::{Instant, MissedTickBehavior, interval},
@@ -60,6 +60,7 @@
     peers: Peers,
     services: Services,
     faults: Arc<Faults>,
+    limiter: Mutex<Limiter>,
     draining: AtomicBool,
     /// Held by the one request that is suspected of a crash and runs.
     suspects: Arc<Semaphore>,
@@ -95,6 +96,7 @@
             peers: Peers::default(),
             services: Services::new(place),
             faults,
+            limiter: Mutex::default(),
             draining: AtomicBool::new(false),
             suspects: Arc::new(Semaphore::new(1)),
             claims: Arc::new(Semaphore::new(CLAIMS_MAX)),
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     str::FromStr,
-    sync::{Arc, OnceLock},
+    sync::{Arc, OnceLock, PoisonError},
     time::Duration,
 };
 
@@ -16,12 +16,14 @@
 use http_body::Body as _;
 use hyper::body::Incoming;
 use laburnum_kernel::{
-    Name, NodeId,
+    Ms, Name, NodeId,
     admission::Load,
     document::{Class, Document, Repeat},
+    hot::Verdict,
     pick::{Choice, Outcome},
     refusal::{Reason, Refusal},
     retry::{Deadline, Failure, Next, Retry, Tree, Untried},
+    utils::hash64,
     view::Endpoint,
 };
 use tokio::time::sleep;
@@ -82,7 +84,7 @@
         peer: SocketAddr,
     ) -> Response<Body> {
         let (parts, incoming) = request.into_parts();
-        let result = match self.plan(parts) {
+        let result = match self.plan(parts, peer) {
             Ok(plan) => self.carry(plan, incoming).await,
             Err(denial) => Err(denial),
         };
@@ -94,7 +96,7 @@
         })
     }
 
-    fn plan(&self, parts: Parts) -> Result<Plan, Denial> {
+    fn plan(&self, parts: Parts, peer: SocketAddr) -> Result<Plan, Denial> {
         let name = service_name(&parts)?;
         let now = self.now();
         let view = self.view();
@@ -123,6 +125,7 @@
             return Err(Denial::Refused(Refusal::new(Reason::Expired)));
         }
         let tree = tree(&parts.headers)?;
+        self.limit(now, &name, found.document.limits.caller, peer)?;
         if route.repeat == Repeat::Never {
             super::once::key_of(&parts.headers)?;
         }
@@ -144,6 +147,24 @@
         })
     }
 
+    /// Holds each caller, told by its IP address, to the document's rate.
+    fn limit(&self, now: Ms, name: &Name, limit: u32, peer: SocketAddr) -> Result<(), Denial> {
+        if limit == 0 {
+            return Ok(());
+        }
+        let address = peer.ip().to_canonical().to_string();
+        let caller = hash64(&[name.as_str().as_bytes(), address.as_bytes()]);
+        let mut limiter = self
+            .0
+            .limiter
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        match limiter.admit(now, caller, limit) {
+            Verdict::Admit => Ok(()),
+            Verdict::Refuse(refusal) => Err(Denial::Refused(refusal)),
+        }
+    }
+
     async fn carry(&self, plan: Plan, incoming: Incoming) -> Result<Response<Body>, Denial> {
         let mut payload = self.payload(&plan, incoming).await?;
         let policy = &plan.document.retry;
--- a/crates/node/tests/caller_faults.rs
+++ b/crates/node/tests/caller_faults.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use axum::body::Body;
-use common::{Fake, answer, cluster, cluster_with, raw, request, send};
+use common::{DOCUMENT, Fake, answer, cluster, cluster_of, cluster_with, raw, request, send};
 use laburnum_node::traffic::serve::Bounds;
 use test_case::test_case;
 use tokio::{
@@ -244,3 +244,24 @@
     drop((first, second));
     cluster.close().await;
 }
+
+// One caller asks far more often than the document allows. It is refused at once, as not run and with the time
+// to come back, and the upstream sees no more than the burst that the document allows.
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_beyond_its_rate_is_refused() {
+    let fake = Fake::start(|_| answer("draft")).await;
+    let document = DOCUMENT.replace("[limits]", "[limits]\ncaller = 3");
+    let cluster = cluster_of(&[&fake], |_| (), &document).await;
+    let refused = loop {
+        let got = send(request("GET", cluster.caller(), "/drafts/1"), "").await;
+        if got.head.status != 200 {
+            break got;
+        }
+    };
+    assert_eq!(refused.head.status, 429);
+    assert_eq!(refused.field("laburnum-outcome"), "not-run");
+    assert_eq!(refused.field("laburnum-reason"), "limited");
+    assert_ne!(refused.field("laburnum-retry-after-ms"), "0");
+    assert!(!fake.seen().is_empty());
+    cluster.close().await;
+}
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -35,7 +35,8 @@
     task::JoinHandle,
 };
 
-const DOCUMENT: &str = include_str!("../data/desk.toml");
+/// The document of service `desk`.
+pub const DOCUMENT: &str = include_str!("../data/desk.toml");
 
 /// Polls `ready` until it holds, for as long as the test runner allows.
 pub async fn until(mut ready: impl FnMut() -> bool) {
@@ -268,6 +269,11 @@
 
 /// Starts a cluster; `adjust` changes each node's settings before.
 pub async fn cluster_with(fakes: &[&Fake], adjust: impl Fn(&mut Config)) -> Cluster {
+    cluster_of(fakes, adjust, DOCUMENT).await
+}
+
+/// Starts a cluster under a document of its own.
+pub async fn cluster_of(fakes: &[&Fake], adjust: impl Fn(&mut Config), document: &str) -> Cluster {
     let platform = Arc::new(Memory::default());
     let mut nodes: Vec<Running> = Vec::new();
     for _ in 0..=fakes.len() {
@@ -294,7 +300,7 @@
         });
         announced.expect("the node runs");
     }
-    submit(&nodes[0].node).await;
+    submit(&nodes[0].node, document).await;
     let name = "desk".parse().expect("a name");
     for it in &nodes {
         let ready = || {
@@ -315,13 +321,13 @@
     cluster_with(fakes, |_| ()).await
 }
 
-async fn submit(node: &Node) {
+async fn submit(node: &Node, document: &str) {
     let submission = Submission {
         id: SubmitId(1),
         service: "desk".parse().expect("a name"),
         base: Revision(0),
         edit: Edit::Put {
-            text: DOCUMENT.to_owned(),
+            text: document.to_owned(),
         },
         author: "amal".to_owned(),
         reason: "first".to_owned(),
