--- a/crates/kernel/src/view.rs
+++ b/crates/kernel/src/view.rs
@@ -3,12 +3,13 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use crate::{
+    clock::Ms,
     document::Document,
-    event::{Action, Event, Notice},
+    event::{Action, Event, Notice, TICK_MS},
     guard::Quarantined,
     id::{Name, NodeId, Revision, Seq},
     kernel::{Context, Plugin, State},
-    members::{Phase, Record},
+    members::{Phase, Reach, Record},
 };
 
 inventory::submit! { Plugin { name: "view", order: 90, handle } }
@@ -54,6 +55,8 @@
     pub zone: Name,
     /// Phase of the upstream.
     pub phase: Phase,
+    /// Whether the node can be reached: prefer those that can.
+    pub reach: Reach,
     /// Requests that the upstream handles at once.
     pub slots: u16,
 }
@@ -69,33 +72,46 @@
     pub slots: u16,
 }
 
-/// Publishes a new view whenever something in it changed.
+/// Publishes a new view whenever something in it changed, at most one in [`TICK_MS`].
+///
+/// A build visits every member. Without the bound a herd of small changes would rebuild the view for
+/// each of them and starve the control thread. What is rare goes out at once: the node's own changes,
+/// because a node that drains must refuse from then on; quarantines, because the caller of a request that
+/// crashes its upstream is about to send it again; and what this node accepted, because whoever submitted
+/// it may read it back at once.
 #[derive(Debug, Default)]
 pub struct Publisher {
     stale: bool,
+    published: Ms,
 }
 
 fn handle(cx: &mut Context<'_>, state: &mut State, event: &Event) {
     match event {
+        Event::Notice(Notice::Applied { .. } | Notice::Members) => state.publisher.stale = true,
         Event::Start
-        | Event::Notice(
-            Notice::Applied { .. } | Notice::Members | Notice::Own | Notice::Quarantine,
-        ) => {
-            state.publisher.stale = true;
+        | Event::Notice(Notice::Accepted { .. } | Notice::Own | Notice::Quarantine) => {
+            return publish(cx, state);
         }
         Event::Tick => {}
         _ => return,
     }
-    if std::mem::take(&mut state.publisher.stale) {
-        let view = Arc::new(build(state));
-        cx.act(Action::Publish(view));
+    if state.publisher.stale && cx.now.since(state.publisher.published) >= TICK_MS {
+        publish(cx, state);
     }
 }
 
-fn build(state: &State) -> View {
+fn publish(cx: &mut Context<'_>, state: &mut State) {
+    state.publisher.stale = false;
+    state.publisher.published = cx.now;
+    let view = Arc::new(build(state));
+    cx.act(Action::Publish(view));
+}
+
+/// Builds the view of `state` from scratch.
+pub fn build(state: &State) -> View {
     let mut endpoints: BTreeMap<Name, Vec<Endpoint>> = BTreeMap::new();
-    for record in state.members.alive() {
-        if let Some((service, endpoint)) = endpoint(record) {
+    for (record, reach) in state.members.alive_with_reach() {
+        if let Some((service, endpoint)) = endpoint(record, reach) {
             endpoints.entry(service).or_default().push(endpoint);
         }
     }
@@ -121,7 +137,7 @@
     }
 }
 
-fn endpoint(record: &Record) -> Option<(Name, Endpoint)> {
+fn endpoint(record: &Record, reach: Reach) -> Option<(Name, Endpoint)> {
     let offer = record.offer.as_ref()?;
     let endpoint = Endpoint {
         node: record.id,
@@ -130,6 +146,7 @@
         region: record.region.clone(),
         zone: record.zone.clone(),
         phase: record.phase,
+        reach,
         slots: offer.slots,
     };
     Some((offer.service.clone(), endpoint))
