--- a/crates/edge/src/api.rs
+++ b/crates/edge/src/api.rs
@@ -13,6 +13,7 @@
 //! | `GET /v1/unknown` | | [`UnknownBody`] |
 //! | `POST /v1/unknown/resolve` | [`ResolveBody`] | |
 //! | `PUT /v1/upstream` | [`AnnounceBody`] | |
+//! | `DELETE /v1/upstream` | | |
 //!
 //! Any refusal but a [`SubmitAnswer`] is an [`ErrorBody`].
 
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -19,15 +19,15 @@
 use tower::limit::GlobalConcurrencyLimitLayer;
 
 pub use self::refusal::Refusal;
-use crate::{control::Control, traffic::UpstreamAddress};
+use crate::{control::Control, upstream::Upstream};
 
 /// What the API needs.
 #[derive(Clone, Debug)]
 pub struct Admin {
     /// The control thread.
     pub control: Control,
-    /// Where the upstream beside this node listens.
-    pub upstream: UpstreamAddress,
+    /// The upstream beside this node.
+    pub upstream: Upstream,
     /// Bounds on requests.
     pub bounds: Bounds,
 }
@@ -58,7 +58,7 @@
 
 impl Admin {
     /// An API with the default bounds.
-    pub fn new(control: Control, upstream: UpstreamAddress) -> Admin {
+    pub fn new(control: Control, upstream: Upstream) -> Admin {
         let bounds = Bounds::default();
         Admin {
             control,
@@ -86,7 +86,10 @@
             .layer(limit)
             .route("/livez", get(|| async { "ok\n" }))
             .route("/readyz", get(ready))
-            .route("/v1/upstream", put(upstream::announce))
+            .route(
+                "/v1/upstream",
+                put(upstream::announce).delete(upstream::withdraw),
+            )
             .fallback(|| async { Refusal::Path })
             .method_not_allowed_fallback(|| async { Refusal::Method })
             .with_state(self)
--- a/crates/node/src/admin/upstream.rs
+++ b/crates/node/src/admin/upstream.rs
@@ -2,27 +2,31 @@
 
 use axum::{extract::State, http::StatusCode};
 use laburnum_edge::api::AnnounceBody;
-use laburnum_kernel::{Event, event::UpstreamEvent};
+use laburnum_kernel::members::Phase;
 
 use super::{Admin, Refusal, body::Bounded};
+use crate::upstream::Announcement;
 
 /// `PUT /v1/upstream`
 pub async fn announce(
     State(admin): State<Admin>,
     Bounded(body): Bounded<AnnounceBody>,
 ) -> Result<StatusCode, Refusal> {
-    if let Ok(mut address) = admin.upstream.write() {
-        *address = Some(body.address);
-    }
-    let announced = Event::Upstream(UpstreamEvent::Announced {
-        service: body.service,
-        slots: body.slots,
-    });
     let phase = match body.ready {
-        true => UpstreamEvent::Ready,
-        false => UpstreamEvent::Warming,
+        true => Phase::Ready,
+        false => Phase::Warming,
     };
-    admin.control.tell(announced)?;
-    admin.control.tell(Event::Upstream(phase))?;
+    admin.upstream.announce(Announcement {
+        service: body.service,
+        address: body.address,
+        slots: body.slots,
+        phase,
+    })?;
+    Ok(StatusCode::NO_CONTENT)
+}
+
+/// `DELETE /v1/upstream`
+pub async fn withdraw(State(admin): State<Admin>) -> Result<StatusCode, Refusal> {
+    admin.upstream.withdraw()?;
     Ok(StatusCode::NO_CONTENT)
 }
