--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -113,6 +113,11 @@
         &self.control
     }
 
+    /// Whether the kernel left and the thread ended by itself.
+    pub fn exited(&self) -> bool {
+        self.thread.is_finished()
+    }
+
     /// Stops the thread and closes its sockets.
     pub fn close(self) {
         if self.control.push(Command::Close).is_ok() {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -12,7 +12,7 @@
     runtime::Handle,
     sync::watch,
     task::JoinSet,
-    time::{Instant, sleep, sleep_until, timeout_at},
+    time::{Instant, sleep, timeout_at},
 };
 use tower::ServiceExt;
 
@@ -67,9 +67,6 @@
 /// Interval in which a draining node looks for requests in progress.
 const DRAIN_POLL: Duration = Duration::from_millis(5);
 
-/// Shortest time from the stop until the port for nodes closes.
-const NOTICE: Duration = Duration::from_secs(2);
-
 impl Node {
     /// Opens every socket and starts the threads. Must be called inside a tokio runtime.
     pub async fn start(
@@ -164,27 +161,27 @@
     /// What takes longer than the grace is cut. Dropping the future stops at once.
     pub async fn close(self) {
         let end = Instant::now() + self.grace;
-        let notice = Instant::now() + NOTICE;
         // A closed control thread has nobody left to tell.
         let _ = self.control.control().tell(Event::Stop);
         self.traffic.drain();
         // The upstream's requests in progress may call other services through this node: callers are
         // served until the last of them is done.
-        let _ = timeout_at(end, self.owned()).await;
+        let _ = timeout_at(end, owned(&self.traffic)).await;
         let _ = timeout_at(end, self.callers.close()).await;
         // Callers of this node may have been the last to need its upstream.
         let _ = timeout_at(end, owned(&self.traffic)).await;
-        // An entry that has not heard of the drain meets a refusal here, and keeps off, rather than a closed
-        // port, which would cost it a retry each time.
-        if self.upstream.present().is_some() {
-            sleep_until(notice.min(end)).await;
-        }
+        // The kernel tells the other nodes. An entry that has not heard yet meets a refusal here, and keeps
+        // off, rather than a closed port, which would cost it a retry each time.
+        let _ = self.control.control().tell(Event::Idle);
+        let _ = timeout_at(end, exited(&self.control)).await;
         let _ = timeout_at(end, self.nodes.close()).await;
         self.control.close();
     }
+}
 
-    async fn owned(&self) {
-        owned(&self.traffic).await;
+async fn exited(control: &ControlThread) {
+    while !control.exited() {
+        sleep(DRAIN_POLL).await;
     }
 }
 
