--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -12,12 +12,13 @@
     event::{Action, Call, Event, Message, Notice, Reply, TICK_MS},
     guard::Guard,
     id::{CallId, NodeId, Token},
-    log::Log,
+    log::{Log, Recovery},
     members::Members,
     once::Once,
     platform::{ObjectOp, TableOp},
     settings::Settings,
     spread::Spread,
+    utils::hash64,
     view::Publisher,
 };
 
@@ -37,6 +38,8 @@
 pub struct State {
     /// The applied configuration.
     pub log: Log,
+    /// Catching up with the log in the table.
+    pub recovery: Recovery,
     /// Submissions on their way into the table.
     pub accept: Accept,
     /// Configuration on its way to the nodes.
@@ -59,7 +62,7 @@
     pub now: Ms,
     /// Settings of this kernel.
     pub settings: &'a Settings,
-    /// Seeded randomness.
+    /// Seeded randomness of this plug-in alone: what one draws does not change what another gets.
     pub rng: &'a mut ChaCha8Rng,
     out: &'a mut Vec<Action>,
     notices: &'a mut VecDeque<Notice>,
@@ -118,8 +121,7 @@
 pub struct Kernel {
     settings: Settings,
     state: State,
-    rng: ChaCha8Rng,
-    plugins: Vec<&'static Plugin>,
+    plugins: Vec<(&'static Plugin, ChaCha8Rng)>,
     calls: u64,
     last: Ms,
 }
@@ -135,16 +137,16 @@
         Kernel {
             state: State {
                 log: Log::default(),
+                recovery: Recovery::default(),
                 accept: Accept::default(),
-                spread: Spread::default(),
+                spread: Spread::new(&settings),
                 members: Members::new(&settings),
                 once: Once::default(),
                 guard: Guard::default(),
                 drain: Drain::default(),
                 publisher: Publisher::default(),
             },
-            rng: ChaCha8Rng::seed_from_u64(seed),
-            plugins,
+            plugins: plugins.into_iter().map(|it| (it, rng(seed, it))).collect(),
             settings,
             calls: 0,
             last: Ms(0),
@@ -186,11 +188,11 @@
     }
 
     fn dispatch(&mut self, event: &Event, notices: &mut VecDeque<Notice>, out: &mut Vec<Action>) {
-        for plugin in &self.plugins {
+        for (plugin, rng) in &mut self.plugins {
             let mut cx = Context {
                 now: self.last,
                 settings: &self.settings,
-                rng: &mut self.rng,
+                rng,
                 out,
                 notices,
                 calls: &mut self.calls,
@@ -200,6 +202,10 @@
     }
 }
 
+fn rng(seed: u64, plugin: &Plugin) -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(hash64(&[&seed.to_le_bytes(), plugin.name.as_bytes()]))
+}
+
 /// Whether `call` is one that `plugin` answers; used by drivers to route statistics.
 pub fn call_name(call: &Call) -> &'static str {
     match call {
--- a/crates/kernel/tests/pick.rs
+++ b/crates/kernel/tests/pick.rs
@@ -324,6 +324,19 @@
     picker
 }
 
+/// A probe's end is never told, for its task was dropped. The endpoint must not stay shut for good: after
+/// half a minute another request may try it.
+#[test]
+fn a_lost_probe_is_given_up_on() {
+    let mut picker = picker(&endpoints(&["cairo/nasr-hall"; 4]));
+    fail(&mut picker, Ms(0), node(1), 3);
+    picker.started(Ms(1_001), node(1));
+    assert!(!tally(&picker, Ms(31_000), &[]).contains_key(&1));
+    let others = [node(2), node(3), node(4)];
+    let only = tally(&picker, Ms(31_001), &others);
+    assert_eq!(only, BTreeMap::from([(1, 1_000)]));
+}
+
 /// One upstream in three is slow and its requests drag the whole service. Its pace, measured against the
 /// mean of each class, turns most work away; some still goes there, or its recovery would go unseen.
 #[test]
@@ -358,3 +371,19 @@
         "the ejection was forgotten"
     );
 }
+
+/// The members say that the own zone's endpoint cannot be reached, as after a cut. It is the nearest and
+/// the fastest by name, yet requests go to the further one; only when that one was tried does it get one.
+#[test]
+fn unreachable_endpoint_comes_last() {
+    let mut endpoints = endpoints(&["cairo/nasr-hall", "cairo/giza-hall"]);
+    endpoints[0].reach = Reach::Unreachable;
+    let picker = picker(&endpoints);
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    for _ in 0..100 {
+        let choice = picker.pick(Ms(1), &mut rng, Class::Interactive, &[]);
+        assert_eq!(choice, Choice::Send(endpoints[1].clone()));
+    }
+    let choice = picker.pick(Ms(1), &mut rng, Class::Interactive, &[endpoints[1].node]);
+    assert_eq!(choice, Choice::Send(endpoints[0].clone()));
+}
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use laburnum_kernel::members::Phase;
+
 use common::{Fake, Step, answer, cluster, request, send, spawn, until};
 
 fn held() -> Vec<Step> {
@@ -21,7 +23,15 @@
     let filing = spawn(send(filing, "filing"));
     until(|| fake.seen().len() == 2).await;
     let owner = cluster.nodes.remove(1);
+    let control = owner.node.control().clone();
     let closing = spawn(owner.node.close());
+    until(|| {
+        let view = control.view();
+        view.own
+            .as_ref()
+            .is_some_and(|it| it.phase == Phase::Draining)
+    })
+    .await;
     // New work is refused unrun while the old goes on.
     let refused = send(request("GET", cluster.caller(), "/drafts/2"), "").await;
     assert_eq!(refused.field("laburnum-outcome"), "not-run");
