--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -42,6 +42,8 @@
 
 /// Bodies of up to this many bytes are held so that the request can be sent again.
 const HELD_MAX: u64 = 64 * 1024;
+/// When to come back to an entry that is catching up with the configuration, in ms.
+const CATCH_UP_MS: u64 = 200;
 /// Largest share of the time left, as its divisor, that is kept back for the way home.
 const MARGIN_SHARE: u64 = 10;
 /// Most time kept back for the way home, in ms.
@@ -100,9 +102,10 @@
         let name = service_name(&parts)?;
         let now = self.now();
         let view = self.view();
-        // Until it caught up a restarted node would route by an older configuration than was in force.
+        // A restarted process may hold less than it did before: serving now would be a step back.
         if !view.ready {
-            return Err(super::owner::not_ready());
+            let refusal = Refusal::after(Reason::NotReady, CATCH_UP_MS);
+            return Err(Denial::Refused(refusal));
         }
         let Some(found) = view.services.get(&name) else {
             let why = format!(
--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -195,6 +195,9 @@
             return Err(not_ready());
         }
         self.follow(&view);
+        if !view.ready {
+            return Err(not_ready());
+        }
         let present = self.0.upstream.present().ok_or_else(not_ready)?;
         let found = view.services.get(&asked.service);
         let (Some(found), true) = (found, present.service == asked.service) else {
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -306,10 +306,11 @@
         let ready = || {
             let view = it.node.control().view();
             let service = view.services.get(&name);
-            service.is_some_and(|it| {
-                let ready = it.endpoints.iter().filter(|it| it.phase == Phase::Ready);
-                ready.count() == fakes.len()
-            })
+            view.ready
+                && service.is_some_and(|it| {
+                    let ready = it.endpoints.iter().filter(|it| it.phase == Phase::Ready);
+                    ready.count() == fakes.len()
+                })
         };
         until(ready).await;
     }
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -15,6 +15,8 @@
     accept::{self, Submission, Verdict},
     event::UpstreamEvent,
     log::Edit,
+    members::Phase,
+    view::ServiceView,
 };
 use laburnum_node::{Config, Node};
 use laburnum_standin::upstream::Upstream;
@@ -95,13 +97,16 @@
         ));
     }
     let name = "drafting-desk".parse().expect("a name");
-    until(|| {
-        let view = entry.control().view();
-        let found = view.services.get(&name);
-        let ready = view.ready && owner.control().view().ready;
-        ready && found.is_some_and(|it| it.endpoints.len() == 1)
-    })
-    .await;
+    // A node answers for a service only once it caught up; the endpoint is known before it is ready.
+    for node in [&entry, &owner] {
+        until(|| {
+            let view = node.control().view();
+            let service = view.services.get(&name);
+            let ready = |it: &ServiceView| it.endpoints.iter().any(|it| it.phase == Phase::Ready);
+            view.ready && service.is_some_and(ready)
+        })
+        .await;
+    }
 
     let request = Request::get(format!("http://{}/drafts/7", entry_config.caller))
         .header(header::HOST, "drafting-desk")
