Spread: overlapping trees leave nobody out

Cause: a node passed on only the first push of some news. Two roots of a zone that pushed at the same time (one had read the table, the other was told) left out nodes that each tree expected of the other; they waited for repair. Change: what was passed on is kept by root; a relay that read the table waits 500 ms more for somebody else's push, and leaves the news to it. The new test fails without the change and passes with it.

--- a/crates/kernel/src/spread/relay.rs
+++ b/crates/kernel/src/spread/relay.rs
@@ -31,6 +31,9 @@
 /// A node that lags by more batches than this reads a snapshot first.
 const SNAPSHOT_LAG: u64 = 64;
 
+/// How much longer a relay that read the table waits for the committer or another relay to push, in ms.
+const PATIENCE_MS: u64 = 500;
+
 /// Pushes that may wait at once; each is for another tree.
 const QUEUE_MAX: usize = 16;
 
@@ -41,8 +44,11 @@
     failures: u32,
     reading: Option<Reading>,
     queue: BTreeMap<Target, Waiting>,
-    /// Highest position passed on down any tree.
-    passed: Seq,
+    /// Highest position passed on down the trees below each root.
+    ///
+    /// By root, because two roots may push the same news: were a node to pass on only the first it hears, two
+    /// trees that overlap would each count on the other, and nodes would be left out by both.
+    passed: BTreeMap<NodeId, Seq>,
     /// Position up to which this node, as a relay, has seen to its zone.
     rooted: Seq,
 }
@@ -86,6 +92,13 @@
         self.queue.len()
     }
 
+    fn pass(&mut self, root: NodeId, seq: Seq) {
+        if self.passed.len() >= QUEUE_MAX && !self.passed.contains_key(&root) {
+            self.passed.clear();
+        }
+        self.passed.insert(root, seq);
+    }
+
     fn enqueue(&mut self, target: Target, from: Seq, due: Ms) {
         if self.queue.len() >= QUEUE_MAX && !self.queue.contains_key(&target) {
             return;
@@ -122,11 +135,12 @@
     if !it.queue.is_empty() {
         return;
     }
-    let from = it.rooted.max(it.passed);
+    let passed = it.passed.values().max().copied().unwrap_or_default();
+    let from = it.rooted.max(passed);
     it.rooted = seq;
     let pushes = relay && ready && cx.settings.spread.mode == SpreadMode::Relays;
     if pushes && seq > from {
-        let due = cx.now + cx.settings.spread.window;
+        let due = cx.now + cx.settings.spread.window + PATIENCE_MS;
         it.enqueue(Target::Tree(cx.settings.node), from, due);
     }
 }
@@ -140,12 +154,20 @@
     }
 }
 
-/// A push arrived: it goes on to this node's children unless news as new went there before.
+/// A push arrived: it goes on to this node's children unless news as new from that root went there before.
 pub fn pushed(cx: &mut Context<'_>, state: &mut State, root: NodeId, range: &Range) {
-    if range.to > state.spread.relay.passed {
-        let it = &mut state.spread.relay;
-        it.enqueue(Target::Tree(root), range.from, cx.now);
+    let own = cx.settings.node;
+    let seq = state.spread.history.seq();
+    let it = &mut state.spread.relay;
+    let passed = it.passed.get(&root).copied().unwrap_or_default();
+    if range.to <= passed {
+        return;
+    }
+    // Another root sees to the zone.
+    if root != own && range.to >= seq {
+        it.queue.remove(&Target::Tree(own));
     }
+    it.enqueue(Target::Tree(root), range.from, cx.now);
 }
 
 /// Sends every push that is due, as far as the budget allows.
@@ -187,7 +209,7 @@
     spread.relay.queue.remove(&target);
     match target {
         Target::Zones => spread.relay.rooted = seq,
-        Target::Tree(_) => spread.relay.passed = seq,
+        Target::Tree(root) => spread.relay.pass(root, seq),
     }
     for (to, root) in pushes {
         push(cx, state, to, root, &range);
--- a/crates/kernel/tests/spread.rs
+++ b/crates/kernel/tests/spread.rs
@@ -12,7 +12,7 @@
 use laburnum_kernel::{
     Call, Event, Message, Ms, Reply, Seq, Settings, Token,
     accept::{Submission, Verdict, committer},
-    log::{Edit, Log},
+    log::{Batch, Edit, Log},
     settings::{SpreadForm, SpreadMode, SpreadSettings},
     spread::{self, Message as Spread, Status, history::History, wire},
 };
@@ -204,6 +204,54 @@
     assert_eq!(digests(&driver).len(), 1);
 }
 
+// Two roots of a zone push the same news at the same moment, as when one read the table while the committer
+// told the other. Their trees overlap. Were a node to pass on only what it hears first, both trees could
+// count on each other for the same node, which would then wait for repair; nothing is lost here, so every
+// node has to hold the news at once, for any two roots.
+#[test]
+fn overlapping_trees_leave_nobody_out() {
+    let settings = SpreadSettings {
+        degree: 2,
+        ..SpreadSettings::default()
+    };
+    let mut log = Log::default();
+    let change = accepted_first();
+    log.apply(change.into());
+    let mut history = History::default();
+    history.follow(&log);
+    let range = history.range(&log, Seq(0), SpreadForm::Full);
+    let range = range.expect("the log is not ahead of itself");
+    // The nodes of the first zone.
+    let zone: Vec<usize> = (0..24).step_by(ZONES.len()).collect();
+    for second in zone.iter().skip(1) {
+        let mut driver = fleet(24, &settings);
+        for root in [zone[0], *second] {
+            let (from, range) = (node(1), range.clone());
+            let message = Spread::Push {
+                root: node(root),
+                range,
+            };
+            let message = Message::Spread(message);
+            driver.event(root, Event::Message { from, message });
+        }
+        driver.run(40);
+        let held: Vec<Seq> = zone.iter().map(|it| seqs(&driver)[*it]).collect();
+        assert_eq!(
+            held,
+            vec![Seq(1); zone.len()],
+            "roots {} and {second}",
+            zone[0]
+        );
+    }
+}
+
+/// The first batch that a fleet accepts.
+fn accepted_first() -> Batch {
+    let mut driver = fleet(1, &SpreadSettings::default());
+    accept(&mut driver, 0, &put(1, "a", 0, &[]));
+    driver.entries().remove(0).batch
+}
+
 // The table goes down the moment it accepted a change. Relays can't read it any more, yet the change is
 // in force everywhere in time: the committer tells the relays, and nothing else needs the table.
 #[test]
