--- a/crates/kernel/src/admission.rs
+++ b/crates/kernel/src/admission.rs
@@ -241,6 +241,11 @@
         self.dispatch(now, out);
     }
 
+    /// Follows the document's `limits.queue`. What already waits stays, also beyond a shorter queue.
+    pub fn set_queue(&mut self, queue: usize) {
+        self.settings.queue = queue;
+    }
+
     /// The load to send back with an answer.
     pub fn load(&self) -> Load {
         let waiting = self.queue(Class::Interactive).len() + self.queue(Class::Exact).len();
@@ -284,10 +289,9 @@
     /// Slots that background work may hold: those that the usual demand of the other classes leaves.
     ///
     /// A run cannot be interrupted. Without the reserve, long background runs fill every slot in a
-    /// quiet moment, and the next interactive request waits for one of them to end. Demand that arrives
-    /// independently varies by about the square root of its mean, so that much is held back on top.
+    /// quiet moment, and the next interactive request waits for one of them to end.
     fn background_room(&self) -> usize {
-        let reserve = (self.demand + self.demand.sqrt()).max(1.0);
+        let reserve = self.demand.max(1.0);
         let room = self.limit.get() as f64 - reserve;
         (room.round().max(1.0)) as usize
     }
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -18,6 +18,7 @@
     platform::{ObjectOp, TableOp},
     settings::Settings,
     spread::Spread,
+    utils::hash64,
     view::Publisher,
 };
 
@@ -61,7 +62,7 @@
     pub now: Ms,
     /// Settings of this kernel.
     pub settings: &'a Settings,
-    /// Seeded randomness.
+    /// Seeded randomness of this plug-in alone: what one draws does not change what another gets.
     pub rng: &'a mut ChaCha8Rng,
     out: &'a mut Vec<Action>,
     notices: &'a mut VecDeque<Notice>,
@@ -120,8 +121,7 @@
 pub struct Kernel {
     settings: Settings,
     state: State,
-    rng: ChaCha8Rng,
-    plugins: Vec<&'static Plugin>,
+    plugins: Vec<(&'static Plugin, ChaCha8Rng)>,
     calls: u64,
     last: Ms,
 }
@@ -146,8 +146,7 @@
                 drain: Drain::default(),
                 publisher: Publisher::default(),
             },
-            rng: ChaCha8Rng::seed_from_u64(seed),
-            plugins,
+            plugins: plugins.into_iter().map(|it| (it, rng(seed, it))).collect(),
             settings,
             calls: 0,
             last: Ms(0),
@@ -189,11 +188,11 @@
     }
 
     fn dispatch(&mut self, event: &Event, notices: &mut VecDeque<Notice>, out: &mut Vec<Action>) {
-        for plugin in &self.plugins {
+        for (plugin, rng) in &mut self.plugins {
             let mut cx = Context {
                 now: self.last,
                 settings: &self.settings,
-                rng: &mut self.rng,
+                rng,
                 out,
                 notices,
                 calls: &mut self.calls,
@@ -203,6 +202,10 @@
     }
 }
 
+fn rng(seed: u64, plugin: &Plugin) -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(hash64(&[&seed.to_le_bytes(), plugin.name.as_bytes()]))
+}
+
 /// Whether `call` is one that `plugin` answers; used by drivers to route statistics.
 pub fn call_name(call: &Call) -> &'static str {
     match call {
--- a/crates/kernel/src/pick.rs
+++ b/crates/kernel/src/pick.rs
@@ -15,16 +15,17 @@
     clock::Ms,
     document::Class,
     id::{Name, NodeId},
-    members::Phase,
+    members::{Phase, Reach},
     refusal::{Reason, Refusal},
     view::Endpoint,
 };
 
 use experience::{Experience, State};
 
-/// Penalties on the expected time for an endpoint in the own zone, in the own region and beyond.
-const PENALTY: [f64; TIERS] = [1.0, 1.2, 3.0];
-const TIERS: usize = 3;
+/// Penalties on the expected time for an endpoint in the own zone, in the own region, beyond, and for one
+/// that the members cannot reach.
+const PENALTY: [f64; TIERS] = [1.0, 1.2, 3.0, 1_000.0];
+const TIERS: usize = 4;
 /// Factor below which one cost is clearly better than another; otherwise the draw decides.
 ///
 /// Without it, the endpoint that was ever so slightly the slowest would never be chosen while loads are
@@ -172,12 +173,7 @@
         load: Option<Load>,
     ) {
         let pace = self.pace(class, outcome);
-        let ejected = self
-            .members
-            .iter()
-            .filter(|it| it.experience.ejected(now))
-            .count();
-        let may_eject = (ejected + 1) * 100 <= self.members.len() * EJECTED_SHARE;
+        let may_eject = outcome == Outcome::Failed && self.may_eject(now);
         let Some(it) = self.member(node) else {
             return;
         };
@@ -185,7 +181,7 @@
         if let Some(pace) = pace {
             it.experience.measure(now, pace);
         }
-        if may_eject && outcome == Outcome::Failed {
+        if may_eject {
             it.experience.eject(now);
         }
     }
@@ -211,7 +207,19 @@
         Some((sample + 1.0) / (*mean + 1.0))
     }
 
+    /// Whether one more ejection leaves enough endpoints.
+    ///
+    /// A fault on this node's side makes all endpoints fail alike. Without a bound it would refuse all work
+    /// though every upstream is well.
+    fn may_eject(&self, now: Ms) -> bool {
+        let ejected = self.members.iter().filter(|it| it.experience.ejected(now));
+        (ejected.count() + 1) * 100 <= self.members.len() * EJECTED_SHARE
+    }
+
     fn tier(&self, endpoint: &Endpoint) -> usize {
+        if endpoint.reach == Reach::Unreachable {
+            return TIERS - 1;
+        }
         if endpoint.region != self.place.region {
             return 2;
         }
@@ -287,7 +295,7 @@
     fn usable(&self, now: Ms, class: Class) -> bool {
         let open = match self.experience.state(now) {
             State::Open => true,
-            State::Probing => self.experience.inflight() == 0,
+            State::Probing => !self.experience.awaited(now),
             State::Ejected => false,
         };
         open && self.experience.held(now, class) == 0
--- a/crates/kernel/tests/common/driver.rs
+++ b/crates/kernel/tests/common/driver.rs
@@ -66,6 +66,8 @@
     pub mishaps: VecDeque<Mishap>,
     /// The table and the object store answer nothing.
     pub down: bool,
+    /// The object store alone answers nothing.
+    pub objects_down: bool,
     /// Messages to these kernels vanish.
     pub deaf: BTreeSet<usize>,
     /// These kernels do nothing any more.
@@ -110,6 +112,7 @@
             objects: BTreeMap::new(),
             mishaps: VecDeque::new(),
             down: false,
+            objects_down: false,
             deaf: BTreeSet::new(),
             dead: BTreeSet::new(),
             tap: None,
@@ -436,7 +439,7 @@
     }
 
     fn object(&mut self, op: ObjectOp) -> ObjectAnswer {
-        if self.down {
+        if self.down || self.objects_down {
             return ObjectAnswer::Failed(Fault::Unavailable);
         }
         match op {
