--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -190,11 +190,8 @@
         let (parts, incoming) = request.into_parts();
         let asked = self.asked(&parts.headers)?;
         let view = self.view();
-        // A node that just started may hold an older configuration than its callers have seen in force.
-        if !view.ready {
-            return Err(not_ready());
-        }
         self.follow(&view);
+        // A node that just started may hold an older configuration than its callers have seen in force.
         if !view.ready {
             return Err(not_ready());
         }
@@ -563,7 +560,7 @@
     Denial::unknown(denial::DEADLINE, why)
 }
 
-pub(super) fn not_ready() -> Denial {
+fn not_ready() -> Denial {
     Denial::Refused(Refusal::after(Reason::NotReady, NOT_READY_MS))
 }
 
