laburnum-ctl waits for every node's report, and shows versions held back

Versions that a node cannot read were not shown at all. Before: a status with 2 of 3 nodes reported ended the wait. Conclusion: a wait that ends means in force everywhere.

--- a/crates/ctl/src/commands/wait.rs
+++ b/crates/ctl/src/commands/wait.rs
@@ -26,10 +26,12 @@
 }
 
 impl Waited {
-    /// Whether every node known holds the position.
+    /// Whether every node alive has reported that it holds the position.
+    ///
+    /// That nobody is known to lag is not enough: a node that has reported nothing yet may lag, and an
+    /// operator who was told otherwise would go on to the next change.
     pub fn done(&self) -> bool {
-        let lags = |it: &StatusBody| it.behind.iter().any(|it| it.seq < self.target);
-        self.status.seq >= self.target && !lags(&self.status)
+        self.status.everywhere && self.status.heard >= self.target
     }
 
     /// How a command ends that waited.
@@ -49,9 +51,10 @@
                 status.nodes
             ),
             false => format!(
-                "not in force everywhere yet: seq {target}, {} of {} nodes behind; see laburnum-ctl status\n",
-                status.behind.len(),
-                status.nodes
+                "not in force everywhere yet: seq {target}, {} of {} nodes reported, {} behind; see laburnum-ctl status\n",
+                status.reported,
+                status.nodes,
+                status.behind.len()
             ),
         }
     }
@@ -85,10 +88,11 @@
 fn progress(waited: &Waited) -> String {
     let status = &waited.status;
     format!(
-        "waiting: seq {} of {} here, {} of {} nodes behind\n",
+        "waiting: seq {} of {} here, {} of {} nodes reported, {} behind\n",
         status.seq,
         waited.target,
-        status.behind.len(),
-        status.nodes
+        status.reported,
+        status.nodes,
+        status.behind.len()
     )
 }
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -141,14 +141,27 @@
     unknown: &Result<UnknownBody, String>,
 ) -> String {
     let mut text = format!(
-        "seq {} at this node; {} nodes, {} behind\n",
+        "seq {} at this node, {} heard of; {} nodes, {} reported, {} behind: {}\n",
         status.seq,
+        status.heard,
         status.nodes,
-        status.behind.len()
+        status.reported,
+        status.behind.len(),
+        match status.everywhere {
+            true => "in force everywhere",
+            false => "not in force everywhere",
+        }
     );
     for it in &status.behind {
         let _ = writeln!(text, "behind: {} at seq {}", it.node, it.seq);
     }
+    for it in &status.bad {
+        let _ = writeln!(
+            text,
+            "held back: {} revision {} at {}; upgrade that node",
+            it.service, it.revision, it.node
+        );
+    }
     for it in quarantines.quarantines.iter().filter(|it| it.held) {
         let since = time(it.time);
         let _ = writeln!(
--- a/crates/ctl/tests/lost.rs
+++ b/crates/ctl/tests/lost.rs
@@ -211,8 +211,10 @@
     );
 }
 
-#[test_case(r#"{"seq":3,"nodes":3,"behind":[{"node":"127.0.0.1:1","seq":2}]}"#, Outcome::Unavailable; "a node lags")]
-#[test_case(r#"{"seq":3,"nodes":3,"behind":[]}"#, Outcome::Done; "none lags")]
+#[test_case(r#"{"seq":3,"heard":3,"nodes":3,"reported":3,"everywhere":false,"bad":[],"behind":[{"node":"127.0.0.1:1","seq":2}]}"#, Outcome::Unavailable; "a node lags")]
+#[test_case(r#"{"seq":3,"heard":3,"nodes":3,"reported":2,"everywhere":false,"bad":[],"behind":[]}"#, Outcome::Unavailable; "a node has not reported")]
+#[test_case(r#"{"seq":2,"heard":3,"nodes":3,"reported":3,"everywhere":false,"bad":[],"behind":[]}"#, Outcome::Unavailable; "the node asked lags")]
+#[test_case(r#"{"seq":3,"heard":3,"nodes":3,"reported":3,"everywhere":true,"bad":[],"behind":[]}"#, Outcome::Done; "none lags")]
 fn waiting_ends_when_none_lags(status: &'static str, outcome: Outcome) {
     let run = async move {
         let steps: &'static [Step] = Box::leak(Box::new([
--- a/crates/edge/src/api.rs
+++ b/crates/edge/src/api.rs
@@ -194,10 +194,29 @@
 pub struct StatusBody {
     /// The log position of the node asked.
     pub seq: Seq,
+    /// The highest position that the node asked has heard of.
+    pub heard: Seq,
     /// Nodes alive, in the view of the node asked.
     pub nodes: usize,
-    /// Nodes known to lag.
+    /// Nodes whose position the node asked knows.
+    pub reported: usize,
+    /// Whether every node alive reported that it has in force all that was heard of.
+    pub everywhere: bool,
+    /// Nodes known to lag, the worst few.
     pub behind: Vec<BehindBody>,
+    /// Accepted versions that some node cannot read, a few of them.
+    pub bad: Vec<BadBody>,
+}
+
+/// An accepted version that a node cannot read: it keeps the version before.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BadBody {
+    /// The service.
+    pub service: Name,
+    /// The revision held back.
+    pub revision: Revision,
+    /// A node that holds it back.
+    pub node: NodeId,
 }
 
 /// A node that lags.
@@ -212,9 +231,18 @@
 impl From<Status> for StatusBody {
     fn from(status: Status) -> StatusBody {
         let behind = status.behind.into_iter();
+        let bad = status.bad.into_iter().map(|it| BadBody {
+            service: it.service,
+            revision: it.revision,
+            node: it.node,
+        });
         StatusBody {
             seq: status.seq,
+            heard: status.heard,
             nodes: status.nodes,
+            reported: status.reported,
+            everywhere: status.everywhere,
+            bad: bad.collect(),
             behind: behind.map(|(node, seq)| BehindBody { node, seq }).collect(),
         }
     }
