Settings of the node as one checked table

Cause: the command line was read by hand, told one fault at a time and opened sockets with settings that could not work together; the link always used the public key.

Change: every setting is a row of laburnum-flags with flag, variable, default and unit. Program::parse_with lets a program add faults between settings to the list.

--- a/crates/edge/src/link/key.rs
+++ b/crates/edge/src/link/key.rs
@@ -15,6 +15,9 @@
 pub struct BadKey;
 
 impl Key {
+    /// The key that everybody knows.
+    pub const PUBLIC: Key = Key([0; KEY_LEN]);
+
     /// The key made of these bytes.
     pub fn new(bytes: [u8; KEY_LEN]) -> Key {
         Key(bytes)
@@ -78,6 +81,6 @@
 impl Default for Keys {
     /// A key that everybody knows, for trials on loopback. The node refuses to use it on other addresses.
     fn default() -> Keys {
-        Keys::new(Key([0; KEY_LEN]))
+        Keys::new(Key::PUBLIC)
     }
 }
--- a/crates/flags/src/program.rs
+++ b/crates/flags/src/program.rs
@@ -110,6 +110,17 @@
 impl Program {
     /// Reads every setting and checks it; reports all faults at once.
     pub fn parse(&self, input: Input) -> Result<Values, Stop> {
+        self.parse_with(input, |_| Vec::new())
+    }
+
+    /// Like [`Program::parse`], and reports with its faults those that `check` finds between settings.
+    ///
+    /// The values that `check` gets lack those with faults of their own: read them by [`Values::find`].
+    pub fn parse_with(
+        &self,
+        input: Input,
+        check: impl FnOnce(&Values) -> Vec<Fault>,
+    ) -> Result<Values, Stop> {
         let Input { args, variables } = input;
         let mut faults = Faults::default();
         let mut args = Arguments::from_vec(self.drop_bare(args, &mut faults));
@@ -132,12 +143,14 @@
             }
         }
         let operands = self.operands(args.finish(), &mut faults);
+        let values = Values {
+            settings: self.settings,
+            texts,
+            operands,
+        };
+        faults.0.extend(check(&values));
         match faults.0.is_empty() {
-            true => Ok(Values {
-                settings: self.settings,
-                texts,
-                operands,
-            }),
+            true => Ok(values),
             false => Err(self.refuse(faults)),
         }
     }
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -1,67 +1,109 @@
 //! Command line and environment of `laburnum-node`.
+//!
+//! Everything is checked here, before any socket opens: each setting alone ([`value`]), then all of them
+//! together. A node that started with a wrong setting would be noticed by the rest of the fleet first.
 
-use std::{net::SocketAddr, str::FromStr};
+mod check;
+mod table;
+pub mod value;
 
-use pico_args::Arguments;
+use laburnum_edge::link::Keys;
+use laburnum_flags::{Input, Stop, Values};
+use laburnum_kernel::settings::SpreadSettings;
 
-use crate::config::Config;
+use self::{table::*, value::Preset};
+use crate::{
+    config::Config,
+    traffic::{pool::PoolSettings, serve::Bounds},
+};
 
-/// Reads the settings from the arguments, then from `LABURNUM_*` variables.
-pub fn parse() -> Result<Config, Vec<String>> {
-    let mut args = Arguments::from_env();
-    let mut faults = Vec::new();
-    let default = Config::default();
-    let config = Config {
-        caller: setting(&mut args, "caller", &mut faults).unwrap_or(default.caller),
-        control: setting(&mut args, "control", &mut faults).unwrap_or(default.control),
-        traffic: setting(&mut args, "traffic", &mut faults).unwrap_or(default.traffic),
-        admin: setting(&mut args, "admin", &mut faults).unwrap_or(default.admin),
-        region: setting(&mut args, "region", &mut faults).unwrap_or(default.region),
-        zone: setting(&mut args, "zone", &mut faults).unwrap_or(default.zone),
-        peers: peers(&mut args, &mut faults),
-        platform: setting(&mut args, "platform", &mut faults),
-        workers: setting(&mut args, "workers", &mut faults).unwrap_or(default.workers),
-        grace: setting(&mut args, "grace", &mut faults).unwrap_or(default.grace),
-        ..default
+pub use self::table::PROGRAM;
+
+/// What the command line says.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// The settings.
+    pub config: Config,
+    /// Each setting's name and text, secrets hidden, for the log.
+    pub shown: Vec<(&'static str, String)>,
+}
+
+/// Reads and checks every setting; reports all faults at once.
+pub fn parse(input: Input) -> Result<Start, Stop> {
+    let values = PROGRAM.parse_with(input, check::faults)?;
+    let shown = values.shown();
+    let shown = shown.map(|(flag, text)| (flag.trim_start_matches('-'), text.to_owned()));
+    Ok(Start {
+        shown: shown.collect(),
+        config: config(&values),
+    })
+}
+
+fn config(values: &Values) -> Config {
+    let callers = Bounds {
+        connections: values.get(&CALLERS_MAX).count(),
+        header_bytes: values.get(&HEADER_BYTES).count(),
+        header_fields: values.get(&HEADER_FIELDS).count(),
+        header_time: values.get(&HEADER_TIME).get(),
+        stall_time: values.get(&STALL_TIME).get(),
+        streams: streams(values.get(&CALLERS_STREAMS).get()),
     };
-    let rest = args.finish();
-    faults.extend(rest.iter().map(|it| format!("unknown argument {it:?}")));
-    match faults.is_empty() {
-        true => Ok(config),
-        false => Err(faults),
+    let nodes = Bounds {
+        connections: values.get(&NODES_MAX).count(),
+        streams: streams(values.get(&NODES_STREAMS).get()),
+        ..callers.clone()
+    };
+    let peers = values.get(&PEERS).0;
+    Config {
+        caller: values.get(&CALLER).0,
+        control: values.get(&CONTROL).0,
+        traffic: values.get(&TRAFFIC).0,
+        admin: values.get(&ADMIN).0,
+        region: values.get(&REGION).to_string(),
+        zone: values.get(&ZONE).to_string(),
+        peers: peers.into_iter().map(|it| it.0).collect(),
+        platform: values.find(&PLATFORM).map(|it| it.0),
+        keys: keys(values),
+        spread: spread(values),
+        retention: values.get(&RETENTION).get(),
+        workers: values.get(&WORKERS).count(),
+        callers,
+        nodes,
+        pool: PoolSettings {
+            connections: values.get(&UPSTREAM_MAX).count(),
+            connect: values.get(&UPSTREAM_CONNECT).get(),
+            idle: values.get(&UPSTREAM_IDLE).get(),
+        },
+        grace: values.get(&GRACE).get(),
     }
 }
 
-fn peers(args: &mut Arguments, faults: &mut Vec<String>) -> Vec<SocketAddr> {
-    let list: String = setting(args, "peers", faults).unwrap_or_default();
-    let parts = list.split(',').filter(|it| !it.is_empty());
-    parts
-        .filter_map(|it| match it.parse() {
-            Ok(peer) => Some(peer),
-            Err(_) => {
-                faults.push(format!("--peers: {it:?} is not an IP address and port"));
-                None
-            }
-        })
-        .collect()
+fn streams(count: u64) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
+fn keys(values: &Values) -> Keys {
+    let keys = Keys::new(values.get(&LINK_KEY));
+    match values.find(&LINK_KEY_ALSO) {
+        Some(key) => keys.accepting(key),
+        None => keys,
+    }
 }
 
-fn setting<T: FromStr>(args: &mut Arguments, name: &str, faults: &mut Vec<String>) -> Option<T> {
-    let flag: String = format!("--{name}");
-    let flag: &'static str = Box::leak(flag.into_boxed_str());
-    let variable = format!("LABURNUM_{}", name.to_uppercase());
-    let text = match args.opt_value_from_str::<_, String>(flag) {
-        Ok(text) => text.or_else(|| std::env::var(&variable).ok())?,
-        Err(error) => {
-            faults.push(error.to_string());
-            return None;
-        }
+/// The preset, with what is given besides.
+fn spread(values: &Values) -> SpreadSettings {
+    let preset = match values.get(&PRESET) {
+        Preset::Nile => SpreadSettings::nile(),
+        Preset::Cascadia => SpreadSettings::cascadia(),
     };
-    match text.parse() {
-        Ok(value) => Some(value),
-        Err(_) => {
-            faults.push(format!("{flag} ({variable}): {text:?} is not valid"));
-            None
-        }
+    SpreadSettings {
+        window: values.find(&WINDOW).map_or(preset.window, |it| it.get()),
+        budget: values.find(&BUDGET).map_or(preset.budget, |it| it.get()),
+        relays: values.find(&RELAYS).map_or(preset.relays, |it| it.count()),
+        degree: values.find(&DEGREE).map_or(preset.degree, |it| it.count()),
+        slots: values.find(&SLOTS).map_or(preset.slots, |it| it.count()),
+        catchup: values.find(&CATCHUP).map_or(preset.catchup, |it| it.get()),
+        repair: values.find(&REPAIR).map_or(preset.repair, |it| it.get()),
+        ..preset
     }
 }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -2,7 +2,8 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use laburnum_kernel::settings::SpreadSettings;
+use laburnum_edge::link::Keys;
+use laburnum_kernel::{once::OnceSettings, settings::SpreadSettings};
 
 use crate::traffic::{pool::PoolSettings, serve::Bounds};
 
@@ -25,8 +26,12 @@
     pub peers: Vec<SocketAddr>,
     /// Address of the platform's HTTP service. Default: the embedded memory platform.
     pub platform: Option<SocketAddr>,
-    /// How configuration spreads.
+    /// Keys that the nodes of the fleet share. Default: the public key, for loopback only.
+    pub keys: Keys,
+    /// How configuration spreads. Default: [`SpreadSettings::nile`].
     pub spread: SpreadSettings,
+    /// How long the answer of an idempotency key is kept, in ms. Default: 24 h.
+    pub retention: u64,
     /// Threads that carry requests. Default: 2.
     pub workers: usize,
     /// What callers may hold. Default: [`Bounds::default`].
@@ -51,7 +56,9 @@
             zone: "local-a".to_owned(),
             peers: Vec::new(),
             platform: None,
-            spread: SpreadSettings::default(),
+            keys: Keys::default(),
+            spread: SpreadSettings::nile(),
+            retention: OnceSettings::default().retention,
             workers: 2,
             callers: Bounds::default(),
             nodes: Bounds {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -2,48 +2,49 @@
 
 use std::{process::ExitCode, sync::Arc};
 
-use laburnum_edge::{Clock, Memory};
-use laburnum_node::{Node, cli, logs};
+use laburnum_edge::{Clock, HttpPlatform, HttpSettings, Memory, Platform};
+use laburnum_flags::{Exit, Input};
+use laburnum_node::{
+    Config, Node,
+    cli::{self, Start},
+    logs,
+};
 use tokio::signal::unix::{SignalKind, signal};
 
 fn main() -> ExitCode {
-    let config = match cli::parse() {
-        Ok(config) => config,
-        Err(faults) => {
-            faults
-                .iter()
-                .for_each(|it| eprintln!("laburnum-node: {it}"));
-            return ExitCode::from(2);
-        }
+    let start = match cli::parse(Input::process()) {
+        Ok(start) => start,
+        Err(stop) => return stop.exit(),
     };
     logs::init();
-    match run(config) {
-        Ok(()) => ExitCode::SUCCESS,
+    match run(start) {
+        Ok(()) => ExitCode::from(Exit::SUCCESS.code),
         Err(error) => {
-            eprintln!("laburnum-node: {error}");
-            ExitCode::FAILURE
+            logs::event("start-failed", &[("why", error.to_string())]);
+            ExitCode::from(Exit::FAILURE.code)
         }
     }
 }
 
-fn run(config: laburnum_node::Config) -> Result<(), Box<dyn std::error::Error>> {
+fn run(start: Start) -> Result<(), Box<dyn std::error::Error>> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(config.workers)
+        .worker_threads(start.config.workers)
         .thread_name("traffic")
         .enable_all()
         .build()?;
-    let result = runtime.block_on(serve(config));
+    let result = runtime.block_on(serve(start));
     // A forced stop leaves tasks behind; they end with the process.
     runtime.shutdown_background();
     result
 }
 
 /// Runs until a signal has drained the node, or a second one cut that short.
-async fn serve(config: laburnum_node::Config) -> Result<(), Box<dyn std::error::Error>> {
+async fn serve(start: Start) -> Result<(), Box<dyn std::error::Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let node = Node::start(config, Clock::system(), Arc::new(Memory::default())).await?;
-    logs::event("started", &[]);
+    let platform = platform(&start.config);
+    let node = Node::start(start.config, Clock::system(), platform).await?;
+    logs::event("started", &start.shown);
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -56,3 +57,15 @@
     }
     Ok(())
 }
+
+fn platform(config: &Config) -> Arc<dyn Platform> {
+    let Some(address) = config.platform else {
+        let why = "no --platform: the table and objects are in memory and end with this process";
+        logs::event("platform-embedded", &[("why", why.to_owned())]);
+        return Arc::new(Memory::default());
+    };
+    Arc::new(HttpPlatform::new(HttpSettings {
+        address,
+        ..HttpSettings::default()
+    }))
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,7 +6,7 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use laburnum_edge::{Clock, LinkError, Platform};
-use laburnum_kernel::{Event, NodeId, Settings, id::BadName, pick::Place};
+use laburnum_kernel::{Event, NodeId, Settings, id::BadName, once::OnceSettings, pick::Place};
 use tokio::{
     net::TcpListener,
     runtime::Handle,
@@ -82,7 +82,9 @@
             zone: config.zone.parse()?,
             peers: config.peers.iter().copied().map(NodeId).collect(),
             spread: config.spread.clone(),
-            ..Settings::default()
+            once: OnceSettings {
+                retention: config.retention,
+            },
         };
         let node = settings.node;
         let place = Place {
@@ -92,7 +94,13 @@
         let caller = bind("caller", config.caller).await?;
         let traffic = bind("traffic", config.traffic).await?;
         let admin = bind("admin", config.admin).await?;
-        let control = ControlThread::start(settings, clock.clone(), platform, Handle::current())?;
+        let control = ControlThread::start(
+            settings,
+            config.keys,
+            clock.clone(),
+            platform,
+            Handle::current(),
+        )?;
         let handle = control.control().clone();
         let faults = Arc::new(Faults::new(clock.clone()));
         let upstream = Upstream::start(handle.clone(), clock.clone(), config.pool);
