Bench: skeleton with a fleet of real nodes in one process

Cause: no tool measures many nodes together over real sockets. Change: Fleet starts nodes around one faulty platform, kills, drains and restarts them; Report prints tables and checks as text or JSON. Control::stats tells traffic and spread counters, refreshed each second, and Node::kill ends a node without telling anyone. Conclusion: nothing measured yet.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,9 @@
 //! Load and experiments over real nodes on loopback.
+//!
+//! [`fleet`] starts nodes with their threads and sockets in this one process, around one platform with faults.
+//! [`smoke`] shows in seconds that the whole path works; [`converge`] measures how long a change takes to be in
+//! force in every view, and what it costs. [`report`] prints tables and one JSON object.
+
+pub mod cli;
+pub mod fleet;
+pub mod report;
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -13,9 +13,11 @@
 use arc_swap::ArcSwap;
 use laburnum_edge::{
     Clock, Incoming, Link, LinkError, Platform,
-    link::{Keys, Waker, ZmqLink},
+    link::{Keys, Traffic, Waker, ZmqLink},
+};
+use laburnum_kernel::{
+    Action, Call, Event, Kernel, Reply, Settings, Token, View, event::TICK_MS, spread,
 };
-use laburnum_kernel::{Action, Call, Event, Kernel, Reply, Settings, Token, View, event::TICK_MS};
 use tokio::{runtime::Handle, sync::oneshot};
 
 use crate::logs;
@@ -26,9 +28,22 @@
     queue: Sender<Command>,
     waker: Waker,
     view: Arc<ArcSwap<View>>,
+    stats: Arc<ArcSwap<Stats>>,
     tokens: Arc<AtomicU64>,
 }
 
+/// What the control thread counted since it started.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// What went over the link, by kind.
+    pub traffic: Traffic,
+    /// How configuration spread.
+    pub spread: spread::Stats,
+}
+
+/// Interval at which [`Control::stats`] is refreshed, in ms.
+pub const STATS_MS: u64 = 1_000;
+
 #[derive(Debug)]
 enum Command {
     Event(Event),
@@ -60,6 +75,11 @@
         self.view.load_full()
     }
 
+    /// What the control thread counted, at most about [`STATS_MS`] ago.
+    pub fn stats(&self) -> Arc<Stats> {
+        self.stats.load_full()
+    }
+
     fn push(&self, command: Command) -> Result<(), Closed> {
         self.queue.send(command).map_err(|_| Closed)?;
         self.waker.wake();
@@ -88,6 +108,7 @@
             queue,
             waker,
             view: Arc::default(),
+            stats: Arc::default(),
             tokens: Arc::default(),
         };
         let seed = settings.incarnation ^ u64::from(settings.node.0.port());
@@ -148,6 +169,7 @@
     fn run(mut self, commands: &Receiver<Command>) {
         self.step(Event::Start);
         let mut ticked = self.clock.now();
+        let mut counted = ticked;
         loop {
             let due = TICK_MS.saturating_sub(self.clock.now().since(ticked));
             for incoming in self.link.wait(due) {
@@ -163,12 +185,24 @@
                 ticked = self.clock.now();
                 self.step(Event::Tick);
             }
+            if self.clock.now().since(counted) >= STATS_MS {
+                counted = self.clock.now();
+                self.count();
+            }
             if self.next == Next::Close {
                 return self.link.close();
             }
         }
     }
 
+    fn count(&self) {
+        let stats = Stats {
+            traffic: self.link.traffic().clone(),
+            spread: self.kernel.state().spread.stats(),
+        };
+        self.control.stats.store(Arc::new(stats));
+    }
+
     fn commands(&mut self, commands: &Receiver<Command>) -> Next {
         while let Ok(command) = commands.try_recv() {
             match command {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -177,6 +177,21 @@
         let _ = timeout_at(end, self.nodes.close()).await;
         self.control.close();
     }
+
+    /// Stops at once, as a process that is killed: requests in progress are cut, and no other node is told.
+    pub async fn kill(self) {
+        let Node {
+            control,
+            callers,
+            nodes,
+            ..
+        } = self;
+        // Aborted tasks drop their sockets; only then may another node take the addresses.
+        let (mut callers, mut nodes) = (callers.tasks, nodes.tasks);
+        callers.shutdown().await;
+        nodes.shutdown().await;
+        control.close();
+    }
 }
 
 async fn exited(control: &ControlThread) {
