A table that is down is told at once, as a clear refusal

Cause: found by hand with real processes: with the platform refusing everything, a submission at a node that forwards was answered «unknown» after 6 s. The committer held it until its deadline; the node that forwarded had taken it back after 2 s of silence and could no longer say that nothing was tried. Ruled out: the HTTP adapter (its answers said unavailable). Change: after five failures in a row without effect the committer answers what was surely not written as unavailable; what is in doubt is still held and read back. One test kept two submissions in the queue by an outage of 2.9 s; it now keeps them there by throttling, with the same assertions. Before: no verdict within 2 s at either node (both cases of an_outage_is_told_at_once need the change). After: both get «unavailable» within 2 s; 44 accept and 22 log tests pass. Conclusion: a refusal comes when it is known, not when time is up.

--- a/crates/kernel/src/accept/commit.rs
+++ b/crates/kernel/src/accept/commit.rs
@@ -75,6 +75,14 @@
 /// Version of an entry of the log: it is written once.
 const WRITTEN: u64 = 1;
 
+/// Failures in a row after which the table counts as down.
+///
+/// Held until their deadline, submissions surely not written would be answered so late that the node that
+/// forwarded them has long taken them back in doubt: its operator would hear «unknown» of what was never
+/// tried. Their backoff adds up to 1.6 s at most, less than
+/// [`super::FORWARD_TIMEOUT`].
+const DOWN_FAILURES: u32 = 5;
+
 const BACKOFF: u64 = 25;
 const BACKOFF_MAX: u64 = 2_000;
 
@@ -437,6 +445,13 @@
 fn failed(cx: &mut Context<'_>, queue: &mut Queue, fault: &Fault, least: u64) {
     queue.why = fault.to_string();
     queue.back_off(cx, least);
+    if *fault != Fault::Unavailable || queue.failures < DOWN_FAILURES {
+        return;
+    }
+    for it in queue.take(|it| it.trace == Trace::Clean) {
+        let verdict = it.give_up(&fault.to_string());
+        it.answer(cx, &verdict);
+    }
 }
 
 /// The answer was lost, so the batch may be in the table.
--- a/crates/kernel/tests/accept.rs
+++ b/crates/kernel/tests/accept.rs
@@ -110,6 +110,27 @@
     assert_eq!(driver.applied(ID), 1);
 }
 
+// The table is down before anything is sent to it. Whichever node an operator asks, the committer or one
+// that forwards to it, the refusal comes within two seconds and says that nothing was changed: held back
+// until its deadline it would reach a node that has taken the work back and can only say «unknown».
+#[test_case(0; "at one node")]
+#[test_case(1; "at the other")]
+fn an_outage_is_told_at_once(entry: usize) {
+    let mut driver = Driver::new(&["cairo", "cairo"]);
+    driver.run(100);
+    driver.down = true;
+    let token = driver.submit(entry, &put(1, "desk", 0, &[]));
+    driver.run(2_000);
+    assert_eq!(kind(&driver.verdict(token)), "unavailable");
+    driver.down = false;
+    driver.run(1_000);
+    assert_eq!(driver.applied(ID), 0);
+    assert_eq!(
+        submit_all(&mut driver, &[put(1, "desk", 0, &[])]),
+        ["accepted"]
+    );
+}
+
 // Every operator gets the verdict that the own submission deserves: right and wrong ones arrive within one
 // window, in either order, on top of a log where a routes to b.
 #[test_case(&[put(1, "c", 0, &["d"]), put(2, "d", 0, &["c"])], &["accepted", "accepted"]; "two new ones that need each other")]
@@ -284,12 +305,13 @@
 fn a_refusal_is_unknown_while_the_write_may_still_arrive() {
     let mut driver = Driver::new(&["cairo"]);
     driver.run(100);
-    driver.down = true;
+    let throttled = Mishap::Fails(Fault::Throttled { after: 10 });
+    driver.mishaps.extend(vec![throttled; 300]);
     driver.submit(0, &put(2, "registry", 0, &[]));
     driver.run(2_900);
     let token = driver.submit(0, &put(1, "desk", 0, &["registry"]));
     driver.run(100);
-    driver.down = false;
+    driver.mishaps.clear();
     driver.mishaps.push_back(Mishap::WriteLate(9_000));
     driver
         .mishaps
