Bench: smoke and converge

Cause: how long a change takes over real sockets, and what it costs, was not measured. Change: smoke runs the whole path in one process; converge measures single changes, a burst, a herd, an outage and dying relays, with polling for full texts as baseline, and watches every view for broken promises.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -27,6 +27,8 @@
     upstream::UpstreamSettings,
 };
 
+use crate::metered::Metered;
+
 /// How a fleet is laid out.
 #[derive(Clone, Debug)]
 pub struct Layout {
@@ -82,6 +84,7 @@
 /// A place of the fleet, with its node unless that is down.
 struct Member {
     config: Config,
+    platform: Metered,
     node: Option<Node>,
 }
 
@@ -92,6 +95,9 @@
 /// Tries to start a node: another process may take a port between its choice and its use.
 const START_TRIES: usize = 5;
 
+/// Pause before another try to start a node at its old addresses, in ms.
+const RESTART_MS: u64 = 50;
+
 /// Nodes that every other node contacts first.
 const CONTACTS: usize = 3;
 
@@ -154,6 +160,11 @@
         self.members[idx].node.as_ref()
     }
 
+    /// Bytes that the node at `idx` and its predecessors exchanged with the platform.
+    pub fn platform_bytes(&self, idx: usize) -> u64 {
+        self.members[idx].platform.bytes()
+    }
+
     /// Places whose node runs, with the handle of its control thread.
     pub fn controls(&self) -> impl Iterator<Item = (usize, &Control)> {
         let members = self.members.iter().enumerate();
@@ -236,11 +247,22 @@
         if self.members[idx].node.is_some() {
             return Ok(());
         }
-        let config = self.config(idx).clone();
-        let node = self.launch(config).await;
-        let node = node.map_err(|source| FleetError::Start { node: idx, source })?;
-        self.members[idx].node = Some(node);
-        Ok(())
+        let mut tries = 0;
+        loop {
+            let member = &self.members[idx];
+            tries += 1;
+            match self.launch(&member.config, &member.platform).await {
+                Ok(node) => {
+                    self.members[idx].node = Some(node);
+                    return Ok(());
+                }
+                // The sockets of the process before may take a moment to go.
+                Err(_) if tries < START_TRIES => {
+                    tokio::time::sleep(Duration::from_millis(RESTART_MS)).await;
+                }
+                Err(source) => return Err(FleetError::Start { node: idx, source }),
+            }
+        }
     }
 
     /// Shows these faults of the platform from now on, keeping its rates.
@@ -261,10 +283,14 @@
         loop {
             let config = self.place(layout, idx)?;
             tries += 1;
-            match self.launch(config.clone()).await {
+            let platform = Metered::new(self.platform.clone());
+            match self.launch(&config, &platform).await {
                 Ok(node) => {
-                    let node = Some(node);
-                    return Ok(Member { config, node });
+                    return Ok(Member {
+                        config,
+                        platform,
+                        node: Some(node),
+                    });
                 }
                 Err(_) if tries < START_TRIES => {}
                 Err(source) => return Err(FleetError::Start { node: idx, source }),
@@ -290,9 +316,9 @@
         })
     }
 
-    async fn launch(&self, config: Config) -> Result<Node, StartError> {
-        let platform = Arc::new(self.platform.clone());
-        Node::start(config, self.clock.clone(), platform).await
+    async fn launch(&self, config: &Config, platform: &Metered) -> Result<Node, StartError> {
+        let platform = Arc::new(platform.clone());
+        Node::start(config.clone(), self.clock.clone(), platform).await
     }
 }
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,5 +5,9 @@
 //! force in every view, and what it costs. [`report`] prints tables and one JSON object.
 
 pub mod cli;
+pub mod converge;
 pub mod fleet;
+pub mod metered;
 pub mod report;
+pub mod smoke;
+pub mod watch;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,12 +2,42 @@
 
 use std::process::ExitCode;
 
-use laburnum_bench::cli;
-use laburnum_flags::Input;
+use laburnum_bench::{
+    cli::{self, JSON},
+    converge,
+    fleet::FleetError,
+    report::{Report, Verdict},
+    smoke,
+};
+use laburnum_flags::{Exit, Input};
 
-fn main() -> ExitCode {
-    match cli::SUITE.parse(Input::process()) {
-        Ok(_) => ExitCode::SUCCESS,
-        Err(stop) => stop.exit(),
+#[tokio::main]
+async fn main() -> ExitCode {
+    let (command, values) = match cli::SUITE.parse(Input::process()) {
+        Ok(parsed) => parsed,
+        Err(stop) => return stop.exit(),
+    };
+    let run = match command {
+        cli::SMOKE_COMMAND => smoke::run().await,
+        _ => converge::run(&cli::plan(&values)).await,
+    };
+    finish(run, values.get(&JSON))
+}
+
+fn finish(run: Result<Report, FleetError>, json: bool) -> ExitCode {
+    let report = match run {
+        Ok(report) => report,
+        Err(error) => {
+            eprintln!("laburnum-bench: {error}");
+            return ExitCode::from(Exit::FAILURE.code);
+        }
+    };
+    match json {
+        true => println!("{}", report.json()),
+        false => print!("{report}"),
+    }
+    match report.verdict() {
+        Verdict::Pass => ExitCode::SUCCESS,
+        Verdict::Fail => ExitCode::from(Exit::FAILURE.code),
     }
 }
--- /dev/null
+++ b/crates/bench/tests/smoke.rs
@@ -0,0 +1,15 @@
+//! The README's first command, inside the test runner.
+
+use std::time::Duration;
+
+use laburnum_bench::{report::Verdict, smoke};
+
+/// Longest the whole run may take before it counts as stuck; it usually takes a few seconds.
+const LIMIT: Duration = Duration::from_secs(120);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn smoke_passes_every_check() {
+    let run = tokio::time::timeout(LIMIT, smoke::run()).await;
+    let report = run.expect("it ends").expect("the fleet runs");
+    assert_eq!(report.verdict(), Verdict::Pass, "{report}");
+}
