Log lines of key=value pairs with time and level; docs/LOGS.md

Cause: lines were in a library's text layout, and without RUST_LOG nothing below level error was written at all.

Change: a layout writes ts, level and the event's pairs; values are quoted so that one can neither pass for the next pair nor end its line. Lines of libraries are quoted under event=library. docs/LOGS.md lists every event.

--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -1,22 +1,104 @@
-//! Logs: one line of key=value pairs for each event.
+//! Logs: one line of key=value pairs for each event; docs/LOGS.md lists the events.
 
-use std::fmt::Write;
+use std::{
+    fmt::{self, Write},
+    time::UNIX_EPOCH,
+};
+
+use log::Level;
+use logforth::{Diagnostic, Error, Layout, filter::rustlog::RustLogFilterBuilder, record::Record};
+
+/// Lines of the node's own events, which are pairs already; other lines are text of a library.
+const TARGET: &str = "laburnum";
+
+/// Events that somebody should look at; docs/LOGS.md says what to do.
+const WARNINGS: [&str; 18] = [
+    "claims_damaged",
+    "claims_filling",
+    "log-row-refused",
+    "member",
+    "paused",
+    "phase-refused",
+    "platform-embedded",
+    "recovery-left-to-peers",
+    "request_quarantined",
+    "snapshot-skipped",
+    "spread.dispute",
+    "spread.mismatch",
+    "traffic-fault",
+    "upstream",
+    "upstream-crashed",
+    "upstream_crashed",
+    "version-held",
+    "zone",
+];
+
+/// Events after which the node does not go on.
+const ERRORS: [&str; 1] = ["start-failed"];
 
 /// Writes one line: `event=<name> key=value ...`. Values with spaces or quotes are quoted.
 pub fn event(name: &str, pairs: &[(&str, String)]) {
+    log::log!(target: TARGET, level(name), "{}", line(name, pairs));
+}
+
+/// The pairs of one event as text, without time and level.
+pub fn line(name: &str, pairs: &[(&str, String)]) -> String {
     let mut line = format!("event={name}");
     for (key, value) in pairs {
-        let plain = !value.is_empty() && !value.contains([' ', '"', '=', '\n', '\r']);
         // Writing to a string cannot fail.
-        let _ = match plain {
-            true => write!(line, " {key}={value}"),
-            false => write!(line, " {key}={value:?}"),
-        };
+        let _ = write!(line, " {key}={}", Quoted(value));
     }
-    log::info!("{line}");
+    line
 }
 
-/// Sends log lines to standard error.
+/// Sends log lines to standard error; `RUST_LOG` may ask for more or less than level info.
 pub fn init() {
-    logforth::starter_log::stderr().apply();
+    let filter = RustLogFilterBuilder::from_default_env_or("info").build();
+    let starter = logforth::starter_log::stderr();
+    starter.filter(filter).layout(Pairs).apply();
+}
+
+/// Writes `ts=<ms since the epoch> level=<level>` before each event's pairs.
+#[derive(Clone, Copy, Debug)]
+pub struct Pairs;
+
+impl Layout for Pairs {
+    fn format(&self, record: &Record, _: &[Box<dyn Diagnostic>]) -> Result<Vec<u8>, Error> {
+        // A clock before the epoch would be off by decades already.
+        let time = record.time().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let level = record.level().name().to_lowercase();
+        let payload = record.payload().to_string();
+        let line = match record.target() {
+            TARGET => payload,
+            target => self::line(
+                "library",
+                &[("target", target.to_owned()), ("text", payload)],
+            ),
+        };
+        Ok(format!("ts={} level={level} {line}", time.as_millis()).into_bytes())
+    }
+}
+
+/// A value that cannot be taken for the next pair, nor end its line early.
+///
+/// Names in requests and errors of libraries reach the log: a line break in one would forge a line.
+struct Quoted<'a>(&'a str);
+
+impl fmt::Display for Quoted<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let special = |it: char| it.is_whitespace() || it.is_control() || "\"=\\".contains(it);
+        match self.0.is_empty() || self.0.contains(special) {
+            true => write!(f, "{:?}", self.0),
+            false => f.write_str(self.0),
+        }
+    }
+}
+
+/// The level that an event is written at.
+pub fn level(name: &str) -> Level {
+    match (ERRORS.contains(&name), WARNINGS.contains(&name)) {
+        (true, _) => Level::Error,
+        (_, true) => Level::Warn,
+        _ => Level::Info,
+    }
 }
--- /dev/null
+++ b/crates/node/tests/names.rs
@@ -0,0 +1,104 @@
+//! The names of events in the code and in docs/LOGS.md are the same.
+
+use std::{
+    collections::BTreeSet,
+    fs,
+    path::{Path, PathBuf},
+};
+
+use laburnum_node::logs::{Pairs, line};
+use logforth::{Layout, record::Record};
+use test_case::test_case;
+
+const CRATES: [&str; 3] = ["kernel", "edge", "node"];
+
+/// Text before the name of an event.
+const CALLS: [&str; 3] = ["cx.log(", "logs::event(", "self::line("];
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn page(name: &str) -> String {
+    fs::read_to_string(root().join("docs").join(name)).expect("the page")
+}
+
+/// The text of every source file of the node.
+fn sources() -> Vec<String> {
+    let mut folders: Vec<PathBuf> = CRATES
+        .iter()
+        .map(|it| root().join("crates").join(it).join("src"))
+        .collect();
+    let mut texts = Vec::new();
+    while let Some(folder) = folders.pop() {
+        for entry in fs::read_dir(folder).expect("a folder") {
+            let path = entry.expect("an entry").path();
+            match path.is_dir() {
+                true => folders.push(path),
+                false => texts.push(fs::read_to_string(path).expect("a source file")),
+            }
+        }
+    }
+    texts
+}
+
+/// String literals that directly follow `before`.
+fn literals(text: &str, before: &str) -> BTreeSet<String> {
+    let after = text.split(before).skip(1);
+    let quoted = after.filter_map(|it| it.trim_start().strip_prefix('"')?.split('"').next());
+    quoted.map(str::to_owned).collect()
+}
+
+/// First cells of the page's tables.
+fn listed(page: &str) -> BTreeSet<String> {
+    let rows = page.lines().filter_map(|it| it.strip_prefix("| `"));
+    let cells = rows.filter_map(|it| it.split('`').next());
+    cells.map(str::to_owned).collect()
+}
+
+#[test]
+fn every_event_is_in_the_page_and_back() {
+    let in_code: BTreeSet<String> = sources()
+        .iter()
+        .flat_map(|text| CALLS.iter().flat_map(|it| literals(text, it)))
+        .collect();
+    assert!(in_code.len() > 20, "the scan finds calls: {in_code:?}");
+    assert_eq!(in_code, listed(&page("LOGS.md")));
+}
+
+#[test]
+fn levels_are_those_of_the_page() {
+    for row in page("LOGS.md").lines().filter(|it| it.starts_with("| `")) {
+        let cells: Vec<&str> = row.split('|').map(str::trim).collect();
+        let name = cells[1].trim_matches('`');
+        let level = match laburnum_node::logs::level(name) {
+            _ if name == "library" => "any".to_owned(),
+            level => level.as_str().to_lowercase(),
+        };
+        assert_eq!(cells[2], level, "{name}");
+    }
+}
+
+#[test_case("plain-1.2:3" => "event=e k=plain-1.2:3"; "plain")]
+#[test_case("" => "event=e k=\"\""; "empty")]
+#[test_case("two words" => "event=e k=\"two words\""; "space")]
+#[test_case("a=b" => "event=e k=\"a=b\""; "equals sign")]
+#[test_case("say \"x\"" => "event=e k=\"say \\\"x\\\"\""; "quotes")]
+#[test_case("x\nevent=forged" => "event=e k=\"x\\nevent=forged\""; "line break")]
+#[test_case("\u{1b}[2J" => "event=e k=\"\\u{1b}[2J\""; "escape of a terminal")]
+fn value(text: &str) -> String {
+    line("e", &[("k", text.to_owned())])
+}
+
+#[test_case("laburnum", "event=e k=v" => "level=info event=e k=v"; "own event")]
+#[test_case("h2", "odd\nframe" => "level=info event=library target=h2 text=\"odd\\nframe\""; "line of a library")]
+fn layout(target: &str, text: &str) -> String {
+    let payload = format_args!("{text}");
+    let record = Record::builder().target(target).payload(payload).build();
+    let bytes = Pairs.format(&record, &[]).expect("a line");
+    let line = String::from_utf8(bytes).expect("UTF-8");
+    let (time, rest) = line.split_once(' ').expect("a time");
+    let digits = time.strip_prefix("ts=").expect("a time");
+    assert!(digits.parse::<u64>().is_ok(), "{digits}");
+    rest.to_owned()
+}
