Metrics of one node on its admin socket

Cause: nothing told an operator where a node stands, what it refuses and what control traffic costs.

Change: GET /metrics in Prometheus' text format, from a registry of the node's own. The control thread's statistics gain members, queues and unsettled outcomes; the request path counts by atomics.

--- a/crates/kernel/src/accept.rs
+++ b/crates/kernel/src/accept.rs
@@ -168,6 +168,13 @@
     snapshots: Snapshots,
 }
 
+impl Accept {
+    /// Submissions that wait here to be committed.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+}
+
 /// Who waits for a verdict.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Origin {
--- a/crates/kernel/src/guard.rs
+++ b/crates/kernel/src/guard.rs
@@ -107,6 +107,11 @@
         self.held.is_empty() && self.suspects.is_empty()
     }
 
+    /// Requests that are refused as not run.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
     /// Whether the request is to be refused as not run.
     pub fn holds(&self, print: Fingerprint) -> bool {
         self.held.contains(&print)
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -14,12 +14,13 @@
     response::{IntoResponse, Response},
     routing::{get, post, put},
 };
+use http::{StatusCode, header};
 use laburnum_edge::api;
 use laburnum_kernel::{Call, Reply};
 use tower::limit::GlobalConcurrencyLimitLayer;
 
 pub use self::refusal::Refusal;
-use crate::{control::Control, upstream::Upstream};
+use crate::{control::Control, metrics::Metrics, upstream::Upstream};
 
 /// What the API needs.
 #[derive(Clone, Debug)]
@@ -28,6 +29,8 @@
     pub control: Control,
     /// The upstream beside this node.
     pub upstream: Upstream,
+    /// The metrics of this node.
+    pub metrics: Metrics,
     /// Bounds on requests.
     pub bounds: Bounds,
 }
@@ -58,11 +61,12 @@
 
 impl Admin {
     /// An API with the default bounds.
-    pub fn new(control: Control, upstream: Upstream) -> Admin {
+    pub fn new(control: Control, upstream: Upstream, metrics: Metrics) -> Admin {
         let bounds = Bounds::default();
         Admin {
             control,
             upstream,
+            metrics,
             bounds,
         }
     }
@@ -86,6 +90,7 @@
             .layer(limit)
             .route("/livez", get(|| async { "ok\n" }))
             .route("/readyz", get(ready))
+            .route("/metrics", get(metrics))
             .route(
                 "/v1/upstream",
                 put(upstream::announce).delete(upstream::withdraw),
@@ -110,6 +115,18 @@
     }
 }
 
+async fn metrics(State(admin): State<Admin>) -> Response {
+    let content = [(header::CONTENT_TYPE, prometheus::TEXT_FORMAT)];
+    match admin.metrics.text() {
+        Ok(text) => (content, text).into_response(),
+        Err(error) => {
+            let text =
+                format!("cannot write the metrics: {error}; ask again, or update the node\n");
+            (StatusCode::INTERNAL_SERVER_ERROR, text).into_response()
+        }
+    }
+}
+
 /// The variable segment of a path.
 type Segment = Result<Path<String>, PathRejection>;
 
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,7 +1,7 @@
 //! The control thread: it owns the kernel and the link, and carries out the kernel's actions.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -16,7 +16,10 @@
     link::{Keys, Traffic, Waker, ZmqLink},
 };
 use laburnum_kernel::{
-    Action, Call, Event, Kernel, Reply, Settings, Token, View, event::TICK_MS, spread,
+    Action, Call, Event, Kernel, Reply, Seq, Settings, Token, View,
+    event::TICK_MS,
+    members::{Phase, Reach},
+    spread,
 };
 use tokio::{runtime::Handle, sync::oneshot};
 
@@ -39,6 +42,14 @@
     pub traffic: Traffic,
     /// How configuration spread.
     pub spread: spread::Stats,
+    /// The highest position heard of.
+    pub heard: Seq,
+    /// Nodes that are there, by reach and phase.
+    pub members: BTreeMap<(Reach, Phase), u64>,
+    /// Submissions that wait here to be committed.
+    pub accepting: usize,
+    /// Outcomes that are not kept yet.
+    pub unsettled: usize,
 }
 
 /// Interval at which [`Control::stats`] is refreshed, in ms.
@@ -197,9 +208,18 @@
     }
 
     fn count(&self) {
+        let state = self.kernel.state();
+        let mut members = BTreeMap::new();
+        for (record, reach) in state.members.alive_with_reach() {
+            *members.entry((reach, record.phase)).or_default() += 1;
+        }
         let stats = Stats {
             traffic: self.link.traffic().clone(),
-            spread: self.kernel.state().spread.stats(),
+            spread: state.spread.stats(),
+            heard: state.spread.heard(),
+            members,
+            accepting: state.accept.waiting(),
+            unsettled: state.once.unsettled(),
         };
         self.control.stats.store(Arc::new(stats));
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod control;
 pub mod logs;
+pub mod metrics;
 pub mod node;
 pub mod traffic;
 pub mod upstream;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use laburnum_edge::{Clock, LinkError, Platform};
 use laburnum_kernel::{Event, NodeId, Settings, id::BadName, once::OnceSettings, pick::Place};
+use opentelemetry_sdk::error::OTelSdkError;
 use tokio::{
     net::TcpListener,
     runtime::Handle,
@@ -20,8 +21,10 @@
     admin::Admin,
     config::Config,
     control::{Control, ControlThread},
+    metrics::Metrics,
     traffic::{
         Traffic,
+        counts::Counts,
         faults::Faults,
         serve::{Server, Speech},
     },
@@ -37,6 +40,9 @@
     /// The link's sockets cannot be opened.
     #[error(transparent)]
     Link(#[from] LinkError),
+    /// The registry of metrics refuses them.
+    #[error("cannot register the metrics: {0}; update the node")]
+    Metrics(#[from] OTelSdkError),
     /// An HTTP socket cannot be bound.
     #[error("cannot bind {address}: {source}; choose a free address with --{flag}")]
     Bind {
@@ -51,6 +57,7 @@
     control: ControlThread,
     traffic: Traffic,
     upstream: Upstream,
+    metrics: Metrics,
     grace: Duration,
     /// Ends the sockets of callers and operators.
     callers: Servers,
@@ -103,6 +110,7 @@
         )?;
         let handle = control.control().clone();
         let faults = Arc::new(Faults::new(clock.clone()));
+        let metrics = Metrics::new()?;
         let upstream = Upstream::start(handle.clone(), clock.clone(), config.pool);
         let path = Traffic::start(
             node,
@@ -111,8 +119,10 @@
             clock,
             upstream.clone(),
             faults.clone(),
+            Counts::new(metrics.latency()),
         );
-        let api = Admin::new(handle, upstream.clone());
+        metrics.follow(handle.clone(), path.clone());
+        let api = Admin::new(handle, upstream.clone(), metrics.clone());
         let (mut callers, mut nodes) = (Servers::default(), Servers::default());
         let entry = path.clone();
         callers.serve(
@@ -148,6 +158,7 @@
             control,
             traffic: path,
             upstream,
+            metrics,
             grace: Duration::from_millis(config.grace),
             callers,
             nodes,
@@ -159,6 +170,11 @@
         self.control.control()
     }
 
+    /// The node's metrics.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// The upstream beside the node.
     pub fn upstream(&self) -> &Upstream {
         &self.upstream
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -7,10 +7,11 @@
 //! [`laburnum_kernel::once`]); the modules here move the bytes.
 
 pub mod body;
+pub mod counts;
 pub mod denial;
 mod entry;
 pub mod faults;
-mod gate;
+pub mod gate;
 pub mod headers;
 mod once;
 mod owner;
@@ -42,8 +43,9 @@
 
 use crate::{control::Control, upstream::Upstream};
 
+use counts::Counts;
 use faults::Faults;
-use gate::Gate;
+use gate::{Gate, Gauges};
 use peers::Peers;
 use services::Services;
 
@@ -60,6 +62,7 @@
     peers: Peers,
     services: Services,
     faults: Arc<Faults>,
+    counts: Counts,
     limiter: Mutex<Limiter>,
     draining: AtomicBool,
     /// Held by the one request that is suspected of a crash and runs.
@@ -86,6 +89,7 @@
         clock: Clock,
         upstream: Upstream,
         faults: Arc<Faults>,
+        counts: Counts,
     ) -> Traffic {
         let traffic = Traffic(Arc::new(Shared {
             node,
@@ -96,6 +100,7 @@
             peers: Peers::default(),
             services: Services::new(place),
             faults,
+            counts,
             limiter: Mutex::default(),
             draining: AtomicBool::new(false),
             suspects: Arc::new(Semaphore::new(1)),
@@ -169,6 +174,31 @@
         self.0.owned.load(Ordering::SeqCst)
     }
 
+    /// What was counted since the start.
+    pub fn counts(&self) -> &Counts {
+        &self.0.counts
+    }
+
+    /// Faults by kind since the start.
+    pub fn faults(&self) -> Vec<(&'static str, u64)> {
+        self.0.faults.totals()
+    }
+
+    /// Claims on their way.
+    pub fn claiming(&self) -> usize {
+        CLAIMS_MAX.saturating_sub(self.0.claims.available_permits())
+    }
+
+    /// Admission to the upstream at present.
+    pub fn admission(&self) -> Gauges {
+        self.0.gate.gauges()
+    }
+
+    /// Whether new work for the upstream is refused.
+    pub fn draining(&self) -> bool {
+        self.0.draining.load(Ordering::SeqCst)
+    }
+
     fn view(&self) -> Arc<View> {
         self.0.control.view()
     }
@@ -177,10 +207,6 @@
         self.0.clock.now()
     }
 
-    fn draining(&self) -> bool {
-        self.0.draining.load(Ordering::SeqCst)
-    }
-
     /// The moment of `deadline` for timers.
     fn instant(&self, deadline: Deadline) -> Instant {
         Instant::now() + Duration::from_millis(deadline.left(self.now()))
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -85,17 +85,23 @@
         request: Request<Incoming>,
         peer: SocketAddr,
     ) -> Response<Body> {
+        let started = self.now();
         let (parts, incoming) = request.into_parts();
-        let result = match self.plan(parts, peer) {
-            Ok(plan) => self.carry(plan, incoming).await,
-            Err(denial) => Err(denial),
+        let (class, result) = match self.plan(parts, peer) {
+            Ok(plan) => (Some(plan.class), self.carry(plan, incoming).await),
+            Err(denial) => (None, Err(denial)),
         };
-        result.unwrap_or_else(|denial| {
+        let response = result.unwrap_or_else(|denial| {
             if let Denial::Bad { reason, .. } = denial {
                 self.0.faults.count(reason, Some(peer));
             }
             denial.response()
-        })
+        });
+        self.0.counts.answered(response.headers());
+        if let Some(class) = class {
+            self.0.counts.took(class, self.now().since(started));
+        }
+        response
     }
 
     fn plan(&self, parts: Parts, peer: SocketAddr) -> Result<Plan, Denial> {
@@ -206,6 +212,7 @@
                 return Ok(response);
             };
             payload = again;
+            self.0.counts.retried();
             if after > 0 {
                 sleep(Duration::from_millis(after)).await;
             }
--- a/crates/node/src/traffic/faults.rs
+++ b/crates/node/src/traffic/faults.rs
@@ -63,6 +63,12 @@
         logs::event("traffic-fault", &pairs);
     }
 
+    /// Faults of every kind since the start.
+    pub fn totals(&self) -> Vec<(&'static str, u64)> {
+        let kinds = self.kinds.lock().unwrap_or_else(PoisonError::into_inner);
+        kinds.iter().map(|(kind, it)| (*kind, it.total)).collect()
+    }
+
     /// Faults of `kind` since the start.
     pub fn total(&self, kind: &str) -> u64 {
         let kinds = self.kinds.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -41,6 +41,17 @@
     pub queue: usize,
 }
 
+/// The gate at one moment, in requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Gauges {
+    /// At the upstream.
+    pub running: usize,
+    /// Waiting, of every class.
+    pub waiting: usize,
+    /// Most that may run.
+    pub limit: usize,
+}
+
 /// A slot of the upstream. Dropping it frees the slot as cancelled; [`Slot::finish`] says otherwise.
 #[derive(Debug)]
 pub struct Slot {
@@ -131,6 +142,16 @@
         self.lock().admission.load()
     }
 
+    /// What runs, what waits in every class, and the most that may run.
+    pub fn gauges(&self) -> Gauges {
+        let admission = &self.lock().admission;
+        Gauges {
+            running: admission.running(),
+            waiting: admission.waiting(),
+            limit: usize::from(admission.load().limit),
+        }
+    }
+
     fn slot(&self, permit: Permit) -> Slot {
         Slot {
             gate: self.clone(),
--- a/crates/node/src/traffic/once.rs
+++ b/crates/node/src/traffic/once.rs
@@ -13,6 +13,7 @@
 
 use super::{
     Traffic,
+    counts::Claimed,
     denial::{self, Denial},
     headers::{IDEMPOTENCY_KEY, OUTCOME, RAN, REPLAYED},
     owner::{Answer, Job},
@@ -112,6 +113,16 @@
 
     /// Asks for the right to run.
     async fn claim(&self, job: &Job, key: &Key, attempt: AttemptId) -> Result<Claim, Denial> {
+        let claim = self.ask_claim(job, key, attempt).await;
+        self.0.counts.claimed(match claim {
+            Ok(Claim::Granted { .. }) => Claimed::Granted,
+            Ok(Claim::Replay(_)) => Claimed::Replayed,
+            Err(_) => Claimed::Refused,
+        });
+        claim
+    }
+
+    async fn ask_claim(&self, job: &Job, key: &Key, attempt: AttemptId) -> Result<Claim, Denial> {
         let Ok(_place) = self.0.claims.clone().try_acquire_owned() else {
             return Err(no_claim(CLAIMS_MS));
         };
--- a/crates/node/tests/api/support.rs
+++ b/crates/node/tests/api/support.rs
@@ -44,7 +44,11 @@
         let node = node(platform).await;
         let admin = Admin {
             bounds,
-            ..Admin::new(node.control().clone(), node.upstream().clone())
+            ..Admin::new(
+                node.control().clone(),
+                node.upstream().clone(),
+                node.metrics().clone(),
+            )
         };
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
