Requests between nodes carry a proof, operators a token

Cause: the port for nodes ran whatever reached it, and whoever reached the admin address could change the configuration.

Change: each request to another node carries laburnum-proof, a keyed BLAKE3 tag over time step, receiver, method, path and the fields by which the owner decides. The key is derived from the link key; further keys are accepted during rotation. A request without one is refused as not run and counted before its body is read. An entry that is so refused tries elsewhere, since the caller is not at fault. The admin address takes up to two bearer tokens, compared as hashes in constant time; only /livez, /readyz and /metrics are open, and /v1/upstream to the node's own host. A node does not start with its admin address off loopback and no token, or with control or traffic off loopback and the public link key.

It does not hide anything and does not cover bodies or answers.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod link;
 pub mod memory;
 pub mod platform;
+pub mod token;
 
 pub use crate::{
     clock::Clock,
@@ -15,4 +16,5 @@
     link::{Incoming, Link, LinkError},
     memory::Memory,
     platform::Platform,
+    token::Token,
 };
--- a/crates/edge/src/link/key.rs
+++ b/crates/edge/src/link/key.rs
@@ -15,6 +15,9 @@
 pub struct BadKey;
 
 impl Key {
+    /// The key that everybody knows.
+    pub const PUBLIC: Key = Key([0; KEY_LEN]);
+
     /// The key made of these bytes.
     pub fn new(bytes: [u8; KEY_LEN]) -> Key {
         Key(bytes)
@@ -66,6 +69,34 @@
         self
     }
 
+    /// Keys made of these for another purpose, so that a tag of one is worth nothing for the other.
+    pub fn derive(&self, purpose: &str) -> Keys {
+        let derive = |it: &Key| Key(blake3::derive_key(purpose, &it.0));
+        Keys {
+            seal: derive(&self.seal),
+            further: self.further.iter().map(derive).collect(),
+        }
+    }
+
+    /// The tag of `parts` by the key that seals.
+    pub fn tag<'a>(&self, parts: impl IntoIterator<Item = &'a [u8]>) -> blake3::Hash {
+        tag(&self.seal, parts)
+    }
+
+    /// Whether `given` is the tag of `parts` by any key in force; compared in constant time.
+    pub fn fits<'a>(
+        &self,
+        parts: impl IntoIterator<Item = &'a [u8]> + Clone,
+        given: &blake3::Hash,
+    ) -> bool {
+        self.all().any(|it| tag(it, parts.clone()) == *given)
+    }
+
+    /// Whether a key in force is the one that everybody knows.
+    pub fn is_public(&self) -> bool {
+        self.all().any(|it| *it == Key::PUBLIC)
+    }
+
     pub(super) fn seal(&self) -> &Key {
         &self.seal
     }
@@ -75,9 +106,18 @@
     }
 }
 
+/// Each part is hashed after its length, so that no two lists of parts read the same.
+fn tag<'a>(key: &Key, parts: impl IntoIterator<Item = &'a [u8]>) -> blake3::Hash {
+    let mut hasher = blake3::Hasher::new_keyed(&key.0);
+    parts.into_iter().for_each(|it| {
+        hasher.update(&(it.len() as u64).to_le_bytes()).update(it);
+    });
+    hasher.finalize()
+}
+
 impl Default for Keys {
     /// A key that everybody knows, for trials on loopback. The node refuses to use it on other addresses.
     fn default() -> Keys {
-        Keys::new(Key([0; KEY_LEN]))
+        Keys::new(Key::PUBLIC)
     }
 }
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -10,7 +10,8 @@
 
 use axum::{
     Router,
-    extract::{Path, State, rejection::PathRejection},
+    extract::{Path, Request, State, rejection::PathRejection},
+    middleware::{Next, from_fn_with_state},
     response::{IntoResponse, Response},
     routing::{get, post, put},
 };
@@ -19,7 +20,11 @@
 use tower::limit::GlobalConcurrencyLimitLayer;
 
 pub use self::refusal::Refusal;
-use crate::{control::Control, upstream::Upstream};
+use crate::{
+    auth::{Guard, Peer, Unauthorized},
+    control::Control,
+    upstream::Upstream,
+};
 
 /// What the API needs.
 #[derive(Clone, Debug)]
@@ -30,6 +35,8 @@
     pub upstream: Upstream,
     /// Bounds on requests.
     pub bounds: Bounds,
+    /// Who may ask for what. Default: anybody.
+    pub guard: Guard,
 }
 
 /// Bounds on the API's requests.
@@ -64,6 +71,7 @@
             control,
             upstream,
             bounds,
+            guard: Guard::default(),
         }
     }
 
@@ -92,6 +100,8 @@
             )
             .fallback(|| async { Refusal::Path })
             .method_not_allowed_fallback(|| async { Refusal::Method })
+            // Outermost and over every path: no body is read for a stranger, and none of the places above taken.
+            .layer(from_fn_with_state(self.guard.clone(), authorize))
             .with_state(self)
     }
 
@@ -102,6 +112,14 @@
     }
 }
 
+async fn authorize(State(guard): State<Guard>, request: Request, next: Next) -> Response {
+    let peer = request.extensions().get::<Peer>().copied();
+    match guard.admit(request.uri().path(), request.headers(), peer) {
+        Ok(()) => next.run(request).await,
+        Err(Unauthorized) => Refusal::Unauthorized.into_response(),
+    }
+}
+
 async fn ready(State(admin): State<Admin>) -> Response {
     let view = admin.control.view();
     match view.ready {
--- a/crates/node/src/admin/refusal.rs
+++ b/crates/node/src/admin/refusal.rs
@@ -2,7 +2,7 @@
 
 use axum::{
     Json,
-    http::StatusCode,
+    http::{HeaderValue, StatusCode, header},
     response::{IntoResponse, Response},
 };
 use laburnum_edge::api::{AUDIT_MAX, BadSubmission, ErrorBody};
@@ -24,6 +24,11 @@
         "the path has no such method; GET to read, POST to change, and delete a service by a submission"
     )]
     Method,
+    /// No token, or none in force.
+    #[error(
+        "not authorized; send an admin key of this node: laburnum-ctl --token, or the variable LABURNUM_TOKEN"
+    )]
+    Unauthorized,
     /// The body is not declared as JSON.
     #[error("the body must be JSON; send it with content-type: application/json")]
     Type,
@@ -88,6 +93,7 @@
         match self {
             Refusal::Path | Refusal::NoService(_) | Refusal::NoQuarantine => StatusCode::NOT_FOUND,
             Refusal::Method => StatusCode::METHOD_NOT_ALLOWED,
+            Refusal::Unauthorized => StatusCode::UNAUTHORIZED,
             Refusal::Type => StatusCode::UNSUPPORTED_MEDIA_TYPE,
             Refusal::Long { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::Slow { .. } => StatusCode::REQUEST_TIMEOUT,
@@ -112,6 +118,13 @@
 impl IntoResponse for Refusal {
     fn into_response(self) -> Response {
         let error = self.to_string();
-        (self.status(), Json(ErrorBody { error })).into_response()
+        let mut response = (self.status(), Json(ErrorBody { error })).into_response();
+        if self == Refusal::Unauthorized {
+            let scheme = HeaderValue::from_static("Bearer");
+            response
+                .headers_mut()
+                .insert(header::WWW_AUTHENTICATE, scheme);
+        }
+        response
     }
 }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -2,6 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
+use laburnum_edge::{Token, link::Keys};
 use laburnum_kernel::settings::SpreadSettings;
 
 use crate::traffic::{pool::PoolSettings, serve::Bounds};
@@ -25,6 +26,10 @@
     pub peers: Vec<SocketAddr>,
     /// Address of the platform's HTTP service. Default: the embedded memory platform.
     pub platform: Option<SocketAddr>,
+    /// Keys that the nodes of the fleet share. Default: the public key, for loopback only.
+    pub keys: Keys,
+    /// Tokens that the admin address accepts: none, one, or two during rotation. Default: none, on loopback only.
+    pub admin_keys: Vec<Token>,
     /// How configuration spreads.
     pub spread: SpreadSettings,
     /// Threads that carry requests. Default: 2.
@@ -51,6 +56,8 @@
             zone: "local-a".to_owned(),
             peers: Vec::new(),
             platform: None,
+            keys: Keys::default(),
+            admin_keys: Vec::new(),
             spread: SpreadSettings::default(),
             workers: 2,
             callers: Bounds::default(),
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -78,11 +78,12 @@
     /// Binds the link and starts the thread. Platform calls run on `runtime`.
     pub fn start(
         settings: Settings,
+        keys: Keys,
         clock: Clock,
         platform: Arc<dyn Platform>,
         runtime: Handle,
     ) -> Result<ControlThread, LinkError> {
-        let (link, waker) = ZmqLink::bind(settings.node, Keys::default(), clock.clone())?;
+        let (link, waker) = ZmqLink::bind(settings.node, keys, clock.clone())?;
         let (queue, commands) = channel();
         let control = Control {
             queue,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! immutable view that the control thread publishes. [`Node::start`] runs both inside any process.
 
 pub mod admin;
+pub mod auth;
 pub mod cli;
 pub mod config;
 pub mod control;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,11 +18,13 @@
 
 use crate::{
     admin::Admin,
+    auth::{self, Exposed, Guard, Peer},
     config::Config,
     control::{Control, ControlThread},
     traffic::{
         Traffic,
         faults::Faults,
+        proof::Proofs,
         serve::{Server, Speech},
     },
     upstream::Upstream,
@@ -37,6 +39,9 @@
     /// The link's sockets cannot be opened.
     #[error(transparent)]
     Link(#[from] LinkError),
+    /// The settings would leave a socket open to strangers.
+    #[error("{}", .0.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))]
+    Exposed(Vec<Exposed>),
     /// An HTTP socket cannot be bound.
     #[error("cannot bind {address}: {source}; choose a free address with --{flag}")]
     Bind {
@@ -51,6 +56,7 @@
     control: ControlThread,
     traffic: Traffic,
     upstream: Upstream,
+    faults: Arc<Faults>,
     grace: Duration,
     /// Ends the sockets of callers and operators.
     callers: Servers,
@@ -74,6 +80,7 @@
         clock: Clock,
         platform: Arc<dyn Platform>,
     ) -> Result<Node, StartError> {
+        auth::check(&config).map_err(StartError::Exposed)?;
         let settings = Settings {
             node: NodeId(config.control),
             incarnation: clock.now().0,
@@ -92,19 +99,30 @@
         let caller = bind("caller", config.caller).await?;
         let traffic = bind("traffic", config.traffic).await?;
         let admin = bind("admin", config.admin).await?;
-        let control = ControlThread::start(settings, clock.clone(), platform, Handle::current())?;
+        let control = ControlThread::start(
+            settings,
+            config.keys.clone(),
+            clock.clone(),
+            platform,
+            Handle::current(),
+        )?;
         let handle = control.control().clone();
         let faults = Arc::new(Faults::new(clock.clone()));
+        let guard = Guard::new(&config, faults.clone());
         let upstream = Upstream::start(handle.clone(), clock.clone(), config.pool);
         let path = Traffic::start(
             node,
             place,
             handle.clone(),
-            clock,
+            clock.clone(),
             upstream.clone(),
             faults.clone(),
+            Proofs::new(config.traffic, &config.keys, clock),
         );
-        let api = Admin::new(handle, upstream.clone());
+        let api = Admin {
+            guard,
+            ..Admin::new(handle, upstream.clone())
+        };
         let (mut callers, mut nodes) = (Servers::default(), Servers::default());
         let entry = path.clone();
         callers.serve(
@@ -124,7 +142,7 @@
                 bounds: config.callers,
                 faults: faults.clone(),
             },
-            move |_| operators(router.clone()),
+            move |peer| operators(router.clone(), peer),
         );
         let owner = path.clone();
         nodes.serve(
@@ -132,14 +150,15 @@
                 listener: traffic,
                 speech: Speech::Http2,
                 bounds: config.nodes,
-                faults,
+                faults: faults.clone(),
             },
-            move |_| owner.owner(),
+            move |peer| owner.owner(peer),
         );
         Ok(Node {
             control,
             traffic: path,
             upstream,
+            faults,
             grace: Duration::from_millis(config.grace),
             callers,
             nodes,
@@ -156,6 +175,11 @@
         &self.upstream
     }
 
+    /// Faults of callers, operators and nodes so far.
+    pub fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
     /// Drains and stops: the upstream takes no new work, and every request in progress gets its answer.
     ///
     /// What takes longer than the grace is cut. Dropping the future stops at once.
@@ -222,10 +246,12 @@
 
 fn operators(
     router: Router,
+    peer: SocketAddr,
 ) -> impl tower::Service<Request<Incoming>, Response = Response<Body>, Error = Infallible, Future: Send>
 + Clone
 + Send {
-    tower::service_fn(move |request: Request<Incoming>| {
+    tower::service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(Peer(peer));
         router.clone().oneshot(request.map(Body::new))
     })
 }
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -16,6 +16,7 @@
 mod owner;
 mod peers;
 pub mod pool;
+pub mod proof;
 pub mod serve;
 mod services;
 mod stall;
@@ -42,9 +43,12 @@
 
 use crate::{control::Control, upstream::Upstream};
 
+use denial::Denial;
 use faults::Faults;
 use gate::Gate;
+use headers::REQUEST;
 use peers::Peers;
+use proof::{Proofs, Unproven};
 use services::Services;
 
 /// The request path of one node; cheap to clone.
@@ -58,6 +62,7 @@
     upstream: Upstream,
     gate: Gate,
     peers: Peers,
+    proofs: Proofs,
     services: Services,
     faults: Arc<Faults>,
     limiter: Mutex<Limiter>,
@@ -86,6 +91,7 @@
         clock: Clock,
         upstream: Upstream,
         faults: Arc<Faults>,
+        proofs: Proofs,
     ) -> Traffic {
         let traffic = Traffic(Arc::new(Shared {
             node,
@@ -94,6 +100,7 @@
             clock,
             upstream,
             peers: Peers::default(),
+            proofs,
             services: Services::new(place),
             faults,
             limiter: Mutex::default(),
@@ -140,9 +147,10 @@
         })
     }
 
-    /// Serves one connection of another node.
+    /// Serves one connection of another node; requests without a proof are refused before any is read.
     pub fn owner(
         &self,
+        peer: SocketAddr,
     ) -> impl tower::Service<
         Request<Incoming>,
         Response = Response<Body>,
@@ -154,10 +162,30 @@
         let traffic = self.clone();
         tower::service_fn(move |request: Request<Incoming>| {
             let traffic = traffic.clone();
-            async move { Ok(traffic.own(request.map(Body::new)).await) }
+            async move {
+                match traffic.0.proofs.check(&request) {
+                    Ok(()) => Ok(traffic.own(request.map(Body::new)).await),
+                    Err(unproven) => Ok(traffic.refuse(&request, unproven, peer)),
+                }
+            }
         })
     }
 
+    /// The answer carries the exchange's number, or an entry would take it for another's and say "unknown".
+    fn refuse(
+        &self,
+        request: &Request<Incoming>,
+        unproven: Unproven,
+        peer: SocketAddr,
+    ) -> Response<Body> {
+        self.0.faults.count(unproven.kind(), Some(peer));
+        let mut response = Denial::from(unproven).response();
+        if let Some(number) = request.headers().get(REQUEST) {
+            response.headers_mut().insert(REQUEST, number.clone());
+        }
+        response
+    }
+
     /// Refuses new work for the upstream beside this node from now on; requests of callers go elsewhere.
     pub fn drain(&self) {
         self.0.draining.store(true, Ordering::SeqCst);
--- a/crates/node/src/traffic/denial.rs
+++ b/crates/node/src/traffic/denial.rs
@@ -142,6 +142,8 @@
     }
 }
 
+/// Reason of a request at the port for nodes that proves no key.
+pub const UNPROVEN: &str = "unproven";
 /// Reason of an answer that did not arrive by the deadline.
 pub const DEADLINE: &str = "deadline";
 /// Reason of a key whose earlier run may have taken effect.
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -31,7 +31,7 @@
 use super::{
     Traffic,
     body::{self, BodyFault, Bounded, End, Intact},
-    denial::Denial,
+    denial::{Denial, UNPROVEN},
     headers::{
         self, ATTEMPT, BUDGET, DEADLINE, LOAD, NEVER, NOT_RUN, OUTCOME, RAN, REASON, REPEAT,
         REQUEST, RETRY_AFTER_MS, SERVICE, UNKNOWN,
@@ -40,6 +40,8 @@
     services::{Flight, Service},
 };
 
+/// An owner does not take this node for one of its fleet.
+const UNPROVEN_VALUE: HeaderValue = HeaderValue::from_static(UNPROVEN);
 /// Bodies of up to this many bytes are held so that the request can be sent again.
 const HELD_MAX: u64 = 64 * 1024;
 /// When to come back to an entry that is catching up with the configuration, in ms.
@@ -273,26 +275,34 @@
         request
     }
 
-    async fn attempt(&self, plan: &Plan, endpoint: &Endpoint, request: Request<Body>) -> Attempt {
+    async fn attempt(
+        &self,
+        plan: &Plan,
+        endpoint: &Endpoint,
+        mut request: Request<Body>,
+    ) -> Attempt {
         let number = request.headers().get(REQUEST).cloned();
         let service = plan.service.clone();
         let mut flight = Flight::start(&self.0.clock, service, endpoint.node, plan.class);
         let deadline = self.instant(plan.deadline);
         let response = match endpoint.node == self.0.node {
             true => self.own(request).await,
-            false => match self.0.peers.send(endpoint.traffic, request, deadline).await {
-                peers::Sent::Answered(response) => response.map(Body::new),
-                peers::Sent::Unsent => {
-                    flight.ended(Outcome::Failed);
-                    let refusal = Refusal::new(Reason::NotReady);
-                    let response = Denial::Refused(refusal).response();
-                    return Attempt::Failed(Failure::NotRun(refusal), response);
-                }
-                peers::Sent::Lost => {
-                    flight.ended(Outcome::Failed);
-                    return lost(self.lost_denial(plan));
+            false => {
+                self.0.proofs.prove(&mut request, endpoint.traffic);
+                match self.0.peers.send(endpoint.traffic, request, deadline).await {
+                    peers::Sent::Answered(response) => response.map(Body::new),
+                    peers::Sent::Unsent => {
+                        flight.ended(Outcome::Failed);
+                        let refusal = Refusal::new(Reason::NotReady);
+                        let response = Denial::Refused(refusal).response();
+                        return Attempt::Failed(Failure::NotRun(refusal), response);
+                    }
+                    peers::Sent::Lost => {
+                        flight.ended(Outcome::Failed);
+                        return lost(self.lost_denial(plan));
+                    }
                 }
-            },
+            }
         };
         if response.headers().get(REQUEST) != number.as_ref() {
             // An answer to another request would show one family's draft to another.
@@ -323,6 +333,15 @@
             let why = "the other node does not say whether it was run: update both to one version";
             return lost(Denial::unknown("no-outcome", why));
         }
+        if response.headers().get(REASON) == Some(&UNPROVEN_VALUE) {
+            // Two nodes differ in their keys or clocks, which is no fault of the caller's: it may be served
+            // elsewhere, and a 401 would send it looking for a password.
+            self.0.faults.count("node-refused-proof", None);
+            let refusal = Refusal::new(Reason::NotReady);
+            flight.ended(Outcome::Failed);
+            let response = Denial::Refused(refusal).response();
+            return Attempt::Failed(Failure::NotRun(refusal), response);
+        }
         match refusal {
             Some(refusal) => {
                 flight.ended(Outcome::Refused(refusal));
--- a/crates/node/src/traffic/headers.rs
+++ b/crates/node/src/traffic/headers.rs
@@ -24,6 +24,8 @@
 pub const REQUEST: HeaderName = HeaderName::from_static("laburnum-request");
 /// Between nodes: load of the upstream as `running/waiting/limit`.
 pub const LOAD: HeaderName = HeaderName::from_static("laburnum-load");
+/// Between nodes: proof that the sender holds the link key; see [`super::proof`].
+pub const PROOF: HeaderName = HeaderName::from_static("laburnum-proof");
 /// Says that the answer is the kept one of an earlier run.
 pub const REPLAYED: HeaderName = HeaderName::from_static("laburnum-replayed");
 /// Chosen by the caller; requests with the same one run at most once.
