--- a/crates/ctl/tests/session.rs
+++ b/crates/ctl/tests/session.rs
@@ -5,7 +5,7 @@
 use std::{fmt::Write, net::SocketAddr, sync::Arc};
 
 use jiff::Timestamp;
-use laburnum_edge::{Clock, LinkError, Memory};
+use laburnum_edge::{Clock, LinkError, Memory, Token};
 use laburnum_node::{Config, Node, node::StartError};
 use serde_json::Value;
 use support::ctl;
@@ -26,12 +26,17 @@
 
 impl Session {
     async fn start() -> Session {
+        Session::start_with(Vec::new()).await
+    }
+
+    async fn start_with(admin_keys: Vec<Token>) -> Session {
         loop {
             let config = Config {
                 caller: free().await,
                 control: free().await,
                 traffic: free().await,
                 admin: free().await,
+                admin_keys: admin_keys.clone(),
                 ..Config::default()
             };
             let platform = Arc::new(Memory::default());
@@ -173,3 +178,58 @@
     }
     insta::assert_snapshot!("session-json", session.end().await);
 }
+
+const TOKEN: &str = "token-of-the-operators";
+const WRONG: &str = "token-of-somebody-else";
+
+/// Every command that asks a node carries the token; without one in force it is refused and told the remedy.
+/// No command prints the token, whether it is taken or not.
+#[tokio::test(flavor = "multi_thread")]
+async fn every_command_carries_the_token() {
+    let mut session = Session::start_with(vec![TOKEN.parse().expect("a token")]).await;
+    let put = [&["submit", DRAFTING, "--id", "1"][..], &AMAL[..]].concat();
+    let delete = [&["delete", "drafting-desk", "--id", "2"][..], &AMAL[..]].concat();
+    let lift = [&["lift", "00000000000000ff"][..], &AMAL[..]].concat();
+    let resolve = [
+        &["resolve", "drafting-desk", "k", "--found", "ran"][..],
+        &AMAL[..],
+    ]
+    .concat();
+    let commands: [&[&str]; 11] = [
+        &put,
+        &["outcome", "1"],
+        &["get", "drafting-desk"],
+        &["list"],
+        &["diff", DRAFTING],
+        &["audit"],
+        &["history", "drafting-desk"],
+        &["status"],
+        &lift,
+        &resolve,
+        &delete,
+    ];
+    for command in commands {
+        for token in [&[][..], &["--token", WRONG]] {
+            session.text.clear();
+            session.run(&[command, token].concat()).await;
+            let refused = session.text.contains("exit 1 Refused")
+                && session
+                    .text
+                    .contains("not authorized; send an admin key of this node");
+            assert!(refused, "{}", session.text);
+            assert!(!printed(&session.text).contains(WRONG), "{}", session.text);
+        }
+    }
+    for command in commands {
+        session.text.clear();
+        session.run(&[command, &["--token", TOKEN]].concat()).await;
+        assert!(!session.text.contains("not authorized"), "{}", session.text);
+        assert!(!printed(&session.text).contains(TOKEN), "{}", session.text);
+    }
+    session.end().await;
+}
+
+/// What the program printed, without the line that repeats its arguments.
+fn printed(text: &str) -> &str {
+    text.split_once('\n').map_or("", |(_, printed)| printed)
+}
--- a/crates/node/src/auth.rs
+++ b/crates/node/src/auth.rs
@@ -60,7 +60,7 @@
 #[derive(Debug)]
 struct Rules {
     tokens: Vec<Token>,
-    own: IpAddr,
+    own: [IpAddr; 2],
     faults: Arc<Faults>,
 }
 
@@ -90,7 +90,7 @@
         }
         Guard(Some(Arc::new(Rules {
             tokens: config.admin_keys.clone(),
-            own: config.admin.ip(),
+            own: [config.admin.ip(), config.control.ip()].map(|it| it.to_canonical()),
             faults,
         })))
     }
@@ -122,7 +122,8 @@
 
 impl Rules {
     fn beside(&self, Peer(peer): Peer) -> bool {
-        loopback(peer.ip()) || peer.ip().to_canonical() == self.own.to_canonical()
+        let ip = peer.ip().to_canonical();
+        ip.is_loopback() || self.own.contains(&ip)
     }
 
     /// Whether the request carries one token that fits. Every token is compared, whichever fits.
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use laburnum_edge::{Token, link::Keys};
-use laburnum_kernel::settings::SpreadSettings;
+use laburnum_kernel::{once::OnceSettings, settings::SpreadSettings};
 
 use crate::traffic::{pool::PoolSettings, serve::Bounds};
 
@@ -30,8 +30,10 @@
     pub keys: Keys,
     /// Tokens that the admin address accepts: none, one, or two during rotation. Default: none, on loopback only.
     pub admin_keys: Vec<Token>,
-    /// How configuration spreads.
+    /// How configuration spreads. Default: [`SpreadSettings::nile`].
     pub spread: SpreadSettings,
+    /// How long the answer of an idempotency key is kept, in ms. Default: 24 h.
+    pub retention: u64,
     /// Threads that carry requests. Default: 2.
     pub workers: usize,
     /// What callers may hold. Default: [`Bounds::default`].
@@ -58,7 +60,8 @@
             platform: None,
             keys: Keys::default(),
             admin_keys: Vec::new(),
-            spread: SpreadSettings::default(),
+            spread: SpreadSettings::nile(),
+            retention: OnceSettings::default().retention,
             workers: 2,
             callers: Bounds::default(),
             nodes: Bounds {
