--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -3,14 +3,14 @@
 mod change;
 mod wait;
 
-use std::{io::Write, net::SocketAddr, path::Path, path::PathBuf};
+use std::{io::Write, path::Path, path::PathBuf};
 
 use laburnum_edge::api::{Found, LiftBody, ResolveBody, VerdictBody};
 use laburnum_kernel::{Name, SubmitId, document::Document};
 use serde_json::{Value, json};
 
 use crate::{
-    cli::{Act, Command, Print, Wait},
+    cli::{Act, Command, Print, Target, Wait},
     client::{Client, ClientError},
     files,
     report::{Failure, Outcome, Report},
@@ -87,7 +87,7 @@
     }
 }
 
-async fn outcome(node: SocketAddr, id: SubmitId) -> Result<Report, Failure> {
+async fn outcome(node: Target, id: SubmitId) -> Result<Report, Failure> {
     let answer = Client::new(node).outcome(id).await?;
     let mut report = change::told(id, &answer.verdict);
     if answer.verdict == VerdictBody::Absent {
@@ -97,7 +97,7 @@
     Ok(report)
 }
 
-async fn get(node: SocketAddr, service: &Name, err: &mut dyn Write) -> Result<Report, Failure> {
+async fn get(node: Target, service: &Name, err: &mut dyn Write) -> Result<Report, Failure> {
     let body = Client::new(node).service(service).await?;
     // Beside the document, so that the output alone can be saved, changed and submitted.
     let (revision, seq) = (body.revision, body.seq);
@@ -109,12 +109,12 @@
     Ok(done(text, json!(body)))
 }
 
-async fn list(node: SocketAddr) -> Result<Report, Failure> {
+async fn list(node: Target) -> Result<Report, Failure> {
     let body = Client::new(node).list().await?;
     Ok(done(show::list(&body), json!(body)))
 }
 
-async fn diff(node: SocketAddr, file: &Path) -> Result<Report, Failure> {
+async fn diff(node: Target, file: &Path) -> Result<Report, Failure> {
     let new = files::read(file)?;
     let document = match Document::parse(&new) {
         Ok(document) => document,
@@ -137,7 +137,7 @@
     Ok(done(diff, json))
 }
 
-async fn status(node: SocketAddr, wait: Wait, err: &mut dyn Write) -> Result<Report, Failure> {
+async fn status(node: Target, wait: Wait, err: &mut dyn Write) -> Result<Report, Failure> {
     let client = Client::new(node);
     let mut status = client.status().await?;
     let mut outcome = Outcome::Done;
@@ -167,7 +167,7 @@
     })
 }
 
-async fn lift(node: SocketAddr, print: &Print, act: Act) -> Result<Report, Failure> {
+async fn lift(node: Target, print: &Print, act: Act) -> Result<Report, Failure> {
     let body = LiftBody {
         author: act.author,
         reason: act.reason,
@@ -178,7 +178,7 @@
 }
 
 async fn resolve(
-    node: SocketAddr,
+    node: Target,
     service: Name,
     key: String,
     found: Found,
--- a/crates/node/src/cli/table.rs
+++ b/crates/node/src/cli/table.rs
@@ -1,6 +1,6 @@
 //! The table of settings of `laburnum-node`.
 
-use laburnum_edge::link::Key;
+use laburnum_edge::{Token, link::Key};
 use laburnum_flags::{Exit, List, Program, Setting};
 use laburnum_kernel::Name;
 
@@ -65,6 +65,21 @@
 .optional()
 .secret();
 
+pub const ADMIN_KEY: Setting<Token> = Setting::new(
+    "--admin-key",
+    "TOKEN",
+    "Token that operators send; without it whoever reaches --admin is one, on loopback only.",
+)
+.optional()
+.secret();
+pub const ADMIN_KEY_ALSO: Setting<Token> = Setting::new(
+    "--admin-key-also",
+    "TOKEN",
+    "Second token that is accepted while tokens are rotated.",
+)
+.optional()
+.secret();
+
 pub const PRESET: Setting<Preset> = Setting::new(
     "--preset",
     "WORD",
@@ -208,6 +223,8 @@
         PLATFORM.row(),
         LINK_KEY.row(),
         LINK_KEY_ALSO.row(),
+        ADMIN_KEY.row(),
+        ADMIN_KEY_ALSO.row(),
         PRESET.row(),
         WINDOW.row(),
         BUDGET.row(),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,13 +19,15 @@
 
 use crate::{
     admin::Admin,
+    auth::{self, Exposed, Guard, Peer},
     config::Config,
     control::{Control, ControlThread},
     metrics::Metrics,
     traffic::{
-        Traffic,
+        Parts, Traffic,
         counts::Counts,
         faults::Faults,
+        proof::Proofs,
         serve::{Server, Speech},
     },
     upstream::Upstream,
@@ -43,6 +45,9 @@
     /// The registry of metrics refuses them.
     #[error("cannot register the metrics: {0}; update the node")]
     Metrics(#[from] OTelSdkError),
+    /// The settings would leave a socket open to strangers.
+    #[error("{}", .0.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))]
+    Exposed(Vec<Exposed>),
     /// An HTTP socket cannot be bound.
     #[error("cannot bind {address}: {source}; choose a free address with --{flag}")]
     Bind {
@@ -58,6 +63,7 @@
     traffic: Traffic,
     upstream: Upstream,
     metrics: Metrics,
+    faults: Arc<Faults>,
     grace: Duration,
     /// Ends the sockets of callers and operators.
     callers: Servers,
@@ -81,6 +87,7 @@
         clock: Clock,
         platform: Arc<dyn Platform>,
     ) -> Result<Node, StartError> {
+        auth::check(&config).map_err(StartError::Exposed)?;
         let settings = Settings {
             node: NodeId(config.control),
             incarnation: clock.now().0,
@@ -103,7 +110,7 @@
         let admin = bind("admin", config.admin).await?;
         let control = ControlThread::start(
             settings,
-            config.keys,
+            config.keys.clone(),
             clock.clone(),
             platform,
             Handle::current(),
@@ -111,18 +118,23 @@
         let handle = control.control().clone();
         let faults = Arc::new(Faults::new(clock.clone()));
         let metrics = Metrics::new()?;
+        let guard = Guard::new(&config, faults.clone());
         let upstream = Upstream::start(handle.clone(), clock.clone(), config.pool);
-        let path = Traffic::start(
+        let path = Traffic::start(Parts {
             node,
             place,
-            handle.clone(),
-            clock,
-            upstream.clone(),
-            faults.clone(),
-            Counts::new(metrics.latency()),
-        );
+            control: handle.clone(),
+            clock: clock.clone(),
+            upstream: upstream.clone(),
+            faults: faults.clone(),
+            proofs: Proofs::new(config.traffic, &config.keys, clock),
+            counts: Counts::new(metrics.latency()),
+        });
         metrics.follow(handle.clone(), path.clone());
-        let api = Admin::new(handle, upstream.clone(), metrics.clone());
+        let api = Admin {
+            guard,
+            ..Admin::new(handle, upstream.clone(), metrics.clone())
+        };
         let (mut callers, mut nodes) = (Servers::default(), Servers::default());
         let entry = path.clone();
         callers.serve(
@@ -142,7 +154,7 @@
                 bounds: config.callers,
                 faults: faults.clone(),
             },
-            move |_| operators(router.clone()),
+            move |peer| operators(router.clone(), peer),
         );
         let owner = path.clone();
         nodes.serve(
@@ -150,15 +162,16 @@
                 listener: traffic,
                 speech: Speech::Http2,
                 bounds: config.nodes,
-                faults,
+                faults: faults.clone(),
             },
-            move |_| owner.owner(),
+            move |peer| owner.owner(peer),
         );
         Ok(Node {
             control,
             traffic: path,
             upstream,
             metrics,
+            faults,
             grace: Duration::from_millis(config.grace),
             callers,
             nodes,
@@ -180,6 +193,11 @@
         &self.upstream
     }
 
+    /// Faults of callers, operators and nodes so far.
+    pub fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
     /// Drains and stops: the upstream takes no new work, and every request in progress gets its answer.
     ///
     /// What takes longer than the grace is cut. Dropping the future stops at once.
@@ -261,10 +279,12 @@
 
 fn operators(
     router: Router,
+    peer: SocketAddr,
 ) -> impl tower::Service<Request<Incoming>, Response = Response<Body>, Error = Infallible, Future: Send>
 + Clone
 + Send {
-    tower::service_fn(move |request: Request<Incoming>| {
+    tower::service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(Peer(peer));
         router.clone().oneshot(request.map(Body::new))
     })
 }
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -17,6 +17,7 @@
 mod owner;
 mod peers;
 pub mod pool;
+pub mod proof;
 pub mod serve;
 mod services;
 mod stall;
@@ -44,9 +45,12 @@
 use crate::{control::Control, upstream::Upstream};
 
 use counts::Counts;
+use denial::Denial;
 use faults::Faults;
 use gate::{Gate, Gauges};
+use headers::REQUEST;
 use peers::Peers;
+use proof::{Proofs, Unproven};
 use services::Services;
 
 /// The request path of one node; cheap to clone.
@@ -60,6 +64,7 @@
     upstream: Upstream,
     gate: Gate,
     peers: Peers,
+    proofs: Proofs,
     services: Services,
     faults: Arc<Faults>,
     counts: Counts,
@@ -80,17 +85,39 @@
 /// Most claims on their way at once; more are refused, for each may cost the platform a write.
 const CLAIMS_MAX: usize = 64;
 
+/// What the request path of a node is made of.
+pub struct Parts {
+    /// The node.
+    pub node: NodeId,
+    /// Where it stands.
+    pub place: Place,
+    /// The control thread, which publishes the views.
+    pub control: Control,
+    /// The clock.
+    pub clock: Clock,
+    /// The upstream beside the node.
+    pub upstream: Upstream,
+    /// Counts faulty input.
+    pub faults: Arc<Faults>,
+    /// Proofs of requests between nodes.
+    pub proofs: Proofs,
+    /// Counts answers, refusals and retries.
+    pub counts: Counts,
+}
+
 impl Traffic {
-    /// The request path of `node` at `place`. Must be called inside a tokio runtime.
-    pub fn start(
-        node: NodeId,
-        place: Place,
-        control: Control,
-        clock: Clock,
-        upstream: Upstream,
-        faults: Arc<Faults>,
-        counts: Counts,
-    ) -> Traffic {
+    /// Starts the request path. Must be called inside a tokio runtime.
+    pub fn start(parts: Parts) -> Traffic {
+        let Parts {
+            node,
+            place,
+            control,
+            clock,
+            upstream,
+            faults,
+            proofs,
+            counts,
+        } = parts;
         let traffic = Traffic(Arc::new(Shared {
             node,
             control,
@@ -98,6 +125,7 @@
             clock,
             upstream,
             peers: Peers::default(),
+            proofs,
             services: Services::new(place),
             faults,
             counts,
@@ -145,9 +173,10 @@
         })
     }
 
-    /// Serves one connection of another node.
+    /// Serves one connection of another node; requests without a proof are refused before any is read.
     pub fn owner(
         &self,
+        peer: SocketAddr,
     ) -> impl tower::Service<
         Request<Incoming>,
         Response = Response<Body>,
@@ -159,10 +188,30 @@
         let traffic = self.clone();
         tower::service_fn(move |request: Request<Incoming>| {
             let traffic = traffic.clone();
-            async move { Ok(traffic.own(request.map(Body::new)).await) }
+            async move {
+                match traffic.0.proofs.check(&request) {
+                    Ok(()) => Ok(traffic.own(request.map(Body::new)).await),
+                    Err(unproven) => Ok(traffic.refuse(&request, unproven, peer)),
+                }
+            }
         })
     }
 
+    /// The answer carries the exchange's number, or an entry would take it for another's and say "unknown".
+    fn refuse(
+        &self,
+        request: &Request<Incoming>,
+        unproven: Unproven,
+        peer: SocketAddr,
+    ) -> Response<Body> {
+        self.0.faults.count(unproven.kind(), Some(peer));
+        let mut response = Denial::from(unproven).response();
+        if let Some(number) = request.headers().get(REQUEST) {
+            response.headers_mut().insert(REQUEST, number.clone());
+        }
+        response
+    }
+
     /// Refuses new work for the upstream beside this node from now on; requests of callers go elsewhere.
     pub fn drain(&self) {
         self.0.draining.store(true, Ordering::SeqCst);
--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use laburnum_edge::Token;
 use laburnum_flags::{Exit, Program, Setting, Suite, Values};
 use laburnum_kernel::Name;
 
@@ -51,6 +52,13 @@
     "Admin address of the node beside it, to announce itself to.",
 )
 .optional();
+const TOKEN: Setting<Token> = Setting::new(
+    "--token",
+    "TOKEN",
+    "The node's --admin-key; needed only if the node is on another host.",
+)
+.optional()
+.secret();
 const SLOTS: Setting<u16> =
     Setting::new("--slots", "N", "Requests that it runs at once.").default("6");
 const QUEUE: Setting<u16> = Setting::new(
@@ -105,6 +113,7 @@
         UPSTREAM_LISTEN.row(),
         SERVICE.row(),
         NODE.row(),
+        TOKEN.row(),
         SLOTS.row(),
         QUEUE.row(),
         RUN.row(),
@@ -166,6 +175,7 @@
         listen: values.get(&UPSTREAM_LISTEN),
         service: values.get(&SERVICE),
         node: values.find(&NODE),
+        token: values.find(&TOKEN),
         slots: values.get(&SLOTS),
         queue: values.get(&QUEUE),
         run: values.get(&RUN),
