--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -156,6 +156,11 @@
         &self.upstream
     }
 
+    /// Attempts beyond each request's first that callers' requests took at this node so far.
+    pub fn retries(&self) -> u64 {
+        self.traffic.retries()
+    }
+
     /// Drains and stops: the upstream takes no new work, and every request in progress gets its answer.
     ///
     /// What takes longer than the grace is cut. Dropping the future stops at once.
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -25,7 +25,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -68,6 +68,8 @@
     claims: Arc<Semaphore>,
     /// Requests at the owner, and settlements on their way.
     owned: AtomicUsize,
+    /// Attempts beyond each request's first, at this entry.
+    retries: AtomicU64,
 }
 
 /// Interval in which queues, connections and the upstream's phase are looked after.
@@ -101,6 +103,7 @@
             suspects: Arc::new(Semaphore::new(1)),
             claims: Arc::new(Semaphore::new(CLAIMS_MAX)),
             owned: AtomicUsize::new(0),
+            retries: AtomicU64::new(0),
         }));
         let shared = Arc::downgrade(&traffic.0);
         tokio::spawn(async move {
@@ -169,6 +172,11 @@
         self.0.owned.load(Ordering::SeqCst)
     }
 
+    /// Attempts beyond each request's first that this entry made so far.
+    pub fn retries(&self) -> u64 {
+        self.0.retries.load(Ordering::Relaxed)
+    }
+
     fn view(&self) -> Arc<View> {
         self.0.control.view()
     }
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     str::FromStr,
-    sync::{Arc, OnceLock, PoisonError},
+    sync::{Arc, OnceLock, PoisonError, atomic::Ordering},
     time::Duration,
 };
 
@@ -206,6 +206,7 @@
                 return Ok(response);
             };
             payload = again;
+            self.0.retries.fetch_add(1, Ordering::Relaxed);
             if after > 0 {
                 sleep(Duration::from_millis(after)).await;
             }
