--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -27,9 +27,10 @@
     judge::judge,
     preset::Preset,
     report::{Line, Report},
-    site::{Bare, Group, Site, SiteError},
+    site::{Bare, Group, Site},
     tally::{Figures, Tally},
 };
+use crate::fleet::FleetError;
 
 /// What to run.
 #[derive(Clone, Debug)]
@@ -50,7 +51,7 @@
 const GRACE: Duration = Duration::from_secs(4);
 
 /// Runs every case, tells `done` of each, and reports them all.
-pub async fn run(settings: &Settings, mut done: impl FnMut(&Line)) -> Result<Report, SiteError> {
+pub async fn run(settings: &Settings, mut done: impl FnMut(&Line)) -> Result<Report, FleetError> {
     let mut lines = Vec::new();
     for case in &settings.cases {
         let baseline = bare(settings, *case).await?;
@@ -75,12 +76,12 @@
     Ok(Report::new(settings, lines))
 }
 
-async fn managed(settings: &Settings, case: Case) -> Result<Figures, SiteError> {
+async fn managed(settings: &Settings, case: Case) -> Result<Figures, FleetError> {
     let site = Site::start(settings.preset, case.work(), settings.seed).await?;
     let callers = Callers::new(settings.preset, Way::Nodes(site.entries.clone()));
     let targets = Targets {
         groups: &site.groups,
-        platform: Some(&site.platform),
+        platform: Some(site.platform()),
     };
     let ended = offer(settings, case, &callers, targets).await;
     let figures = figures(settings, case, &ended, &site.groups, site.retries());
@@ -88,7 +89,7 @@
     Ok(figures)
 }
 
-async fn bare(settings: &Settings, case: Case) -> Result<Figures, SiteError> {
+async fn bare(settings: &Settings, case: Case) -> Result<Figures, FleetError> {
     let bare = Bare::start(settings.preset, case.work(), settings.seed).await?;
     let addresses = |group: &Group| group.iter().map(|it| it.address()).collect();
     let way = Way::Direct(bare.groups.iter().map(addresses).collect());
--- a/crates/bench/src/load/command.rs
+++ b/crates/bench/src/load/command.rs
@@ -5,6 +5,7 @@
 use laburnum_flags::{Exit, Program, Setting, Values};
 
 use super::{Settings, case::Cases, preset::Preset, report::HEADING};
+use crate::cli::JSON;
 
 /// Name of the command.
 pub const NAME: &str = "load";
@@ -22,7 +23,6 @@
     .unit("s");
 const SEED: Setting<u64> =
     Setting::new("--seed", "N", "Fixes arrivals and service times.").default("1");
-const JSON: Setting<bool> = Setting::switch("--json", "Print one JSON object in place of tables.");
 
 /// Its flags and exit codes.
 pub const PROGRAM: Program = Program {
--- a/crates/bench/src/load/site.rs
+++ b/crates/bench/src/load/site.rs
@@ -1,43 +1,15 @@
 //! The nodes and upstreams that a case runs against, on loopback sockets of this process.
 
-use std::{
-    net::{Ipv4Addr, SocketAddr},
-    sync::Arc,
-    time::Duration,
-};
+use std::net::SocketAddr;
 
-use laburnum_edge::{Clock, Memory};
-use laburnum_kernel::{
-    Call, Name, Reply, Revision, SubmitId,
-    accept::{self, Submission, Verdict},
-    log::Edit,
-    members::Phase,
-};
-use laburnum_node::{Config, Node, node::StartError};
+use laburnum_kernel::{Name, Revision, SubmitId, View, members::Phase};
 use laburnum_standin::{Faults, Faulty, Ledger, Upstream, UpstreamSettings};
-use tokio::{
-    net::TcpListener,
-    time::{Instant, sleep},
-};
 
-use super::{case::Work, preset::Preset};
-
-/// The site cannot be set up.
-#[derive(Debug, thiserror::Error)]
-pub enum SiteError {
-    /// No port is free, or an upstream cannot listen.
-    #[error("cannot listen on loopback: {0}; end other runs that hold its ports")]
-    Listen(#[from] std::io::Error),
-    /// A node does not start.
-    #[error(transparent)]
-    Node(#[from] StartError),
-    /// A document was refused.
-    #[error("the document of {0} was not accepted: {1}; mend the preset")]
-    Document(&'static str, String),
-    /// The nodes do not know every upstream in time.
-    #[error("the nodes were not ready within {READY_MAX:?}; run fewer things at once")]
-    Late,
-}
+use super::{
+    case::Work,
+    preset::{Preset, Service},
+};
+use crate::fleet::{Change, Fleet, FleetError, Layout};
 
 /// Upstreams of one service.
 pub type Group = Vec<Upstream>;
@@ -54,16 +26,13 @@
     pub groups: Vec<Group>,
     /// Where callers send requests.
     pub entries: Vec<SocketAddr>,
-    /// The platform, to break it.
-    pub platform: Faulty,
-    nodes: Vec<Node>,
+    fleet: Fleet,
 }
 
 /// Entry nodes without an upstream.
 const ENTRIES: usize = 2;
-/// Longest wait until every node knows every upstream.
-const READY_MAX: Duration = Duration::from_secs(30);
-const READY_POLL: Duration = Duration::from_millis(20);
+/// Longest wait until every node knows every upstream, in ms.
+const READY_MS: u64 = 30_000;
 /// Delay of the platform's answers in ms.
 const PLATFORM_MS: u64 = 5;
 /// Queue of the baseline's upstreams, which nothing bounds.
@@ -73,7 +42,7 @@
 
 impl Bare {
     /// Starts the upstreams.
-    pub async fn start(preset: Preset, work: Work, seed: u64) -> Result<Bare, SiteError> {
+    pub async fn start(preset: Preset, work: Work, seed: u64) -> Result<Bare, FleetError> {
         let mut groups = Vec::new();
         for service in preset.services() {
             let mut group = Group::new();
@@ -83,7 +52,8 @@
                     queue: UNBOUNDED,
                     ..settings
                 };
-                group.push(Upstream::start(settings).await?);
+                let upstream = Upstream::start(settings).await;
+                group.push(upstream.map_err(|source| FleetError::Upstream { node: idx, source })?);
             }
             groups.push(group);
         }
@@ -98,107 +68,65 @@
 
 impl Site {
     /// Starts everything and waits until every node knows every upstream.
-    pub async fn start(preset: Preset, work: Work, seed: u64) -> Result<Site, SiteError> {
-        let platform = Faulty::new(Arc::new(Memory::default()), Clock::system(), seed);
-        let faults = Faults {
-            slow: PLATFORM_MS,
-            ..Faults::default()
-        };
-        platform.set(faults);
-        let mut site = Site {
-            groups: Vec::new(),
-            entries: Vec::new(),
-            platform,
-            nodes: Vec::new(),
+    pub async fn start(preset: Preset, work: Work, seed: u64) -> Result<Site, FleetError> {
+        let services = preset.services();
+        let endpoints: usize = services.iter().map(|it| it.endpoints).sum();
+        let layout = Layout {
+            nodes: ENTRIES + endpoints,
+            zones: 1,
+            faults: Faults {
+                slow: PLATFORM_MS,
+                ..Faults::default()
+            },
+            ..Layout::default()
         };
-        let mut peers = Vec::new();
-        for _ in 0..ENTRIES {
-            let config = site.node(&mut peers).await?;
-            site.entries.push(config.caller);
+        let fleet = Fleet::start(&layout).await?;
+        fleet.until("readiness", READY_MS, |it| it.ready).await?;
+        for (idx, service) in services.iter().enumerate() {
+            let change = Change {
+                id: SubmitId(idx as u128 + 1),
+                service: name(service.name),
+                base: Revision(0),
+                text: preset.document(service),
+            };
+            fleet.accept(0, change).await?;
         }
-        for service in preset.services() {
+        let mut groups = Vec::new();
+        let mut node = ENTRIES;
+        for service in services {
             let mut group = Group::new();
             for idx in 0..service.endpoints {
-                let config = site.node(&mut peers).await?;
                 let settings = upstream(preset, work, service.name, seed + idx as u64);
-                let settings = UpstreamSettings {
-                    node: Some(config.admin),
-                    ..settings
-                };
-                group.push(Upstream::start(settings).await?);
+                group.push(fleet.upstream(node, settings).await?);
+                node += 1;
             }
-            site.groups.push(group);
+            groups.push(group);
         }
-        site.submit(preset).await?;
-        site.ready(preset).await?;
-        Ok(site)
+        let what = "every upstream in every view";
+        let known = |it: &View| knows_all(it, &services);
+        fleet.until(what, READY_MS, known).await?;
+        Ok(Site {
+            groups,
+            entries: (0..ENTRIES).map(|it| fleet.config(it).caller).collect(),
+            fleet,
+        })
+    }
+
+    /// The platform, to break it.
+    pub fn platform(&self) -> &Faulty {
+        self.fleet.platform()
     }
 
     /// Attempts beyond each request's first, at all entries.
     pub fn retries(&self) -> u64 {
-        self.nodes.iter().map(Node::retries).sum()
+        let nodes = (0..self.fleet.len()).filter_map(|it| self.fleet.node(it));
+        nodes.map(laburnum_node::Node::retries).sum()
     }
 
     /// Ends everything; what is in progress is cut.
     pub async fn close(self) {
         self.groups.into_iter().flatten().for_each(Upstream::close);
-        let closing: Vec<_> = self
-            .nodes
-            .into_iter()
-            .map(|it| tokio::spawn(it.close()))
-            .collect();
-        for it in closing {
-            // It can only fail by a panic, which was reported by then.
-            let _ = it.await;
-        }
-    }
-
-    async fn node(&mut self, peers: &mut Vec<SocketAddr>) -> Result<Config, SiteError> {
-        let config = Config {
-            caller: free().await?,
-            control: free().await?,
-            traffic: free().await?,
-            admin: free().await?,
-            peers: peers.iter().copied().take(ENTRIES).collect(),
-            grace: 500,
-            ..Config::default()
-        };
-        let platform = Arc::new(self.platform.clone());
-        let node = Node::start(config.clone(), Clock::system(), platform).await?;
-        self.nodes.push(node);
-        peers.push(config.control);
-        Ok(config)
-    }
-
-    async fn submit(&self, preset: Preset) -> Result<(), SiteError> {
-        for (idx, service) in preset.services().iter().enumerate() {
-            let text = preset.document(service);
-            let submission = Submission {
-                id: SubmitId(idx as u128 + 1),
-                service: name(service.name),
-                base: Revision(0),
-                edit: Edit::Put { text },
-                author: "bench".to_owned(),
-                reason: "load".to_owned(),
-            };
-            let call = Call::Accept(accept::Call::Submit(submission));
-            match self.nodes[0].control().call(call).await {
-                Ok(Reply::Accept(accept::Reply::Verdict(Verdict::Accepted { .. }))) => {}
-                other => return Err(SiteError::Document(service.name, format!("{other:?}"))),
-            }
-        }
-        Ok(())
-    }
-
-    async fn ready(&self, preset: Preset) -> Result<(), SiteError> {
-        let end = Instant::now() + READY_MAX;
-        while !self.nodes.iter().all(|it| knows_all(it, preset)) {
-            if Instant::now() > end {
-                return Err(SiteError::Late);
-            }
-            sleep(READY_POLL).await;
-        }
-        Ok(())
+        self.fleet.close().await;
     }
 }
 
@@ -212,17 +140,15 @@
     sum
 }
 
-fn knows_all(node: &Node, preset: Preset) -> bool {
-    let view = node.control().view();
-    let known = |service: &super::preset::Service| {
+fn knows_all(view: &View, services: &[Service]) -> bool {
+    services.iter().all(|service| {
         let found = view.services.get(&name(service.name));
         let ready = found.map_or(0, |it| {
             let ready = it.endpoints.iter().filter(|it| it.phase == Phase::Ready);
             ready.count()
         });
         ready == service.endpoints
-    };
-    view.ready && preset.services().iter().all(known)
+    })
 }
 
 fn upstream(preset: Preset, work: Work, service: &str, seed: u64) -> UpstreamSettings {
@@ -250,8 +176,3 @@
 fn name(text: &str) -> Name {
     text.parse().expect("the preset's names are valid")
 }
-
-async fn free() -> std::io::Result<SocketAddr> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
-    listener.local_addr()
-}
