--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -4,7 +4,10 @@
 
 use laburnum_flags::{Exit, List, Program, Setting, Suite, Values};
 
-use crate::converge::{Case, Plan, Preset};
+use crate::{
+    converge::{Case, Plan, Preset},
+    load::command,
+};
 
 /// Name of the command that shows that everything works.
 pub const SMOKE_COMMAND: &str = "smoke";
@@ -83,7 +86,11 @@
     name: "laburnum-bench",
     version: env!("CARGO_PKG_VERSION"),
     about: "Load and experiments over real nodes on loopback.",
-    commands: &[(SMOKE_COMMAND, SMOKE), (CONVERGE_COMMAND, CONVERGE)],
+    commands: &[
+        (SMOKE_COMMAND, SMOKE),
+        (CONVERGE_COMMAND, CONVERGE),
+        (command::NAME, command::PROGRAM),
+    ],
 };
 
 /// Reads what `converge` is to do.
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,6 +6,7 @@
     cli::{self, JSON},
     converge,
     fleet::FleetError,
+    load,
     report::{Report, Verdict},
     smoke,
 };
@@ -18,6 +19,7 @@
         Err(stop) => return stop.exit(),
     };
     let run = match command {
+        load::command::NAME => return load::command::run(&values).await,
         cli::SMOKE_COMMAND => smoke::run().await,
         _ => converge::run(&cli::plan(&values)).await,
     };
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -248,6 +248,11 @@
         self.0.draining.load(Ordering::SeqCst)
     }
 
+    /// Attempts beyond each request's first that this entry made so far.
+    pub fn retries(&self) -> u64 {
+        self.0.counts.retries()
+    }
+
     fn view(&self) -> Arc<View> {
         self.0.control.view()
     }
