Promises of the whole kernel checked after every step of seeded runs

Cause: each subsystem's tests check its own promises on its own fake; nothing ran whole kernels with several troubles at once. Change: six whole kernels over Memory with lost, doubled, late messages, cut, paused and killed nodes, lost answers, late and lost writes, outages, racing operators, deletions and a newer schema. After every step: views resolve and match the log's prefix, no ready view goes back, the log only grows and holds a submission once, verdicts match it; after the troubles all nodes become whole. 24 cases; INVARIANT_CASES asks for more.

--- /dev/null
+++ b/crates/kernel/tests/invariants.rs
@@ -0,0 +1,73 @@
+//! What is promised to callers and operators holds after every step of a run, whatever goes wrong.
+
+#[path = "common/chaos.rs"]
+mod chaos;
+#[path = "common/driver.rs"]
+mod driver;
+#[path = "common/promises.rs"]
+mod promises;
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+
+use chaos::{CALM, Fleet, Kind, Trouble};
+
+/// Ms after the last trouble until everything has to be whole again.
+const BOUND: u64 = 90_000;
+
+/// Runs in CI; INVARIANT_CASES asks for more.
+const CASES: u32 = 24;
+
+const KINDS: [Kind; 12] = [
+    Kind::Loss,
+    Kind::Doubling,
+    Kind::Delay,
+    Kind::Outage,
+    Kind::Objects,
+    Kind::LostAnswers,
+    Kind::LateWrites,
+    Kind::LostWrites,
+    Kind::SlowTable,
+    Kind::Isolated,
+    Kind::Paused,
+    Kind::Killed,
+];
+
+fn trouble() -> impl Strategy<Value = Trouble> {
+    let kind = prop::sample::select(&KINDS[..]);
+    (kind, 0..CALM, 50..12_000u64, 0..6usize).prop_map(|(kind, from, length, node)| Trouble {
+        kind,
+        from,
+        length,
+        node,
+    })
+}
+
+// Operators change services at any node, race, repeat and delete, and now and then a newer build writes a
+// document that nobody else can read, while up to ten troubles come and go, several at a time. No caller
+// is ever routed to a service that isn't there, no operator's accepted change is lost or made twice, no
+// node serves an older configuration than it did before; and once the troubles are over all is whole.
+#[test]
+fn promises_hold_after_every_step() {
+    let cases = std::env::var("INVARIANT_CASES").ok();
+    let cases = cases.map_or(CASES, |it| it.parse().expect("a number of cases"));
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 200,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let troubles = prop::collection::vec(trouble(), 2..10);
+    let newer = prop::option::of(20_000..CALM);
+    let plans = (any::<u64>(), troubles, newer);
+    let run = |(seed, troubles, newer)| {
+        Fleet::new(seed, troubles).run(newer, BOUND);
+        Ok(())
+    };
+    if let Err(error) = TestRunner::new_with_rng(config, rng).run(&plans, run) {
+        panic!("{error}");
+    }
+}
