A denied submission is not made later by a copy of it

Cause: found by the invariants at 600 cases. A submission was forwarded to a committer that stood still; the node that took it in decided it itself, told conflict (the service existed), the service was deleted, and the committer woke and created it. The same for a copy of the message that arrives after a refusal. Change: a conflict over a creation is not final, as a deletion overturns it: it is read for first, and unknown while a copy may be elsewhere. Each forward has an attempt number; a committer drops one that it has seen. The failing plan and the late copy are named tests.

--- a/crates/kernel/src/accept.rs
+++ b/crates/kernel/src/accept.rs
@@ -118,7 +118,11 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// Please commit this.
-    Forward { submission: Submission },
+    Forward {
+        submission: Submission,
+        /// Stands for this message: a copy of it has the same one, a submission sent again has not.
+        attempt: u64,
+    },
     /// What became of it.
     Verdict { id: SubmitId, verdict: Verdict },
 }
--- a/crates/kernel/src/accept/decide.rs
+++ b/crates/kernel/src/accept/decide.rs
@@ -327,8 +327,9 @@
         return void.then_some(Fate::Doubtful(Verdict::Refused { why }));
     }
     let verdict = conflict(log, submission);
-    match submission.base < current {
-        // Revisions only grow: the base has passed for good.
+    match submission.base < current && submission.base != Revision(0) {
+        // Revisions only grow: the base has passed for good. Not that of a creation: once the service is
+        // deleted, a copy of the submission on its way to another committer would create it again.
         true => Some(Fate::Final(verdict)),
         false => Some(Fate::Doubtful(verdict)),
     }
--- a/crates/kernel/src/accept/forward.rs
+++ b/crates/kernel/src/accept/forward.rs
@@ -3,7 +3,7 @@
 //! Forwarding gathers a region's submissions into few transactions. It is not needed for safety: any node
 //! may commit, and a submission that two nodes commit is held by the log that the second one has to read.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::{
     accept::{
@@ -24,6 +24,14 @@
 #[derive(Debug, Default)]
 pub(super) struct Forwards {
     pending: BTreeMap<SubmitId, Forward>,
+    /// Messages sent so far.
+    sent: u64,
+    /// The last [`QUEUE_MAX`] messages taken in, by sender and attempt.
+    ///
+    /// A copy that arrives after the verdict would be decided anew: an operator who was told `refused`
+    /// would find the change made, once it fits. Copies come within seconds, as long as a connection is
+    /// replaced; this many forwards take longer.
+    taken: VecDeque<(NodeId, u64)>,
 }
 
 #[derive(Debug)]
@@ -47,8 +55,29 @@
         }
         true
     }
+
+    /// Whether this is the first message of `from` with this attempt.
+    fn is_first(&mut self, from: NodeId, attempt: u64) -> bool {
+        if self.taken.contains(&(from, attempt)) {
+            return false;
+        }
+        if self.taken.len() >= QUEUE_MAX {
+            self.taken.pop_front();
+        }
+        self.taken.push_back((from, attempt));
+        true
+    }
+
+    /// A number that no other message of this node has, in this process or an earlier one.
+    fn attempt(&mut self, incarnation: u64) -> u64 {
+        self.sent += 1;
+        (incarnation << ATTEMPT_BITS).wrapping_add(self.sent)
+    }
 }
 
+/// Room for the messages sent within the millisecond of a start; incarnations take the other bits.
+const ATTEMPT_BITS: u32 = 20;
+
 /// Takes in a submission of an operator.
 pub(super) fn submit(
     cx: &mut Context<'_>,
@@ -67,7 +96,14 @@
 /// Takes in a message of another node.
 pub(super) fn received(cx: &mut Context<'_>, state: &mut State, from: NodeId, message: &Message) {
     match message {
-        Message::Forward { submission } => take_over(cx, state, from, submission),
+        Message::Forward {
+            submission,
+            attempt,
+        } => {
+            if state.accept.forwards.is_first(from, *attempt) {
+                take_over(cx, state, from, submission);
+            }
+        }
         Message::Verdict { id, verdict } => learn(cx, state, from, *id, verdict),
     }
 }
@@ -125,7 +161,12 @@
         let why = format!("{count} submissions wait on this node already; submit again soon");
         return origin.answer(cx, id, Verdict::Unavailable { why });
     }
-    cx.send(to, event::Message::Accept(Message::Forward { submission }));
+    let attempt = state.accept.forwards.attempt(cx.settings.incarnation);
+    let message = Message::Forward {
+        submission,
+        attempt,
+    };
+    cx.send(to, event::Message::Accept(message));
     let forward = Forward {
         checked,
         origins: vec![origin],
--- a/crates/kernel/tests/accept.rs
+++ b/crates/kernel/tests/accept.rs
@@ -4,7 +4,7 @@
 mod driver;
 
 use laburnum_kernel::{
-    Ms, Revision, Seq, SubmitId,
+    Event, Message, Ms, Revision, Seq, SubmitId,
     accept::{self, Call, Reply, Submission, Verdict},
     log::Edit,
     platform::Fault,
@@ -441,3 +441,35 @@
     );
     assert_eq!(verdicts[count as usize - 10..], ["unavailable"; 10]);
 }
+
+// The operator routes to a service that isn't there and is told `refused`. That service is created, and then
+// a copy of the forwarded submission arrives, as when a connection was replaced. The refusal stands: the
+// copy is recognised. The operator who submits again under the same id is heard.
+#[test]
+fn late_copy_of_a_refused_submission_changes_nothing() {
+    let mut driver = Driver::new(&["cairo"]);
+    driver.run(100);
+    let submission = put(1, "c", 0, &["d"]);
+    let forward = |attempt| {
+        let submission = submission.clone();
+        let message = accept::Message::Forward {
+            submission,
+            attempt,
+        };
+        let message = Message::Accept(message);
+        let from = driver::node(1);
+        Event::Message { from, message }
+    };
+    driver.event(0, forward(7));
+    driver.run(1_000);
+    assert_eq!(
+        submit_all(&mut driver, &[put(2, "d", 0, &[])]),
+        ["accepted"]
+    );
+    driver.event(0, forward(7));
+    driver.run(1_000);
+    assert_eq!(driver.applied(SubmitId(1)), 0);
+    driver.event(0, forward(8));
+    driver.run(1_000);
+    assert_eq!(driver.applied(SubmitId(1)), 1);
+}
--- a/crates/kernel/tests/invariants.rs
+++ b/crates/kernel/tests/invariants.rs
@@ -71,3 +71,24 @@
         panic!("{error}");
     }
 }
+
+fn at(kind: Kind, from: u64, length: u64, node: usize) -> Trouble {
+    Trouble {
+        kind,
+        from,
+        length,
+        node,
+    }
+}
+
+// The operator creates a service at node 4 while the committer stands still, and is told `conflict`: somebody
+// else created it. That one is deleted. The committer wakes, with the operator's submission still waiting
+// at its door, and creates the service although the operator was told that nothing was changed.
+#[test]
+fn committer_that_wakes_does_not_make_a_change_that_was_denied() {
+    let troubles = vec![
+        at(Kind::Doubling, 16_553, 1_150, 0),
+        at(Kind::Paused, 10_153, 5_148, 0),
+    ];
+    Fleet::new(14_222_299_588_701_249_954, troubles).run(None, BOUND);
+}
