--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     str::FromStr,
-    sync::{Arc, OnceLock, PoisonError, atomic::Ordering},
+    sync::{Arc, OnceLock, PoisonError},
     time::Duration,
 };
 
