--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to the upstream beside this node.
 
 use std::{
+    collections::VecDeque,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -15,9 +16,9 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::TcpStream,
-    sync::{OwnedSemaphorePermit, Semaphore},
+    sync::{Notify, OwnedSemaphorePermit, Semaphore},
     task::AbortHandle,
-    time::{Instant, timeout_at},
+    time::{Instant, sleep_until, timeout_at},
 };
 
 /// Settings of one [`Pool`].
@@ -46,8 +47,10 @@
 pub struct Pool {
     address: SocketAddr,
     settings: PoolSettings,
-    idle: Mutex<Vec<Idle>>,
+    idle: Mutex<VecDeque<Idle>>,
     places: Arc<Semaphore>,
+    /// Told when a connection comes free.
+    returned: Notify,
     /// Slowest first byte of late, in microseconds; decays with each faster one.
     slowest: AtomicU64,
 }
@@ -127,6 +130,7 @@
             places: Arc::new(Semaphore::new(settings.connections)),
             settings,
             idle: Mutex::default(),
+            returned: Notify::new(),
             slowest: AtomicU64::new(0),
         }
     }
@@ -136,16 +140,30 @@
         self.address
     }
 
-    /// A connection: the one used last if one idles, else a new one.
+    /// A connection: the one used last if one idles, else a new one, else the first that comes free.
     pub async fn lease(self: &Arc<Pool>, deadline: Instant) -> Result<Lease, Unavailable> {
-        if let Some(connection) = self.take_idle() {
-            return Ok(self.lend(connection));
+        loop {
+            if let Some(connection) = self.take_idle() {
+                return Ok(self.lend(connection));
+            }
+            // An idle connection keeps its place: without the notice, whoever waits for a place would not see
+            // it and be refused at its deadline. A notice without a waiter is kept for the next.
+            let place = tokio::select! {
+                biased;
+                place = self.places.clone().acquire_owned() => place,
+                () = self.returned.notified() => continue,
+                () = sleep_until(deadline) => return Err(Unavailable::Late),
+            };
+            return self.open(deadline, place.ok()).await;
         }
-        self.lease_fresh(deadline).await
     }
 
     /// A new connection.
     pub async fn lease_fresh(self: &Arc<Pool>, deadline: Instant) -> Result<Lease, Unavailable> {
+        if self.places.available_permits() == 0 {
+            // The oldest idle connection makes room.
+            self.lock().pop_front();
+        }
         let place = self.places.clone().acquire_owned();
         let Ok(Ok(place)) = timeout_at(deadline, place).await else {
             return Err(Unavailable::Late);
@@ -200,7 +218,7 @@
             .take_while(|it| now - it.since > longest)
             .count();
         idle.drain(..aged);
-        while let Some(it) = idle.pop() {
+        while let Some(it) = idle.pop_back() {
             if it.connection.sender.is_ready() {
                 return Some(it.connection);
             }
@@ -223,7 +241,7 @@
         self.slowest.store(next, Ordering::Relaxed);
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<Idle>> {
+    fn lock(&self) -> MutexGuard<'_, VecDeque<Idle>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -273,13 +291,19 @@
         self.pool.purge();
     }
 
-    /// Gives the connection back after its answer was read whole.
-    pub fn put_back(mut self) {
-        self.connection.used = Usage::Reused;
+    /// Gives the connection back without having used it.
+    pub fn unused(self) {
         let idle = Idle {
             connection: self.connection,
             since: Instant::now(),
         };
-        self.pool.lock().push(idle);
+        self.pool.lock().push_back(idle);
+        self.pool.returned.notify_one();
+    }
+
+    /// Gives the connection back after its answer was read whole.
+    pub fn put_back(mut self) {
+        self.connection.used = Usage::Reused;
+        self.unused();
     }
 }
