Leave quickly when nobody is to be told; claims are checked before the first byte

Cause: every node took 2.5 s to stop, also those that no entry sends to. A grant could be used after it ran out, if the wait for a suspect's turn or a connection took long. A request under a new idempotency key had another fingerprint, so it was never quarantined. A reader could miss the document that its own node had just accepted.

Outcomes not kept yet hold the exit as long as the grace allows. The owner's window ends before the first byte at the grant's end or the deadline. Fingerprints leave the key out. Views are published before replies of the same step. The answer half of owner.rs is answer.rs.

--- a/crates/kernel/tests/drain.rs
+++ b/crates/kernel/tests/drain.rs
@@ -4,9 +4,11 @@
 
 use common::{Net, id};
 use laburnum_kernel::{
-    Event,
+    Call, Event, Token,
     drain::{Drain, GRACE_MS, NOTICE_MS},
+    event::UpstreamEvent,
     members::Phase,
+    once::{self, AttemptId, Ended, Key},
 };
 
 const ZONES: [&str; 64] = ["a"; 64];
@@ -50,9 +52,20 @@
     assert!(net.exited.contains(&id(3)));
 }
 
+/// Node 3 gets an upstream, as if it had announced itself.
+fn serve(net: &mut Net) {
+    let announced = UpstreamEvent::Announced {
+        service: "desk".parse().expect("a name"),
+        slots: 6,
+    };
+    net.step(id(3), Event::Upstream(announced));
+    net.step(id(3), Event::Upstream(UpstreamEvent::Ready));
+}
+
 #[test]
 fn an_idle_node_still_waits_until_entries_have_heard() {
     let mut net = Net::settled(22, &ZONES[..6]);
+    serve(&mut net);
     net.step(id(3), Event::Stop);
     net.step(id(3), Event::Idle);
     net.run(NOTICE_MS - 100);
@@ -60,3 +73,73 @@
     net.run(1_000);
     assert!(net.exited.contains(&id(3)));
 }
+
+/// An upstream is withdrawn and its node stops right after. Entries that have not heard of the withdrawal
+/// still send requests, so the node stays to refuse them.
+#[test]
+fn a_node_whose_upstream_just_left_still_gives_notice() {
+    let mut net = Net::settled(23, &ZONES[..6]);
+    serve(&mut net);
+    net.run(1_000);
+    net.step(id(3), Event::Upstream(UpstreamEvent::Gone));
+    net.step(id(3), Event::Stop);
+    net.step(id(3), Event::Idle);
+    net.run(NOTICE_MS - 100);
+    assert!(matches!(net.node(3).state().drain, Drain::Idle { .. }));
+    net.run(1_000);
+    assert!(net.exited.contains(&id(3)));
+}
+
+/// No entry sends anything to a node without an upstream: it leaves at once, and the others still hear of it.
+#[test]
+fn a_node_without_an_upstream_leaves_at_once() {
+    let mut net = Net::settled(24, &ZONES);
+    net.step(id(3), Event::Stop);
+    net.step(id(3), Event::Idle);
+    net.run(400);
+    assert!(net.exited.contains(&id(3)));
+    net.run(2_000);
+    assert_eq!(net.phases(3), [None].into());
+}
+
+#[test]
+fn the_last_node_leaves_at_once() {
+    let mut net = Net::settled(25, &ZONES[..1]);
+    net.step(id(0), Event::Stop);
+    net.step(id(0), Event::Idle);
+    net.run(100);
+    assert!(net.exited.contains(&id(0)));
+}
+
+/// The outcome of a filing cannot be kept while the node is cut off. A node that left now would make the claim
+/// one of unknown outcome for good, so it waits; once the outcome is kept, it leaves.
+#[test]
+fn an_outcome_that_is_not_kept_holds_the_exit() {
+    let mut net = Net::settled(26, &ZONES[..6]);
+    net.cut(&[3]);
+    // Some keys belong to buckets of the node itself, which it can keep without the others.
+    for number in 0..8 {
+        let settle = once::Call::Settle {
+            key: Key {
+                service: "desk".parse().expect("a name"),
+                text: format!("k{number}"),
+            },
+            attempt: AttemptId(number.into()),
+            ended: Ended::Unknown,
+        };
+        let call = Event::Call {
+            token: Token(number),
+            call: Call::Once(settle),
+        };
+        net.step(id(3), call);
+    }
+    net.step(id(3), Event::Stop);
+    net.step(id(3), Event::Idle);
+    net.run(3_000);
+    assert!(!net.exited.contains(&id(3)));
+    assert_ne!(net.node(3).state().once.unsettled(), 0);
+    net.heal();
+    // Far less than the grace: only a kept outcome lets it go by then.
+    net.run(5_000);
+    assert!(net.exited.contains(&id(3)));
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -186,6 +186,9 @@
     fn step(&mut self, event: Event) {
         let mut actions = Vec::new();
         self.kernel.step(self.clock.now(), event, &mut actions);
+        // Whoever gets a reply may read at once, in another thread: the view that the reply stands for must
+        // be there by then, or an accepted document would seem to be missing. The order of the others stays.
+        actions.sort_by_key(|it| !matches!(it, Action::Publish(_)));
         for action in actions {
             self.act(action);
         }
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -6,6 +6,7 @@
 //! ([`laburnum_kernel::pick`], [`laburnum_kernel::retry`], [`laburnum_kernel::admission`],
 //! [`laburnum_kernel::once`]); the modules here move the bytes.
 
+mod answer;
 pub mod body;
 pub mod denial;
 mod entry;
@@ -42,6 +43,7 @@
 
 use crate::{control::Control, upstream::Upstream};
 
+use body::Budget;
 use faults::Faults;
 use gate::Gate;
 use peers::Peers;
@@ -61,6 +63,8 @@
     services: Services,
     faults: Arc<Faults>,
     limiter: Mutex<Limiter>,
+    /// Bounds what the entry holds of bodies to send again.
+    held: Budget,
     draining: AtomicBool,
     /// Held by the one request that is suspected of a crash and runs.
     suspects: Arc<Semaphore>,
@@ -76,6 +80,8 @@
 const PRUNE_TICKS: u64 = 1_000;
 /// Most claims on their way at once; more are refused, for each may cost the platform a write.
 const CLAIMS_MAX: usize = 64;
+/// Most bytes of bodies that the entry holds at once to send them again.
+const HELD_TOTAL: usize = 8 * 1024 * 1024;
 
 impl Traffic {
     /// The request path of `node` at `place`. Must be called inside a tokio runtime.
@@ -97,6 +103,7 @@
             services: Services::new(place),
             faults,
             limiter: Mutex::default(),
+            held: Budget::new(HELD_TOTAL),
             draining: AtomicBool::new(false),
             suspects: Arc::new(Semaphore::new(1)),
             claims: Arc::new(Semaphore::new(CLAIMS_MAX)),
--- a/crates/node/src/traffic/body.rs
+++ b/crates/node/src/traffic/body.rs
@@ -13,7 +13,7 @@
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::BodyExt;
 use tokio::{
-    sync::mpsc,
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc},
     time::{Instant, Sleep, timeout_at},
 };
 
@@ -82,6 +82,32 @@
     }
 }
 
+/// Bytes that all bodies held at once may take; cheap to clone.
+///
+/// Each body is bounded by itself, but a thousand callers that fail at once would hold a thousand of them.
+#[derive(Clone, Debug)]
+pub struct Budget(Arc<Semaphore>);
+
+/// A part of a [`Budget`], given back when dropped.
+#[derive(Debug)]
+pub struct Share {
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Budget {
+    /// A budget of `bytes`.
+    pub fn new(bytes: usize) -> Budget {
+        Budget(Arc::new(Semaphore::new(bytes)))
+    }
+
+    /// Takes `bytes`; `None` if fewer are left.
+    pub fn take(&self, bytes: u64) -> Option<Share> {
+        let bytes = u32::try_from(bytes).ok()?;
+        let permit = self.0.clone().try_acquire_many_owned(bytes);
+        permit.ok().map(|it| Share { _permit: it })
+    }
+}
+
 /// How a body ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -30,7 +30,7 @@
 
 use super::{
     Traffic,
-    body::{self, BodyFault, Bounded, End, Intact},
+    body::{self, BodyFault, Bounded, End, Intact, Share},
     denial::Denial,
     headers::{
         self, ATTEMPT, BUDGET, DEADLINE, LOAD, NEVER, NOT_RUN, OUTCOME, RAN, REASON, REPEAT,
@@ -65,7 +65,8 @@
 
 /// The request's body, as far as it can be sent again.
 enum Payload {
-    Held(Bytes),
+    /// All of it is here; `_share` is what it takes of the node's budget.
+    Held { bytes: Bytes, _share: Share },
     /// It is passed on as it arrives; what breaks it is noted.
     Streamed(Intact, Arc<OnceLock<BodyFault>>),
 }
@@ -220,9 +221,14 @@
             return Err(Denial::of_body(BodyFault::TooLong));
         }
         let deadline = self.instant(plan.deadline);
-        if hint.exact().is_some_and(|it| it <= HELD_MAX) {
+        let short = hint.exact().filter(|it| *it <= HELD_MAX);
+        // Beyond the budget a body passes through unheld: a retry is worth less than the node's memory.
+        if let Some(share) = short.and_then(|it| self.0.held.take(it)) {
             let bytes = body::collect(incoming, limit, deadline).await;
-            return Ok(Payload::Held(bytes.map_err(Denial::of_body)?));
+            return Ok(Payload::Held {
+                bytes: bytes.map_err(Denial::of_body)?,
+                _share: share,
+            });
         }
         let fault = Arc::new(OnceLock::new());
         let noted = fault.clone();
@@ -369,7 +375,7 @@
 impl Payload {
     fn body(&self) -> Body {
         match self {
-            Payload::Held(bytes) => Body::from(bytes.clone()),
+            Payload::Held { bytes, .. } => Body::from(bytes.clone()),
             Payload::Streamed(intact, _) => Body::new(intact.clone()),
         }
     }
@@ -377,7 +383,7 @@
     /// The payload for another attempt, if it is still whole.
     fn again(self) -> Option<Payload> {
         match self {
-            Payload::Held(bytes) => Some(Payload::Held(bytes)),
+            Payload::Held { .. } => Some(self),
             Payload::Streamed(intact, fault) => {
                 let body = intact.reclaim()?;
                 Some(Payload::Streamed(Intact::new(body), fault))
@@ -388,7 +394,7 @@
     /// What broke the body on its way, if anything.
     fn fault(&self) -> Option<BodyFault> {
         match self {
-            Payload::Held(_) => None,
+            Payload::Held { .. } => None,
             Payload::Streamed(_, fault) => fault.get().copied(),
         }
     }
--- a/crates/node/src/traffic/once.rs
+++ b/crates/node/src/traffic/once.rs
@@ -13,9 +13,10 @@
 
 use super::{
     Traffic,
+    answer::Answer,
     denial::{self, Denial},
     headers::{IDEMPOTENCY_KEY, OUTCOME, RAN, REPLAYED},
-    owner::{Answer, Job},
+    owner::{Job, Window},
 };
 
 /// How long a run goes on after its deadline, so that its outcome is known to those who ask again.
@@ -92,8 +93,11 @@
                 return Err(denial);
             }
         };
-        let limit = self.instant(job.deadline) + OVERTIME;
-        let result = self.exchange(job, slot, limit).await;
+        let window = Window {
+            start: until.min(job.deadline.at()),
+            end: self.instant(job.deadline) + OVERTIME,
+        };
+        let result = self.exchange(job, slot, window).await;
         let ended = match &result {
             Ok(Answer::Whole(parts, bytes)) => Ended::Ran(kept(parts, bytes)),
             Ok(Answer::Streamed(_)) | Err(Denial::Unknown { .. }) => Ended::Unknown,
--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -11,36 +11,30 @@
 use axum::body::Body;
 use bytes::Bytes;
 use http::{
-    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, Version, header,
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header,
 };
 use http_body::Body as _;
-use hyper::body::Incoming;
 use laburnum_kernel::{
-    Name, View,
+    Ms, Name, View,
     admission::{self, Finish},
     document::{Class, Repeat},
-    guard::{self, Fingerprint},
+    guard::Fingerprint,
     health::Sign,
     members::Phase,
     refusal::{Reason, Refusal},
     retry::{Deadline, Tree},
 };
-use tokio::{
-    sync::OwnedSemaphorePermit,
-    time::{Instant, timeout, timeout_at},
-};
+use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::upstream::{Present, Run};
+use crate::upstream::Present;
 
 use super::{
     Traffic,
+    answer::{Answer, Running, Suspect, late},
     body::{self, BodyFault, Bounded, End, Intact},
-    denial::{self, Denial},
+    denial::Denial,
     gate::{Slot, Standing},
-    headers::{
-        self, ATTEMPT, BUDGET, DEADLINE, LOAD, NEVER, NOT_RUN, OUTCOME, RAN, REPEAT, REQUEST,
-        RETRY_AFTER_MS, SERVICE,
-    },
+    headers::{self, ATTEMPT, BUDGET, DEADLINE, LOAD, NEVER, REPEAT, REQUEST, SERVICE},
     pool::{Lease, Sent, Unavailable, Usage},
 };
 
@@ -84,25 +78,13 @@
     Streamed(Intact, Arc<AtomicBool>),
 }
 
-/// A request at the upstream.
-struct Running {
-    run: Run,
-    slot: Slot,
-    suspect: Option<Suspect>,
-}
-
-/// A request that was in flight in one crash.
-struct Suspect {
-    print: Fingerprint,
-    _turn: OwnedSemaphorePermit,
-}
-
-/// What the upstream gave.
-pub(super) enum Answer {
-    /// It was read whole.
-    Whole(http::response::Parts, Bytes),
-    /// It is still arriving.
-    Streamed(Response<Body>),
+/// When a job may be at the upstream.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Window {
+    /// From then on no first byte of it goes out.
+    pub(super) start: Ms,
+    /// Until then its answer is waited for.
+    pub(super) end: Instant,
 }
 
 /// Counts a request as in progress.
@@ -175,8 +157,11 @@
             Repeat::Never => self.run_once(job).await,
             Repeat::Idempotent => {
                 let slot = self.admit(&job).await?;
-                let limit = self.instant(job.deadline);
-                match self.exchange(job, slot, limit).await? {
+                let window = Window {
+                    start: job.deadline.at(),
+                    end: self.instant(job.deadline),
+                };
+                match self.exchange(job, slot, window).await? {
                     Answer::Whole(parts, bytes) => {
                         Ok(Response::from_parts(parts, Body::from(bytes)))
                     }
@@ -218,14 +203,14 @@
         let limit = found.document.limits.body;
         let payload = read(incoming, repeat, limit, self.instant(deadline)).await?;
         let mut headers = parts.headers;
-        let key = headers.get(headers::IDEMPOTENCY_KEY);
-        let key = key.and_then(|it| it.to_str().ok()).unwrap_or_default();
         let path = parts.uri.path_and_query().map_or("/", |it| it.as_str());
+        // Callers are not told apart, and the idempotency key is left out: a retry under a new key is the same
+        // request to an upstream that it crashes.
         let print = Fingerprint::of(
             &asked.service,
             parts.method.as_str(),
             path,
-            key,
+            "",
             &payload.digest(),
         );
         if view.quarantined.holds(print) {
@@ -286,13 +271,14 @@
         self.0.gate.enter(request).await.map_err(Denial::Refused)
     }
 
-    /// Sends the job to the upstream and takes its answer until `limit`.
+    /// Sends the job to the upstream and takes its answer within `window`.
     pub(super) async fn exchange(
         &self,
         job: Job,
         slot: Slot,
-        limit: Instant,
+        window: Window,
     ) -> Result<Answer, Denial> {
+        let limit = window.end;
         let suspect = self.turn(&job, limit).await?;
         let pool = job.present.pool.clone();
         let run = Running {
@@ -307,6 +293,12 @@
                 Ok(lease) => lease,
                 Err(fault) => return Err(self.unavailable(run.slot, fault)),
             };
+            // The waits for a suspect's turn and a connection may have outlasted the right to run: a claim
+            // may have been given back by then, and a second attempt may hold it.
+            if self.now() >= window.start {
+                lease.unused();
+                return Err(expired(&job));
+            }
             match self.wait(&job, &mut lease, request, limit).await {
                 Sent::Answered(answer) => {
                     return self.answer(&job, run, lease, answer, limit).await;
@@ -375,100 +367,6 @@
         timeout_at(limit, sending).await.unwrap_or(Sent::Silent)
     }
 
-    async fn answer(
-        &self,
-        job: &Job,
-        run: Running,
-        lease: Lease,
-        answer: Response<Incoming>,
-        limit: Instant,
-    ) -> Result<Answer, Denial> {
-        if let Some(refusal) = shed(&answer) {
-            run.slot.finish(Finish::Overloaded);
-            return Err(Denial::Refused(refusal));
-        }
-        let length = answer.body().size_hint();
-        let chunked = answer.headers().contains_key(header::TRANSFER_ENCODING);
-        if length.exact().is_none() && !chunked {
-            // Such a body ends when its connection does: one cut by a crash would look whole.
-            run.slot.finish(Finish::Failed);
-            let why = "the upstream's answer has no length: send Content-Length or chunks";
-            return Err(Denial::unknown("unframed-answer", why));
-        }
-        if length.lower() > job.limit {
-            run.slot.finish(Finish::Answered);
-            return Err(unfit());
-        }
-        let (mut parts, incoming) = answer.into_parts();
-        headers::strip_hop(&mut parts.headers);
-        headers::strip_internal(&mut parts.headers);
-        parts.headers.insert(OUTCOME, RAN);
-        parts.version = Version::HTTP_11;
-        let whole = job.repeat == Repeat::Never || length.upper().is_some_and(|it| it <= WHOLE_MAX);
-        if whole {
-            let bytes = body::collect(incoming, job.limit, limit).await;
-            return match bytes {
-                Ok(bytes) => {
-                    self.whole(run, lease);
-                    Ok(Answer::Whole(parts, bytes))
-                }
-                Err(fault) => Err(self.cut(run, fault)),
-            };
-        }
-        let traffic = self.clone();
-        let body = body::pump(incoming, job.limit, limit, move |end| match end {
-            End::Whole => traffic.whole(run, lease),
-            End::Failed(fault) => drop(traffic.cut(run, fault)),
-            End::Dropped => drop((run, lease)),
-        });
-        Ok(Answer::Streamed(Response::from_parts(parts, body)))
-    }
-
-    fn whole(&self, run: Running, lease: Lease) {
-        lease.put_back();
-        run.slot.finish(Finish::Answered);
-        self.0.upstream.served();
-        if let Some(suspect) = run.suspect {
-            let survived = guard::Call::Survived {
-                print: suspect.print,
-            };
-            self.0.upstream.tell(survived);
-        }
-    }
-
-    /// The answer began and did not arrive whole.
-    fn cut(&self, run: Running, fault: BodyFault) -> Denial {
-        match fault {
-            BodyFault::TooLong => {
-                run.slot.finish(Finish::Answered);
-                unfit()
-            }
-            BodyFault::Late => late(run.slot),
-            BodyFault::Cut => {
-                run.slot.finish(Finish::Failed);
-                run.run.lost();
-                Denial::unknown(
-                    "answer-cut",
-                    "the upstream's answer ended early and was dropped",
-                )
-            }
-        }
-    }
-
-    /// The connection broke before an answer.
-    fn lost(&self, payload: &Payload, run: Running) -> Denial {
-        run.slot.finish(Finish::Failed);
-        if let Payload::Streamed(_, broken) = payload
-            && broken.load(Ordering::SeqCst)
-        {
-            // Its caller cut the request, not the upstream the connection.
-            return Denial::unknown("body-cut", "the body ended early: send it again whole");
-        }
-        run.run.lost();
-        let why = "the upstream broke the connection: the request may have been run";
-        Denial::unknown("upstream-lost", why)
-    }
-
     fn unavailable(&self, slot: Slot, fault: Unavailable) -> Denial {
         match fault {
             Unavailable::Refused => {
@@ -540,34 +438,15 @@
     Ok(Payload::Streamed(Intact::new(Body::new(body)), broken))
 }
 
-/// What the upstream says it did not run.
-fn shed(answer: &Response<Incoming>) -> Option<Refusal> {
-    let headers = answer.headers();
-    if headers.get(OUTCOME) != Some(&NOT_RUN) {
-        return None;
-    }
-    let after = headers::number(headers, &RETRY_AFTER_MS).ok().flatten();
-    let seconds = headers::number(headers, &header::RETRY_AFTER)
-        .ok()
-        .flatten();
-    let after = after.or(seconds.map(|it| it.saturating_mul(1000)));
-    Some(Refusal::after(Reason::Overloaded, after.unwrap_or(0)))
-}
-
-fn late(slot: Slot) -> Denial {
-    slot.finish(Finish::Overloaded);
-    let why = "no whole answer by the deadline: the request may have been run";
-    Denial::unknown(denial::DEADLINE, why)
+/// The job's right to run ended before a byte of it went out.
+fn expired(job: &Job) -> Denial {
+    let reason = match job.repeat {
+        Repeat::Never => Reason::NoClaim,
+        Repeat::Idempotent => Reason::Expired,
+    };
+    Denial::Refused(Refusal::new(reason))
 }
 
-fn not_ready() -> Denial {
+pub(super) fn not_ready() -> Denial {
     Denial::Refused(Refusal::after(Reason::NotReady, NOT_READY_MS))
 }
-
-fn unfit() -> Denial {
-    let why =
-        "the upstream's answer is longer than limits.body of the service's document; raise it";
-    Denial::Unfit {
-        why: why.to_owned(),
-    }
-}
