--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -6,6 +6,7 @@
 //! ([`laburnum_kernel::pick`], [`laburnum_kernel::retry`], [`laburnum_kernel::admission`],
 //! [`laburnum_kernel::once`]); the modules here move the bytes.
 
+mod answer;
 pub mod body;
 pub mod counts;
 pub mod denial;
@@ -44,6 +45,7 @@
 
 use crate::{control::Control, upstream::Upstream};
 
+use body::Budget;
 use counts::Counts;
 use denial::Denial;
 use faults::Faults;
@@ -69,6 +71,8 @@
     faults: Arc<Faults>,
     counts: Counts,
     limiter: Mutex<Limiter>,
+    /// Bounds what the entry holds of bodies to send again.
+    held: Budget,
     draining: AtomicBool,
     /// Held by the one request that is suspected of a crash and runs.
     suspects: Arc<Semaphore>,
@@ -84,6 +88,8 @@
 const PRUNE_TICKS: u64 = 1_000;
 /// Most claims on their way at once; more are refused, for each may cost the platform a write.
 const CLAIMS_MAX: usize = 64;
+/// Most bytes of bodies that the entry holds at once to send them again.
+const HELD_TOTAL: usize = 8 * 1024 * 1024;
 
 /// What the request path of a node is made of.
 pub struct Parts {
@@ -130,6 +136,7 @@
             faults,
             counts,
             limiter: Mutex::default(),
+            held: Budget::new(HELD_TOTAL),
             draining: AtomicBool::new(false),
             suspects: Arc::new(Semaphore::new(1)),
             claims: Arc::new(Semaphore::new(CLAIMS_MAX)),
