A refusal after an attempt that may have run is unknown, not not-run

Cause: an idempotent request whose first attempt is lost, or given up on a silent connection, goes out again, and the refusal of the second attempt was handed on as the whole request's outcome. The entry and the owner now remember an attempt that may have run and answer unknown. The new test gave not-run before and unknown after.

--- a/crates/node/src/traffic/denial.rs
+++ b/crates/node/src/traffic/denial.rs
@@ -69,6 +69,19 @@
         Denial::bad(status_of(reason), reason, fault.to_string())
     }
 
+    /// What is left to say if an earlier attempt of the same request may have run.
+    ///
+    /// "Not run" is then true of the last attempt alone: a caller that trusts it would run the request twice.
+    pub fn doubted(self) -> Denial {
+        match self {
+            Denial::Bad { .. } | Denial::Refused(_) | Denial::Busy { .. } => Denial::unknown(
+                EARLIER_ATTEMPT,
+                "an earlier attempt may have been run and later ones were refused; ask again if you may",
+            ),
+            Denial::Unknown { .. } | Denial::Unfit { .. } => self,
+        }
+    }
+
     /// Stable name, used in headers, logs and metrics.
     pub fn reason(&self) -> &'static str {
         match self {
@@ -144,6 +157,8 @@
 
 /// Reason of an answer that did not arrive by the deadline.
 pub const DEADLINE: &str = "deadline";
+/// Reason of a request that was refused after an attempt that may have run.
+pub const EARLIER_ATTEMPT: &str = "earlier-attempt-unknown";
 /// Reason of a key whose earlier run may have taken effect.
 pub const CLAIMED: &str = "earlier-run-unknown";
 
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -70,6 +70,12 @@
     Streamed(Intact, Arc<OnceLock<BodyFault>>),
 }
 
+/// What the attempts so far say of the request.
+enum Past {
+    NotRun,
+    Unknown,
+}
+
 /// How one attempt ended.
 enum Attempt {
     Answered(Response<Body>),
@@ -173,7 +179,26 @@
     }
 
     async fn carry(&self, plan: Plan, incoming: Incoming) -> Result<Response<Body>, Denial> {
-        let mut payload = self.payload(&plan, incoming).await?;
+        let payload = self.payload(&plan, incoming).await?;
+        let mut past = Past::NotRun;
+        let result = self.attempts(&plan, payload, &mut past).await;
+        match (past, result) {
+            (Past::NotRun, result) => result,
+            (Past::Unknown, Err(denial)) => Err(denial.doubted()),
+            (Past::Unknown, Ok(response)) if response.headers().get(OUTCOME) == Some(&NOT_RUN) => {
+                Err(Denial::Refused(Refusal::new(Reason::Expired)).doubted())
+            }
+            (Past::Unknown, Ok(response)) => Ok(response),
+        }
+    }
+
+    /// Tries one endpoint after another, and notes in `past` whether one of them may have run the request.
+    async fn attempts(
+        &self,
+        plan: &Plan,
+        mut payload: Payload,
+        past: &mut Past,
+    ) -> Result<Response<Body>, Denial> {
         let policy = &plan.document.retry;
         let mut retry = Retry::new(policy, plan.repeat, plan.deadline, plan.tree);
         let mut tried: Vec<NodeId> = Vec::new();
@@ -189,8 +214,8 @@
             };
             tried.push(endpoint.node);
             let tree = retry.attempt();
-            let request = self.request(&plan, &payload, tree, number);
-            let attempt = self.attempt(&plan, &endpoint, request).await;
+            let request = self.request(plan, &payload, tree, number);
+            let attempt = self.attempt(plan, &endpoint, request).await;
             if let (Attempt::Failed(Failure::Unknown, _), Some(fault)) = (&attempt, payload.fault())
             {
                 return Err(broken(plan.repeat, fault));
@@ -199,7 +224,10 @@
                 Attempt::Answered(response) | Attempt::Final(response) => return Ok(response),
                 Attempt::Failed(failure, response) => (failure, response),
             };
-            let Next::Retry { after } = self.next(&plan, &mut retry, &mut tried, failure) else {
+            if failure == Failure::Unknown {
+                *past = Past::Unknown;
+            }
+            let Next::Retry { after } = self.next(plan, &mut retry, &mut tried, failure) else {
                 return Ok(response);
             };
             let Some(again) = payload.again() else {
--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -292,6 +292,23 @@
         job: Job,
         slot: Slot,
         limit: Instant,
+    ) -> Result<Answer, Denial> {
+        let mut given_up = 0;
+        let result = self.converse(job, slot, limit, &mut given_up).await;
+        match given_up {
+            0 => result,
+            // The upstream may still run what went out on a connection that was given up.
+            _ => result.map_err(Denial::doubted),
+        }
+    }
+
+    /// As [`Traffic::exchange`]; counts in `given_up` the connections on which the job was given up.
+    async fn converse(
+        &self,
+        job: Job,
+        slot: Slot,
+        limit: Instant,
+        given_up: &mut usize,
     ) -> Result<Answer, Denial> {
         let suspect = self.turn(&job, limit).await?;
         let pool = job.present.pool.clone();
@@ -316,6 +333,7 @@
                 Sent::Silent if Instant::now() >= limit => return Err(late(run.slot)),
                 Sent::Silent => {
                     lease.suspect();
+                    *given_up += 1;
                     request = self.request_of(&job, job.payload.body());
                 }
             }
--- a/crates/node/tests/upstream_faults.rs
+++ b/crates/node/tests/upstream_faults.rs
@@ -59,6 +59,27 @@
     cluster.close().await;
 }
 
+// The first upstream reads the request and closes: it may have run. The entry asks the other upstream, which
+// refuses it unrun, as it does from then on. "Not run" is true of the second attempt alone; a caller that was
+// told so would count on the request having had no effect, so it must hear "unknown".
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_after_a_lost_attempt_is_unknown() {
+    let count = Arc::new(AtomicUsize::new(0));
+    let script = move |_: &_| match count.fetch_add(1, Ordering::SeqCst) {
+        0 => vec![Step::Close],
+        _ => vec![bytes(
+            "HTTP/1.1 503 busy\r\nlaburnum-outcome: not-run\r\ncontent-length: 0\r\n\r\n",
+        )],
+    };
+    let (first, second) = (Fake::start(script.clone()).await, Fake::start(script).await);
+    let cluster = cluster(&[&first, &second]).await;
+    let got = send(request("GET", cluster.caller(), "/drafts/7"), "").await;
+    assert!(first.seen().len() + second.seen().len() > 1);
+    assert_eq!(got.field("laburnum-outcome"), "unknown");
+    assert_eq!(got.field("laburnum-reason"), "earlier-attempt-unknown");
+    cluster.close().await;
+}
+
 // The answer is too long to hold, and is on its way to the caller when the upstream closes in the middle of
 // it. Its header is already sent, so the connection to the caller is cut: it must not end like a whole one.
 #[test_case("content-length: 150000\r\n\r\n", "" ; "with a length")]
