--- a/crates/bench/src/load/site.rs
+++ b/crates/bench/src/load/site.rs
@@ -35,8 +35,9 @@
 const READY_MS: u64 = 30_000;
 /// Delay of the platform's answers in ms.
 const PLATFORM_MS: u64 = 5;
-/// Queue of the baseline's upstreams, which nothing bounds.
-const UNBOUNDED: u16 = u16::MAX;
+/// Queue of the baseline's upstreams: seconds of work, so that no deadline outlives it, and few enough for
+/// the files that a process may hold open.
+const BASELINE_QUEUE: u16 = 400;
 /// Slots of an upstream that serves at once.
 const INSTANT_SLOTS: u16 = 64;
 
@@ -49,7 +50,7 @@
             for idx in 0..service.endpoints {
                 let settings = upstream(preset, work, service.name, seed + idx as u64);
                 let settings = UpstreamSettings {
-                    queue: UNBOUNDED,
+                    queue: BASELINE_QUEUE,
                     ..settings
                 };
                 let upstream = Upstream::start(settings).await;
