--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -277,6 +277,23 @@
         job: Job,
         slot: Slot,
         window: Window,
+    ) -> Result<Answer, Denial> {
+        let mut given_up = 0;
+        let result = self.converse(job, slot, window, &mut given_up).await;
+        match given_up {
+            0 => result,
+            // The upstream may still run what went out on a connection that was given up.
+            _ => result.map_err(Denial::doubted),
+        }
+    }
+
+    /// As [`Traffic::exchange`]; counts in `given_up` the connections on which the job was given up.
+    async fn converse(
+        &self,
+        job: Job,
+        slot: Slot,
+        window: Window,
+        given_up: &mut usize,
     ) -> Result<Answer, Denial> {
         let limit = window.end;
         let suspect = self.turn(&job, limit).await?;
@@ -308,6 +325,7 @@
                 Sent::Silent if Instant::now() >= limit => return Err(late(run.slot)),
                 Sent::Silent => {
                     lease.suspect();
+                    *given_up += 1;
                     request = self.request_of(&job, job.payload.body());
                 }
             }
