--- a/crates/node/tests/names.rs
+++ b/crates/node/tests/names.rs
@@ -1,4 +1,4 @@
-//! The names of events in the code and in docs/LOGS.md are the same.
+//! The names of events and metrics in the code and in docs/LOGS.md and docs/METRICS.md are the same.
 
 use std::{
     collections::BTreeSet,
@@ -6,7 +6,10 @@
     path::{Path, PathBuf},
 };
 
-use laburnum_node::logs::{Pairs, line};
+use laburnum_node::{
+    logs::{Pairs, line},
+    metrics::TABLE,
+};
 use logforth::{Layout, record::Record};
 use test_case::test_case;
 
@@ -79,6 +82,24 @@
     }
 }
 
+#[test]
+fn every_metric_is_in_the_page_and_back() {
+    let in_code: BTreeSet<String> = TABLE.iter().map(|it| it.name.to_owned()).collect();
+    assert_eq!(in_code.len(), TABLE.len(), "a name is there twice");
+    assert_eq!(in_code, listed(&page("METRICS.md")));
+}
+
+#[test]
+fn types_and_meanings_of_metrics_are_those_of_the_page() {
+    let page = page("METRICS.md");
+    for row in TABLE {
+        let start = format!("| `{}` | {} | ", row.name, row.kind.as_str());
+        let found = page.lines().find(|it| it.starts_with(&start));
+        let found = found.unwrap_or_else(|| panic!("no line {start}"));
+        assert!(found.contains(row.help), "{found}");
+    }
+}
+
 #[test_case("plain-1.2:3" => "event=e k=plain-1.2:3"; "plain")]
 #[test_case("" => "event=e k=\"\""; "empty")]
 #[test_case("two words" => "event=e k=\"two words\""; "space")]
