--- a/crates/edge/src/api.rs
+++ b/crates/edge/src/api.rs
@@ -15,6 +15,9 @@
 //! | `PUT /v1/upstream` | [`AnnounceBody`] | |
 //! | `DELETE /v1/upstream` | | |
 //!
+//! A node with admin keys asks for `authorization: Bearer <token>` ([`crate::Token`]) on each of them, but for
+//! `/v1/upstream` from its own host.
+//!
 //! Any refusal but a [`SubmitAnswer`] is an [`ErrorBody`].
 
 use std::net::SocketAddr;
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -23,6 +23,7 @@
 use crate::{
     auth::{Guard, Peer, Unauthorized},
     control::Control,
+    traffic::serve::Line,
     upstream::Upstream,
 };
 
@@ -115,8 +116,14 @@
 async fn authorize(State(guard): State<Guard>, request: Request, next: Next) -> Response {
     let peer = request.extensions().get::<Peer>().copied();
     match guard.admit(request.uri().path(), request.headers(), peer) {
-        Ok(()) => next.run(request).await,
-        Err(Unauthorized) => Refusal::Unauthorized.into_response(),
+        Ok(()) => {
+            Line::admit(&request);
+            next.run(request).await
+        }
+        Err(Unauthorized) => {
+            Line::refuse(&request);
+            Refusal::Unauthorized.into_response()
+        }
     }
 }
 
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -49,6 +49,7 @@
 use headers::REQUEST;
 use peers::Peers;
 use proof::{Proofs, Unproven};
+use serve::Line;
 use services::Services;
 
 /// The request path of one node; cheap to clone.
@@ -164,7 +165,10 @@
             let traffic = traffic.clone();
             async move {
                 match traffic.0.proofs.check(&request) {
-                    Ok(()) => Ok(traffic.own(request.map(Body::new)).await),
+                    Ok(()) => {
+                        Line::admit(&request);
+                        Ok(traffic.own(request.map(Body::new)).await)
+                    }
                     Err(unproven) => Ok(traffic.refuse(&request, unproven, peer)),
                 }
             }
@@ -179,6 +183,7 @@
         peer: SocketAddr,
     ) -> Response<Body> {
         self.0.faults.count(unproven.kind(), Some(peer));
+        Line::refuse(request);
         let mut response = Denial::from(unproven).response();
         if let Some(number) = request.headers().get(REQUEST) {
             response.headers_mut().insert(REQUEST, number.clone());
--- a/crates/node/src/traffic/proof.rs
+++ b/crates/node/src/traffic/proof.rs
@@ -1,7 +1,7 @@
 //! Proof between nodes that a request comes from a holder of the link key.
 //!
 //! The proof is `<bucket>.<tag>`: the time in steps of [`STEP_MS`], and the keyed BLAKE3 hash over that step,
-//! the receiver's address, the method, the path and the fields in [`COVERED`]. It is sent with each request
+//! the receiver's address, the method, the path and the fields in `COVERED`. It is sent with each request
 //! and not the key. The body and the caller's own fields are not covered, and neither is the answer:
 //! docs/SECURITY.md says what follows from that.
 
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -21,7 +21,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore, watch},
+    sync::{Notify, OwnedSemaphorePermit, Semaphore, watch},
     task::JoinSet,
     time::{Instant, sleep, sleep_until},
 };
@@ -188,10 +188,10 @@
     {
         // Answers are written whole; waiting for more bytes only adds latency.
         let _ = stream.set_nodelay(true);
-        let heard = Arc::new(AtomicBool::new(false));
+        let line = Line::default();
         let service = Heard {
             inner: service,
-            heard: heard.clone(),
+            line: line.clone(),
         };
         let io = TokioIo::new(Stall::new(stream, self.stall_time));
         let serving = self
@@ -203,6 +203,7 @@
         let mut first = pin!(sleep_until(Instant::now() + self.header_time));
         let mut watching = true;
         let mut stopping = false;
+        let mut refused = false;
         loop {
             tokio::select! {
                 ended = serving.as_mut() => {
@@ -213,10 +214,20 @@
                 }
                 () = first.as_mut(), if watching => {
                     watching = false;
-                    if !heard.load(Ordering::Relaxed) {
+                    if !line.0.heard.load(Ordering::Relaxed) {
                         self.faults.count("slow-header", Some(self.peer));
                         break;
                     }
+                    if refused && !line.0.admitted.load(Ordering::Relaxed) {
+                        self.faults.count("refused-lingers", Some(self.peer));
+                        break;
+                    }
+                }
+                () = line.0.refused.notified(), if !refused => {
+                    refused = true;
+                    watching = true;
+                    first.as_mut().reset(Instant::now() + self.header_time);
+                    serving.as_mut().graceful_shutdown();
                 }
                 _ = self.stop.wait_for(|it| *it), if !stopping => {
                     stopping = true;
@@ -248,16 +259,47 @@
     "connection"
 }
 
-/// Notes that a first request arrived.
+/// What is known of the other end of one connection; each request carries it as an extension.
+///
+/// A stranger that keeps the connection open on which it was refused would hold a place for good, and a few
+/// thousand such connections would shut other nodes out. So the connection takes nothing more, and is cut if
+/// it does not end by itself and nobody with a proof or token ever used it.
+#[derive(Clone, Debug, Default)]
+pub struct Line(Arc<LineState>);
+
+#[derive(Debug, Default)]
+struct LineState {
+    heard: AtomicBool,
+    admitted: AtomicBool,
+    refused: Notify,
+}
+
+impl Line {
+    /// Notes that the request came from somebody whom the socket is for.
+    pub fn admit<B>(request: &Request<B>) {
+        if let Some(Line(it)) = request.extensions().get() {
+            it.admitted.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Ends the connection once its requests in progress are answered.
+    pub fn refuse<B>(request: &Request<B>) {
+        if let Some(Line(it)) = request.extensions().get() {
+            it.refused.notify_one();
+        }
+    }
+}
+
+/// Tells each request of its connection, and notes that a first one arrived.
 #[derive(Clone)]
 struct Heard<S> {
     inner: S,
-    heard: Arc<AtomicBool>,
+    line: Line,
 }
 
-impl<S, R> tower::Service<R> for Heard<S>
+impl<S> tower::Service<Request<Incoming>> for Heard<S>
 where
-    S: tower::Service<R>,
+    S: tower::Service<Request<Incoming>>,
 {
     type Response = S::Response;
     type Error = S::Error;
@@ -270,8 +312,9 @@
         self.inner.poll_ready(cx)
     }
 
-    fn call(&mut self, request: R) -> S::Future {
-        self.heard.store(true, Ordering::Relaxed);
+    fn call(&mut self, mut request: Request<Incoming>) -> S::Future {
+        self.line.0.heard.store(true, Ordering::Relaxed);
+        request.extensions_mut().insert(self.line.clone());
         self.inner.call(request)
     }
 }
--- a/crates/node/tests/strangers.rs
+++ b/crates/node/tests/strangers.rs
@@ -12,10 +12,10 @@
     rt::{TokioExecutor, TokioIo},
 };
 use laburnum_edge::{
-    Clock, Memory, Token,
-    link::{Key, Keys},
+    Clock, Link, Memory, Token,
+    link::{Key, Keys, ZmqLink},
 };
-use laburnum_kernel::Ms;
+use laburnum_kernel::{Message, Ms, NodeId, SubmitId, accept};
 use laburnum_node::{
     Config, Node,
     auth::{self, Exposed, Guard, Peer, Unauthorized},
@@ -96,6 +96,36 @@
     cluster.close().await;
 }
 
+// A stranger takes every place at the port for nodes, each with a request that is refused, and never closes.
+// The places are given back, so that the entry still reaches the owner.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_connections_give_their_places_back() {
+    let fake = Fake::start(|_| answer("draft")).await;
+    let cluster = cluster_with(&[&fake], |it| {
+        keyed(it);
+        it.nodes.connections = 2;
+    })
+    .await;
+    let address = cluster.nodes[1].config.traffic;
+    let mut kept = Vec::new();
+    for _ in 0..4 {
+        let stream = TcpStream::connect(address).await.expect("a connection");
+        let builder = hyper::client::conn::http2::Builder::new(TokioExecutor::new());
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
+        let (mut sender, connection) = handshake.expect("HTTP/2");
+        let ended = tokio::spawn(connection);
+        let request = Request::builder().uri("http://desk/drafts/1");
+        let request = request.body(Body::empty()).expect("a request");
+        let got = sender.send_request(request).await.expect("an answer");
+        assert_eq!(got.status(), 401);
+        let ended = timeout(Duration::from_secs(30), ended).await;
+        let _ = ended.expect("the node ends the connection");
+        kept.push(sender);
+    }
+    served(&cluster).await;
+    cluster.close().await;
+}
+
 // A guessed tag in the present step, and what is no HTTP/2 at all.
 #[tokio::test(flavor = "multi_thread")]
 async fn guessed_tag_and_noise_at_the_port_for_nodes() {
@@ -122,21 +152,39 @@
     cluster.close().await;
 }
 
-// Noise at the link's TCP and UDP port; crates/edge/tests/link.rs shows that each frame is counted.
+// Noise at the link's ports, over UDP and TCP, and frames of a node with another key. The datagrams and the
+// frames are counted; bytes that are no frame end with their connection, inside libzmq. Callers and the fleet
+// notice nothing.
 #[tokio::test(flavor = "multi_thread")]
-async fn noise_at_the_link_disturbs_nobody() {
+async fn strangers_at_the_link_are_counted_and_disturb_nobody() {
     let fake = Fake::start(|_| answer("draft")).await;
     let cluster = cluster_with(&[&fake], keyed).await;
-    let control = cluster.nodes[1].config.control;
+    let owner = &cluster.nodes[1];
+    let control = owner.config.control;
     let udp = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
-    for len in [0, 1, 16, 1400, 1401, 60_000] {
+    let datagrams = [0, 1, 16, 1400, 1401, 60_000];
+    for len in datagrams {
         udp.send_to(&vec![0xff; len], control).await.expect("sent");
     }
     for noise in [&[0xff; 64][..], b"GET / HTTP/1.1\r\n\r\n", &[]] {
         let mut stream = TcpStream::connect(control).await.expect("a connection");
         stream.write_all(noise).await.expect("written");
     }
+    let own = NodeId(common::free().await);
+    let (mut other, _waker) =
+        ZmqLink::bind(own, Keys::new(key(9)), Clock::system()).expect("the link binds");
+    let frame = Message::Accept(accept::Message::Verdict {
+        id: SubmitId(7),
+        verdict: accept::Verdict::Absent { id: SubmitId(7) },
+    });
+    other.send(NodeId(control), &frame);
+    let wanted = datagrams.len() as u64 + 1;
+    let counted = common::until(|| owner.node.control().stats().traffic.strange >= wanted);
+    let counted = timeout(Duration::from_secs(30), counted).await;
+    counted.expect("every stranger is counted");
     served(&cluster).await;
+    assert_eq!(owner.node.control().stats().traffic.strange, wanted);
+    other.close();
     cluster.close().await;
 }
 
