--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -25,6 +25,7 @@
     auth::{Guard, Peer, Unauthorized},
     control::Control,
     metrics::Metrics,
+    traffic::serve::Line,
     upstream::Upstream,
 };
 
@@ -121,8 +122,14 @@
 async fn authorize(State(guard): State<Guard>, request: Request, next: Next) -> Response {
     let peer = request.extensions().get::<Peer>().copied();
     match guard.admit(request.uri().path(), request.headers(), peer) {
-        Ok(()) => next.run(request).await,
-        Err(Unauthorized) => Refusal::Unauthorized.into_response(),
+        Ok(()) => {
+            Line::admit(&request);
+            next.run(request).await
+        }
+        Err(Unauthorized) => {
+            Line::refuse(&request);
+            Refusal::Unauthorized.into_response()
+        }
     }
 }
 
