Acceptance gathers submissions in a window of its own

Cause: spread.window was used for both; with Cascadia's 2 s (bounded to 500 ms) a second change of a service within the window conflicted with the first. Change: Settings::accept (AcceptSettings { window }, 20 ms) for the committer; spread.window stays the relays'. Conclusion: changes of one service conflict only within 20 ms, whatever the spread's window.

--- a/crates/kernel/examples/acceptance.rs
+++ b/crates/kernel/examples/acceptance.rs
@@ -8,9 +8,10 @@
 use std::collections::BTreeMap;
 
 use laburnum_kernel::{
-    Token,
+    Settings, Token,
     accept::{Submission, Verdict},
     log::Edit,
+    settings::SpreadSettings,
 };
 
 use driver::{Driver, name, put};
@@ -19,6 +20,8 @@
 
 /// A quarter's changes.
 const CHANGES: usize = 500;
+/// Pairs of changes to one service.
+const PAIRS: usize = 50;
 /// Services of one user.
 const SERVICES: usize = 190;
 /// Ms until the table answers.
@@ -37,10 +40,44 @@
         &["a", "b", "c", "d", "e", "f", "g"],
         together,
     );
+    rivals("nile", SpreadSettings::nile());
+    rivals("cascadia", SpreadSettings::cascadia());
     slopes();
     recovery();
 }
 
+/// Pairs of changes of one service 300 ms apart, the second by somebody who reads the service then.
+fn rivals(case: &str, spread: SpreadSettings) {
+    let mut driver = Driver::new(&[]);
+    driver.add_with(Settings {
+        spread,
+        ..Settings::default()
+    });
+    driver.run(10_000);
+    driver.delay = DELAY;
+    let (mut accepted, mut millis) = (0, 0);
+    for id in (0..2 * PAIRS).step_by(2) {
+        let (service, began) = (id, driver.now);
+        let first = driver.submit(0, &change(id, service, 0));
+        driver.run(300);
+        let services = driver.kernels[0].state().log.services();
+        let base = services.get(&name(&format!("service-{service}")));
+        let base = base.map_or(0, |it| it.revision.0);
+        let second = driver.submit(0, &change(id + 1, service, base));
+        while !driver.replies.contains_key(&first) || !driver.replies.contains_key(&second) {
+            driver.run(10);
+        }
+        millis += driver.now.since(began);
+        let pair = [first, second];
+        accepted += pair.iter().filter(|it| is_accepted(&driver, **it)).count();
+    }
+    println!(
+        "{case}: {accepted} of {} changes, two to a service 300 ms apart, accepted; {} ms a pair",
+        2 * PAIRS,
+        millis / PAIRS as u64
+    );
+}
+
 fn show(case: &str, regions: &[&str], run: fn(&mut Driver) -> Vec<Token>) {
     let mut driver = Driver::new(regions);
     driver.run(10_000);
--- a/crates/kernel/src/accept/commit.rs
+++ b/crates/kernel/src/accept/commit.rs
@@ -182,7 +182,7 @@
         return waiting.answer(cx, &verdict);
     }
     if queue.waiting.is_empty() {
-        queue.due = cx.now + cx.settings.spread.window.min(WINDOW_MAX);
+        queue.due = cx.now + cx.settings.accept.window.min(WINDOW_MAX);
     }
     queue.bytes = bytes;
     queue.waiting.push_back(waiting);
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -22,12 +22,28 @@
     pub zone: Name,
     /// Control addresses of nodes to contact first. Default: none.
     pub peers: Vec<NodeId>,
+    /// How submissions are taken. Default: [`AcceptSettings::default`].
+    pub accept: AcceptSettings,
     /// How configuration spreads. Default: [`SpreadSettings::default`].
     pub spread: SpreadSettings,
     /// How claims are kept. Default: [`OnceSettings::default`].
     pub once: OnceSettings,
 }
 
+/// How submissions are taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AcceptSettings {
+    /// How long a committer gathers submissions into one transaction, in ms; at most
+    /// [`WINDOW_MAX`](crate::accept::WINDOW_MAX). Two to one service within it conflict. Default: 20.
+    pub window: u64,
+}
+
+impl Default for AcceptSettings {
+    fn default() -> AcceptSettings {
+        AcceptSettings { window: 20 }
+    }
+}
+
 /// How configuration spreads, and the baselines it is measured against.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SpreadSettings {
@@ -35,7 +51,7 @@
     pub mode: SpreadMode,
     /// Whether changes travel as deltas. Default: deltas.
     pub form: SpreadForm,
-    /// How long a committer or relay gathers changes before passing them on, in ms. Default: 20.
+    /// How long a committer or relay gathers accepted changes before passing them on, in ms. Default: 20.
     pub window: u64,
     /// Control bytes a second this node may send, averaged over a minute. Default: 2048.
     pub budget: u64,
@@ -112,6 +128,7 @@
             region: name("local"),
             zone: name("local-a"),
             peers: Vec::new(),
+            accept: AcceptSettings::default(),
             spread: SpreadSettings::default(),
             once: OnceSettings::default(),
         }
--- a/crates/kernel/tests/accept.rs
+++ b/crates/kernel/tests/accept.rs
@@ -4,10 +4,11 @@
 mod driver;
 
 use laburnum_kernel::{
-    Event, Message, Ms, Revision, Seq, SubmitId,
+    Event, Message, Ms, Revision, Seq, Settings, SubmitId,
     accept::{self, Call, Reply, Submission, Verdict},
     log::Edit,
     platform::Fault,
+    settings::SpreadSettings,
 };
 use test_case::test_case;
 
@@ -473,3 +474,24 @@
     driver.run(1_000);
     assert_eq!(driver.applied(SubmitId(1)), 1);
 }
+
+// An operator changes a service and another one reads it 300 ms later and changes it again. Both are accepted,
+// also where changes spread in a long window that saves bytes: submissions have a window of their own.
+#[test_case(SpreadSettings::nile(); "nile")]
+#[test_case(SpreadSettings::cascadia(); "cascadia")]
+fn changes_300_ms_apart_do_not_conflict(spread: SpreadSettings) {
+    let mut driver = Driver::new(&[]);
+    driver.add_with(Settings {
+        spread,
+        ..Settings::default()
+    });
+    driver.run(100);
+    let first = driver.submit(0, &put(1, "desk", 0, &[]));
+    driver.run(300);
+    let second = driver.submit(0, &put(2, "desk", 1, &[]));
+    driver.run(300);
+    assert_eq!(
+        [first, second].map(|it| kind(&driver.verdict(it))),
+        ["accepted"; 2]
+    );
+}
