--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -347,7 +347,7 @@
 ///
 /// A port that the operating system chose is free again once it is known, and goes to the next connection of
 /// any other test: a node then fails to start, or a test talks to another test's node.
-async fn free() -> SocketAddr {
+pub async fn free() -> SocketAddr {
     static TAKEN: AtomicUsize = AtomicUsize::new(0);
     loop {
         let taken = TAKEN.fetch_add(1, Ordering::SeqCst) as u32;
