--- a/crates/kernel/tests/stories.rs
+++ b/crates/kernel/tests/stories.rs
@@ -135,7 +135,7 @@
         net.run(50);
         story.now = net.now;
         let what = match net.nodes.get(&id(3)).map(|it| it.state().drain) {
-            Some(Drain::Serving) => "serves",
+            Some(Drain::Serving { .. }) => "serves",
             Some(Drain::Waiting { .. }) => "refuses new work, waits for requests in progress",
             Some(Drain::Idle { .. }) => "no request in progress, waits until all have heard",
             Some(Drain::Gone { .. }) => "tells that it is gone",
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -99,6 +99,7 @@
             once: OnceSettings {
                 retention: config.retention,
             },
+            ..Settings::default()
         };
         let node = settings.node;
         let place = Place {
