--- a/crates/ctl/src/cli/table.rs
+++ b/crates/ctl/src/cli/table.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, str::FromStr};
 
-use laburnum_edge::api::Found;
+use laburnum_edge::{Token, api::Found};
 use laburnum_flags::{Operand, Program, Row, Setting, Suite};
 use laburnum_kernel::SubmitId;
 
@@ -14,6 +14,13 @@
     "Admin address of the node to ask; any node will do.",
 )
 .default("127.0.0.1:7103");
+pub(super) const TOKEN: Setting<Token> = Setting::new(
+    "--token",
+    "TOKEN",
+    "The node's --admin-key, if it has one; better given by the variable, for others see the arguments.",
+)
+.optional()
+.secret();
 pub(super) const JSON: Setting<bool> =
     Setting::switch("--json", "Print one JSON object instead of lines.");
 pub(super) const AUTHOR: Setting<String> =
@@ -101,9 +108,10 @@
     }
 }
 
-const ASK: &[Row] = &[NODE.row(), JSON.row()];
+const ASK: &[Row] = &[NODE.row(), TOKEN.row(), JSON.row()];
 const CHANGE: &[Row] = &[
     NODE.row(),
+    TOKEN.row(),
     AUTHOR.row(),
     REASON.row(),
     BASE.row(),
@@ -113,8 +121,20 @@
     TIMEOUT.row(),
     JSON.row(),
 ];
-const RANGE: &[Row] = &[NODE.row(), AFTER.row(), LIMIT.row(), JSON.row()];
-const ACT: &[Row] = &[NODE.row(), AUTHOR.row(), REASON.row(), JSON.row()];
+const RANGE: &[Row] = &[
+    NODE.row(),
+    TOKEN.row(),
+    AFTER.row(),
+    LIMIT.row(),
+    JSON.row(),
+];
+const ACT: &[Row] = &[
+    NODE.row(),
+    TOKEN.row(),
+    AUTHOR.row(),
+    REASON.row(),
+    JSON.row(),
+];
 
 const CHECK: Program = command(
     "laburnum-ctl check",
@@ -174,7 +194,13 @@
     "laburnum-ctl status",
     "Prints what is in force, who lags, quarantined requests and requests of unknown outcome.",
     &[],
-    &[NODE.row(), WAIT.row(), TIMEOUT.row(), JSON.row()],
+    &[
+        NODE.row(),
+        TOKEN.row(),
+        WAIT.row(),
+        TIMEOUT.row(),
+        JSON.row(),
+    ],
 );
 const LIFT: Program = command(
     "laburnum-ctl lift",
@@ -188,6 +214,7 @@
     &[SERVICE, KEY],
     &[
         NODE.row(),
+        TOKEN.row(),
         FOUND.row(),
         AUTHOR.row(),
         REASON.row(),
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -64,6 +64,10 @@
         peers: peers.into_iter().map(|it| it.0).collect(),
         platform: values.find(&PLATFORM).map(|it| it.0),
         keys: keys(values),
+        admin_keys: [&ADMIN_KEY, &ADMIN_KEY_ALSO]
+            .into_iter()
+            .filter_map(|it| values.find(it))
+            .collect(),
         spread: spread(values),
         retention: values.get(&RETENTION).get(),
         workers: values.get(&WORKERS).count(),
--- a/crates/node/src/cli/check.rs
+++ b/crates/node/src/cli/check.rs
@@ -5,7 +5,10 @@
 use laburnum_edge::link::Key;
 use laburnum_flags::{Fault, Row, Values};
 
-use super::table::{ADMIN, CALLER, CONTROL, LINK_KEY, LINK_KEY_ALSO, PEERS, PLATFORM, TRAFFIC};
+use super::table::{
+    ADMIN, ADMIN_KEY, ADMIN_KEY_ALSO, CALLER, CONTROL, LINK_KEY, LINK_KEY_ALSO, PEERS, PLATFORM,
+    TRAFFIC,
+};
 
 /// A setting and its address, if it could be read.
 type Address = (Row, Option<SocketAddr>);
@@ -23,6 +26,7 @@
     faults.extend(reach(values));
     faults.extend(platform(values, &own));
     faults.extend(keys(values));
+    faults.extend(tokens(values));
     faults
 }
 
@@ -133,6 +137,18 @@
     faults
 }
 
+/// Whoever reaches an admin address without tokens can change the fleet's configuration.
+fn tokens(values: &Values) -> Option<Fault> {
+    let admin = values.find(&ADMIN)?.0;
+    let mut tokens = [&ADMIN_KEY, &ADMIN_KEY_ALSO].into_iter();
+    if ip(admin).is_loopback() || tokens.any(|it| values.find(it).is_some()) {
+        return None;
+    }
+    let why =
+        "operators need a token off loopback: set --admin-key, made with: openssl rand -hex 32";
+    Some(Fault::bad(&ADMIN.row(), &admin.to_string(), why))
+}
+
 fn ip(address: SocketAddr) -> IpAddr {
     address.ip().to_canonical()
 }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use laburnum_edge::link::Keys;
+use laburnum_edge::{Token, link::Keys};
 use laburnum_kernel::{once::OnceSettings, settings::SpreadSettings};
 
 use crate::traffic::{pool::PoolSettings, serve::Bounds};
@@ -28,6 +28,8 @@
     pub platform: Option<SocketAddr>,
     /// Keys that the nodes of the fleet share. Default: the public key, for loopback only.
     pub keys: Keys,
+    /// Tokens that the admin address accepts: none, one, or two during rotation. Default: none, on loopback only.
+    pub admin_keys: Vec<Token>,
     /// How configuration spreads. Default: [`SpreadSettings::nile`].
     pub spread: SpreadSettings,
     /// How long the answer of an idempotency key is kept, in ms. Default: 24 h.
@@ -57,6 +59,7 @@
             peers: Vec::new(),
             platform: None,
             keys: Keys::default(),
+            admin_keys: Vec::new(),
             spread: SpreadSettings::nile(),
             retention: OnceSettings::default().retention,
             workers: 2,
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -6,6 +6,7 @@
 //! ([`laburnum_kernel::pick`], [`laburnum_kernel::retry`], [`laburnum_kernel::admission`],
 //! [`laburnum_kernel::once`]); the modules here move the bytes.
 
+mod answer;
 pub mod body;
 pub mod counts;
 pub mod denial;
@@ -17,6 +18,7 @@
 mod owner;
 mod peers;
 pub mod pool;
+pub mod proof;
 pub mod serve;
 mod services;
 mod stall;
@@ -43,10 +45,14 @@
 
 use crate::{control::Control, upstream::Upstream};
 
+use body::Budget;
 use counts::Counts;
+use denial::Denial;
 use faults::Faults;
 use gate::{Gate, Gauges};
+use headers::REQUEST;
 use peers::Peers;
+use proof::{Proofs, Unproven};
 use services::Services;
 
 /// The request path of one node; cheap to clone.
@@ -60,10 +66,13 @@
     upstream: Upstream,
     gate: Gate,
     peers: Peers,
+    proofs: Proofs,
     services: Services,
     faults: Arc<Faults>,
     counts: Counts,
     limiter: Mutex<Limiter>,
+    /// Bounds what the entry holds of bodies to send again.
+    held: Budget,
     draining: AtomicBool,
     /// Held by the one request that is suspected of a crash and runs.
     suspects: Arc<Semaphore>,
@@ -79,18 +88,42 @@
 const PRUNE_TICKS: u64 = 1_000;
 /// Most claims on their way at once; more are refused, for each may cost the platform a write.
 const CLAIMS_MAX: usize = 64;
+/// Most bytes of bodies that the entry holds at once to send them again.
+const HELD_TOTAL: usize = 8 * 1024 * 1024;
+
+/// What the request path of a node is made of.
+pub struct Parts {
+    /// The node.
+    pub node: NodeId,
+    /// Where it stands.
+    pub place: Place,
+    /// The control thread, which publishes the views.
+    pub control: Control,
+    /// The clock.
+    pub clock: Clock,
+    /// The upstream beside the node.
+    pub upstream: Upstream,
+    /// Counts faulty input.
+    pub faults: Arc<Faults>,
+    /// Proofs of requests between nodes.
+    pub proofs: Proofs,
+    /// Counts answers, refusals and retries.
+    pub counts: Counts,
+}
 
 impl Traffic {
-    /// The request path of `node` at `place`. Must be called inside a tokio runtime.
-    pub fn start(
-        node: NodeId,
-        place: Place,
-        control: Control,
-        clock: Clock,
-        upstream: Upstream,
-        faults: Arc<Faults>,
-        counts: Counts,
-    ) -> Traffic {
+    /// Starts the request path. Must be called inside a tokio runtime.
+    pub fn start(parts: Parts) -> Traffic {
+        let Parts {
+            node,
+            place,
+            control,
+            clock,
+            upstream,
+            faults,
+            proofs,
+            counts,
+        } = parts;
         let traffic = Traffic(Arc::new(Shared {
             node,
             control,
@@ -98,10 +131,12 @@
             clock,
             upstream,
             peers: Peers::default(),
+            proofs,
             services: Services::new(place),
             faults,
             counts,
             limiter: Mutex::default(),
+            held: Budget::new(HELD_TOTAL),
             draining: AtomicBool::new(false),
             suspects: Arc::new(Semaphore::new(1)),
             claims: Arc::new(Semaphore::new(CLAIMS_MAX)),
@@ -145,9 +180,10 @@
         })
     }
 
-    /// Serves one connection of another node.
+    /// Serves one connection of another node; requests without a proof are refused before any is read.
     pub fn owner(
         &self,
+        peer: SocketAddr,
     ) -> impl tower::Service<
         Request<Incoming>,
         Response = Response<Body>,
@@ -159,10 +195,30 @@
         let traffic = self.clone();
         tower::service_fn(move |request: Request<Incoming>| {
             let traffic = traffic.clone();
-            async move { Ok(traffic.own(request.map(Body::new)).await) }
+            async move {
+                match traffic.0.proofs.check(&request) {
+                    Ok(()) => Ok(traffic.own(request.map(Body::new)).await),
+                    Err(unproven) => Ok(traffic.refuse(&request, unproven, peer)),
+                }
+            }
         })
     }
 
+    /// The answer carries the exchange's number, or an entry would take it for another's and say "unknown".
+    fn refuse(
+        &self,
+        request: &Request<Incoming>,
+        unproven: Unproven,
+        peer: SocketAddr,
+    ) -> Response<Body> {
+        self.0.faults.count(unproven.kind(), Some(peer));
+        let mut response = Denial::from(unproven).response();
+        if let Some(number) = request.headers().get(REQUEST) {
+            response.headers_mut().insert(REQUEST, number.clone());
+        }
+        response
+    }
+
     /// Refuses new work for the upstream beside this node from now on; requests of callers go elsewhere.
     pub fn drain(&self) {
         self.0.draining.store(true, Ordering::SeqCst);
@@ -199,6 +255,11 @@
         self.0.draining.load(Ordering::SeqCst)
     }
 
+    /// Attempts beyond each request's first that this entry made so far.
+    pub fn retries(&self) -> u64 {
+        self.0.counts.retries()
+    }
+
     fn view(&self) -> Arc<View> {
         self.0.control.view()
     }
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -30,8 +30,8 @@
 
 use super::{
     Traffic,
-    body::{self, BodyFault, Bounded, End, Intact},
-    denial::Denial,
+    body::{self, BodyFault, Bounded, End, Intact, Share},
+    denial::{Denial, UNPROVEN},
     headers::{
         self, ATTEMPT, BUDGET, DEADLINE, LOAD, NEVER, NOT_RUN, OUTCOME, RAN, REASON, REPEAT,
         REQUEST, RETRY_AFTER_MS, SERVICE, UNKNOWN,
@@ -40,6 +40,8 @@
     services::{Flight, Service},
 };
 
+/// An owner does not take this node for one of its fleet.
+const UNPROVEN_VALUE: HeaderValue = HeaderValue::from_static(UNPROVEN);
 /// Bodies of up to this many bytes are held so that the request can be sent again.
 const HELD_MAX: u64 = 64 * 1024;
 /// When to come back to an entry that is catching up with the configuration, in ms.
@@ -65,7 +67,8 @@
 
 /// The request's body, as far as it can be sent again.
 enum Payload {
-    Held(Bytes),
+    /// All of it is here; `_share` is what it takes of the node's budget.
+    Held { bytes: Bytes, _share: Share },
     /// It is passed on as it arrives; what breaks it is noted.
     Streamed(Intact, Arc<OnceLock<BodyFault>>),
 }
@@ -227,9 +230,14 @@
             return Err(Denial::of_body(BodyFault::TooLong));
         }
         let deadline = self.instant(plan.deadline);
-        if hint.exact().is_some_and(|it| it <= HELD_MAX) {
+        let short = hint.exact().filter(|it| *it <= HELD_MAX);
+        // Beyond the budget a body passes through unheld: a retry is worth less than the node's memory.
+        if let Some(share) = short.and_then(|it| self.0.held.take(it)) {
             let bytes = body::collect(incoming, limit, deadline).await;
-            return Ok(Payload::Held(bytes.map_err(Denial::of_body)?));
+            return Ok(Payload::Held {
+                bytes: bytes.map_err(Denial::of_body)?,
+                _share: share,
+            });
         }
         let fault = Arc::new(OnceLock::new());
         let noted = fault.clone();
@@ -280,26 +288,34 @@
         request
     }
 
-    async fn attempt(&self, plan: &Plan, endpoint: &Endpoint, request: Request<Body>) -> Attempt {
+    async fn attempt(
+        &self,
+        plan: &Plan,
+        endpoint: &Endpoint,
+        mut request: Request<Body>,
+    ) -> Attempt {
         let number = request.headers().get(REQUEST).cloned();
         let service = plan.service.clone();
         let mut flight = Flight::start(&self.0.clock, service, endpoint.node, plan.class);
         let deadline = self.instant(plan.deadline);
         let response = match endpoint.node == self.0.node {
             true => self.own(request).await,
-            false => match self.0.peers.send(endpoint.traffic, request, deadline).await {
-                peers::Sent::Answered(response) => response.map(Body::new),
-                peers::Sent::Unsent => {
-                    flight.ended(Outcome::Failed);
-                    let refusal = Refusal::new(Reason::NotReady);
-                    let response = Denial::Refused(refusal).response();
-                    return Attempt::Failed(Failure::NotRun(refusal), response);
-                }
-                peers::Sent::Lost => {
-                    flight.ended(Outcome::Failed);
-                    return lost(self.lost_denial(plan));
+            false => {
+                self.0.proofs.prove(&mut request, endpoint.traffic);
+                match self.0.peers.send(endpoint.traffic, request, deadline).await {
+                    peers::Sent::Answered(response) => response.map(Body::new),
+                    peers::Sent::Unsent => {
+                        flight.ended(Outcome::Failed);
+                        let refusal = Refusal::new(Reason::NotReady);
+                        let response = Denial::Refused(refusal).response();
+                        return Attempt::Failed(Failure::NotRun(refusal), response);
+                    }
+                    peers::Sent::Lost => {
+                        flight.ended(Outcome::Failed);
+                        return lost(self.lost_denial(plan));
+                    }
                 }
-            },
+            }
         };
         if response.headers().get(REQUEST) != number.as_ref() {
             // An answer to another request would show one family's draft to another.
@@ -330,6 +346,15 @@
             let why = "the other node does not say whether it was run: update both to one version";
             return lost(Denial::unknown("no-outcome", why));
         }
+        if response.headers().get(REASON) == Some(&UNPROVEN_VALUE) {
+            // Two nodes differ in their keys or clocks, which is no fault of the caller's: it may be served
+            // elsewhere, and a 401 would send it looking for a password.
+            self.0.faults.count("node-refused-proof", None);
+            let refusal = Refusal::new(Reason::NotReady);
+            flight.ended(Outcome::Failed);
+            let response = Denial::Refused(refusal).response();
+            return Attempt::Failed(Failure::NotRun(refusal), response);
+        }
         match refusal {
             Some(refusal) => {
                 flight.ended(Outcome::Refused(refusal));
@@ -376,7 +401,7 @@
 impl Payload {
     fn body(&self) -> Body {
         match self {
-            Payload::Held(bytes) => Body::from(bytes.clone()),
+            Payload::Held { bytes, .. } => Body::from(bytes.clone()),
             Payload::Streamed(intact, _) => Body::new(intact.clone()),
         }
     }
@@ -384,7 +409,7 @@
     /// The payload for another attempt, if it is still whole.
     fn again(self) -> Option<Payload> {
         match self {
-            Payload::Held(bytes) => Some(Payload::Held(bytes)),
+            Payload::Held { .. } => Some(self),
             Payload::Streamed(intact, fault) => {
                 let body = intact.reclaim()?;
                 Some(Payload::Streamed(Intact::new(body), fault))
@@ -395,7 +420,7 @@
     /// What broke the body on its way, if anything.
     fn fault(&self) -> Option<BodyFault> {
         match self {
-            Payload::Held(_) => None,
+            Payload::Held { .. } => None,
             Payload::Streamed(_, fault) => fault.get().copied(),
         }
     }
--- a/crates/node/tests/cli.rs
+++ b/crates/node/tests/cli.rs
@@ -35,6 +35,14 @@
     assert_eq!(format!("{given:?}"), format!("{:?}", Config::default()));
 }
 
+#[test]
+fn tokens_open_the_admin_address_and_are_never_shown() {
+    let args = format!("--admin 10.0.0.7:7103 --admin-key {KEY} --admin-key-also more-{KEY}");
+    let start = cli::parse(Input::new(args.split_whitespace(), [])).expect("no faults");
+    assert_eq!(start.config.admin_keys.len(), 2);
+    assert!(!format!("{start:?}").contains("0011223344"));
+}
+
 #[test_case("", SpreadSettings::nile(); "nile unless said")]
 #[test_case("--preset cascadia", SpreadSettings::cascadia(); "cascadia")]
 #[test_case(
@@ -73,6 +81,8 @@
 #[test_case("--peer 127.0.0.1:1", "unknown flag \"--peer\"; did you mean --peers?"; "nearest guess")]
 #[test_case("--grace 1 --grace 2", "--grace is given more than once; keep one"; "twice")]
 #[test_case("--link-key abc", "--link-key (LABURNUM_LINK_KEY): \"(hidden)\" is not valid: (hidden); give HEX"; "bad key stays hidden")]
+#[test_case("--admin 10.0.0.7:7103", "--admin (LABURNUM_ADMIN): \"10.0.0.7:7103\" is not valid: operators need a token off loopback: set --admin-key"; "admin without token")]
+#[test_case("--admin-key hush", "--admin-key (LABURNUM_ADMIN_KEY): \"(hidden)\" is not valid: (hidden); give TOKEN"; "bad token stays hidden")]
 #[test_case("--admin 127.0.0.1:7100", "--admin (LABURNUM_ADMIN): \"127.0.0.1:7100\" is not valid: --caller listens there too"; "equal addresses")]
 #[test_case("--caller 0.0.0.0:7102", "--traffic (LABURNUM_TRAFFIC): \"127.0.0.1:7102\" is not valid: --caller listens there too"; "wildcard takes the port")]
 #[test_case("--peers 127.0.0.1:7101", "--peers (LABURNUM_PEERS): \"127.0.0.1:7101\" is not valid: this node's own --control"; "own peer")]
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use laburnum_edge::api::AnnounceBody;
+use laburnum_edge::{Token, api::AnnounceBody};
 use laburnum_kernel::Name;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -44,6 +44,8 @@
     pub service: Name,
     /// Admin address of the node beside it, to announce itself to. Default: none.
     pub node: Option<SocketAddr>,
+    /// Token that the node accepts from other hosts. Default: none.
+    pub token: Option<Token>,
     /// Requests that it runs at once. Default: 6.
     pub slots: u16,
     /// Requests that wait for a slot before others are shed. Default: 0.
@@ -68,6 +70,7 @@
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
             service: "drafting-desk".parse().expect("a name"),
             node: None,
+            token: None,
             slots: 6,
             queue: 0,
             run: 0,
@@ -267,6 +270,7 @@
         let node = self.settings.node?;
         Some(Lease {
             node,
+            token: self.settings.token.clone(),
             heartbeat: self.settings.heartbeat,
             body: AnnounceBody {
                 service: self.settings.service.clone(),
