Golden sessions tell when, who and what

Cause: sessions of acceptance, claims and spread had no times, verdicts no addressee, and the relay's death no line. Change: each line begins with simulated ms; verdicts name the operator who is told; the death of the relay is told. Conclusion: apart from times and these words the sessions are the same.

--- a/crates/kernel/tests/accept.rs
+++ b/crates/kernel/tests/accept.rs
@@ -164,7 +164,9 @@
     ];
     driver.run(8_000);
     let mut session = driver.session.clone();
-    session.extend(tokens.iter().map(|it| show(&driver.verdict(*it))));
+    let told = tokens.iter().zip(2..);
+    let told = told.map(|(it, id)| format!("operator-{id} is told {}", show(&driver.verdict(*it))));
+    session.extend(told);
     insta::assert_snapshot!("racing_operators", session.join("\n"));
 }
 
@@ -179,7 +181,8 @@
     let token = driver.submit(0, &put(1, "desk", 0, &[]));
     driver.run(8_000);
     let mut session = driver.session.clone();
-    session.push(show(&driver.verdict(token)));
+    let told = show(&driver.verdict(token));
+    session.push(format!("operator-1 is told {told}"));
     insta::assert_snapshot!("answer_lost", session.join("\n"));
 }
 
--- a/crates/kernel/tests/common/claims.rs
+++ b/crates/kernel/tests/common/claims.rs
@@ -415,15 +415,14 @@
             Action::Object { call, op } => self.items.push_back(Item::Object(idx, call, op)),
             Action::Reply { token, reply } => {
                 let text = short(&format!("{reply:?}"));
-                self.trace
-                    .push(format!("node {idx} answers call {}: {text}", token.0));
+                self.tell(&format!("node {idx} answers call {}: {text}", token.0));
                 let earlier = self.replies.insert(token, reply);
                 assert_eq!(earlier, None, "a call is answered once");
             }
             Action::Log { event, pairs } if ours(event) => {
                 let pairs: Vec<String> = pairs.iter().map(|(k, v)| format!("{k}={v}")).collect();
                 let line = format!("node {idx} logs {event} {}", pairs.join(" "));
-                self.trace.push(line);
+                self.tell(&line);
             }
             _ => {}
         }
@@ -457,21 +456,26 @@
             Message::Guard(it) => short(&format!("{it:?}")),
             _ => return,
         };
-        self.trace
-            .push(format!("node {idx} -> node {target}: {text}"));
+        self.tell(&format!("node {idx} -> node {target}: {text}"));
+    }
+
+    /// Adds a line to the session: ms since the fleet began, and what happened.
+    fn tell(&mut self, text: &str) {
+        let millis = self.now.0 - 1_000_000;
+        self.trace.push(format!("{millis:>6} ms  {text}"));
     }
 
     fn trace_table(&mut self, idx: usize, op: &TableOp) {
         match op {
             TableOp::Get { keys } if keys.len() == 1 && keys[0].starts_with("claim/") => {
-                self.trace.push(format!("node {idx} reads {}", keys[0]));
+                self.tell(&format!("node {idx} reads {}", keys[0]));
             }
             TableOp::Commit { checks, .. }
                 if checks.iter().any(|it| it.key.starts_with("claim/")) =>
             {
                 for it in checks {
                     let line = format!("node {idx} writes {} if at version {}", it.key, it.version);
-                    self.trace.push(line);
+                    self.tell(&line);
                 }
             }
             _ => {}
--- a/crates/kernel/tests/common/driver.rs
+++ b/crates/kernel/tests/common/driver.rs
@@ -361,8 +361,9 @@
             }
         };
         if let Some(shown) = shown {
+            let (millis, answer) = (self.now.0 - 1_000_000, show_answer(&answer));
             self.session
-                .push(format!("node {index}: {shown} -> {}", show_answer(&answer)));
+                .push(format!("{millis:>6} ms  node {index}: {shown} -> {answer}"));
         }
         (answer, delay)
     }
--- a/crates/kernel/tests/spread.rs
+++ b/crates/kernel/tests/spread.rs
@@ -225,11 +225,13 @@
     let dying = Rc::new(RefCell::new(None));
     let session: Rc<RefCell<Vec<String>>> = Rc::default();
     let (victim, lines) = (dying.clone(), session.clone());
-    driver.tap = Some(Box::new(move |_, from, to, message| {
+    let start = driver.now;
+    driver.tap = Some(Box::new(move |now, from, to, message| {
         let Message::Spread(message) = message else {
             return Fate::Arrives;
         };
-        let line = format!("{from:2} -> {to:2}  {}", show(message));
+        let millis = now.since(start);
+        let line = format!("{millis:>6} ms  {from:2} -> {to:2}  {}", show(message));
         if *victim.borrow() == Some(from) {
             return Fate::Lost;
         }
@@ -238,6 +240,8 @@
             && victim.borrow().is_none()
         {
             *victim.borrow_mut() = Some(from);
+            let death = format!("{millis:>6} ms  relay {from} dies after its next push");
+            lines.borrow_mut().push(death);
         }
         if !matches!(message, Spread::Compare { .. } | Spread::Report { .. }) {
             lines.borrow_mut().push(line);
@@ -252,7 +256,6 @@
     assert!(matches!(driver.verdict(token), Verdict::Accepted { .. }));
     assert!(dying.borrow().is_some(), "no relay pushed");
     converge(&mut driver, Seq(1), 8_000);
-    // Times are left out: when a relay polls next is drawn at random.
     insta::assert_snapshot!(session.borrow().join("\n"));
 }
 
