--- a/crates/bench/src/converge.rs
+++ b/crates/bench/src/converge.rs
@@ -79,6 +79,8 @@
     name: &'static str,
     /// Times until in force everywhere, in ms, sorted.
     times: Vec<u64>,
+    /// Changes made.
+    changes: usize,
     cost: Cost,
     /// Most reads of the platform in one second.
     reads_peak: u64,
@@ -166,7 +168,7 @@
             rate(self.cost.spread_mean),
             rate(self.cost.read_mean),
             rate(self.cost.written_mean),
-            rate(self.cost.spreading(self.times.len())),
+            rate(self.cost.spreading(self.changes)),
             self.reads_peak.to_string(),
             self.read_rows.to_string(),
             self.throttled.to_string(),
@@ -366,8 +368,8 @@
 
 /// Compares what carried each change to the nodes.
 fn fewer(report: &mut Report, outcome: &Outcome, baseline: &Outcome) {
-    let lhs = outcome.cost.spreading(outcome.times.len());
-    let rhs = baseline.cost.spreading(baseline.times.len());
+    let lhs = outcome.cost.spreading(outcome.changes);
+    let rhs = baseline.cost.spreading(baseline.changes);
     let factor = rhs / lhs.max(f64::MIN_POSITIVE);
     report.check(
         "10 times fewer bytes a change than polling for full texts",
--- a/crates/bench/src/converge/cases.rs
+++ b/crates/bench/src/converge/cases.rs
@@ -32,6 +32,7 @@
     platform: Stats,
     watch: &'a Watch,
     times: Vec<u64>,
+    changes: usize,
 }
 
 /// Nothing happens.
@@ -51,6 +52,7 @@
     name: &'static str,
 ) -> Result<Outcome, FleetError> {
     let mut running = Running::start(name, fleet, watch).await;
+    running.changes = repeat;
     for idx in 0..repeat {
         let accepted = work
             .submit(fleet, idx % fleet.len(), idx % work.len())
@@ -69,6 +71,7 @@
     changes: usize,
 ) -> Result<Outcome, FleetError> {
     let mut running = Running::start("burst", fleet, watch).await;
+    running.changes = changes;
     running.times.push(flood(fleet, work, changes).await?);
     Ok(running.finish(fleet).await)
 }
@@ -105,6 +108,7 @@
     sleep(length * 1_000).await;
     fleet.outage(Outage::None);
     let services = work.len();
+    running.changes = services;
     running.times.push(flood(fleet, work, services).await?);
     Ok(running.finish(fleet).await)
 }
@@ -116,6 +120,7 @@
     work: &mut Workload,
 ) -> Result<Outcome, FleetError> {
     let mut running = Running::start("relay death", fleet, watch).await;
+    running.changes = RELAYS;
     for idx in 0..RELAYS {
         let relays = relays(fleet);
         let Some(victim) = relays.get(idx % relays.len().max(1)).copied() else {
@@ -152,6 +157,7 @@
             platform: fleet.platform().stats(),
             watch,
             times: Vec::new(),
+            changes: 0,
         }
     }
 
@@ -162,6 +168,7 @@
         Outcome {
             name: self.name,
             times: self.times,
+            changes: self.changes,
             cost: self.fleet_reading.until(&Reading::take(fleet)),
             reads_peak: self.watch.findings().reads_peak,
             read_rows: platform.read_rows - self.platform.read_rows,
