--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -19,6 +19,7 @@
 #[test_case(&["submt"], "did you mean submit?"; "unknown command")]
 #[test_case(&["check"], "FILE... is missing"; "no file")]
 #[test_case(&["list", "--jsn"], "unknown flag \"--jsn\"; did you mean --json?"; "unknown flag")]
+#[test_case(&["list", "--token", "hush"], "--token (LABURNUM_TOKEN): \"(hidden)\" is not valid: (hidden)"; "bad token stays hidden")]
 #[test_case(&["list", "--node", "localhost"], "--node (LABURNUM_NODE): \"localhost\" is not valid"; "node by name")]
 #[test_case(&["get", "Archive"], "SERVICE: name \"Archive\" is not valid"; "bad service")]
 #[test_case(&["outcome", "xyz"], "ID: submission id \"xyz\" is not valid"; "bad id")]
--- a/crates/kernel/src/accept.rs
+++ b/crates/kernel/src/accept.rs
@@ -118,7 +118,11 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// Please commit this.
-    Forward { submission: Submission },
+    Forward {
+        submission: Submission,
+        /// Stands for this message: a copy of it has the same one, a submission sent again has not.
+        attempt: u64,
+    },
     /// What became of it.
     Verdict { id: SubmitId, verdict: Verdict },
 }
@@ -168,6 +172,13 @@
     snapshots: Snapshots,
 }
 
+impl Accept {
+    /// Submissions that wait here to be committed.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+}
+
 /// Who waits for a verdict.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Origin {
--- a/crates/standin/tests/cli.rs
+++ b/crates/standin/tests/cli.rs
@@ -20,6 +20,15 @@
     assert_eq!(platform.faults, Faults::default());
 }
 
+#[test]
+fn token_is_read_and_never_shown() {
+    let given = values(&["upstream", "--token", "token-of-the-operators"]);
+    let upstream = cli::upstream(&given);
+    assert!(upstream.token.is_some());
+    let shown = format!("{given:?} {upstream:?}");
+    assert!(!shown.contains("token-of"), "{shown}");
+}
+
 #[test]
 fn every_fault_has_its_flag() {
     let args = [
--- a/crates/standin/tests/upstream.rs
+++ b/crates/standin/tests/upstream.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use laburnum_edge::api::AnnounceBody;
+use laburnum_edge::{Token, api::AnnounceBody};
 use laburnum_standin::{
     Behaviour, Ledger, Upstream, UpstreamSettings,
     body::{self, Body, Cut},
@@ -426,6 +426,8 @@
     Left,
 }
 
+const TOKEN: &str = "token-of-the-operators";
+
 /// A node's admin API that notes announcements. The second one is answered by an error.
 async fn node(told: Arc<Mutex<Vec<Told>>>) -> Server {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -435,6 +437,8 @@
             let (parts, body) = request.into_parts();
             let body = body.collect().await.map_err(|_| Cut)?.to_bytes();
             assert_eq!(parts.uri.path(), "/v1/upstream");
+            let token: Token = TOKEN.parse().expect("a token");
+            assert!(token.fits(&parts.headers["authorization"]));
             let mut told = told.lock().expect("not poisoned");
             told.push(match parts.method {
                 Method::PUT => {
@@ -462,6 +466,7 @@
     let node = node(told.clone()).await;
     let upstream = Upstream::start(UpstreamSettings {
         node: Some(node.address()),
+        token: Some(TOKEN.parse().expect("a token")),
         cold: 50,
         heartbeat: 10,
         ..settings()
