The measurement of added latency waits for readiness and renews its lease

Cause: added_latency ended with 503 at its second way, three runs of three. It waited 1 s, while a first node serves only once it has caught up, about 5 s; and it announced its upstream once, while the lease lapses after 5 s.

Change: it waits until both nodes are ready and announces every second.

--- a/crates/node/examples/added_latency.rs
+++ b/crates/node/examples/added_latency.rs
@@ -21,7 +21,10 @@
     log::Edit,
     members::Phase,
 };
-use laburnum_node::{Config, Node, upstream::Announcement};
+use laburnum_node::{
+    Config, Node,
+    upstream::{Announcement, Upstream},
+};
 use tokio::net::{TcpListener, TcpStream};
 
 const DOCUMENT: &str = include_str!("../tests/data/desk.toml");
@@ -38,15 +41,10 @@
     let platform = Arc::new(Memory::default());
     let (owner, owner_config) = node(Vec::new(), platform.clone(), 17_100).await;
     let (entry, entry_config) = node(vec![owner_config.control], platform, 17_110).await;
-    let announced = owner.upstream().announce(Announcement {
-        service: "desk".parse().expect("a name"),
-        address: upstream,
-        slots: SLOTS,
-        phase: Phase::Ready,
-    });
-    announced.expect("the node runs");
+    let heartbeat = tokio::spawn(announce(owner.upstream().clone(), upstream));
     submit(&owner).await;
-    tokio::time::sleep(Duration::from_secs(1)).await;
+    ready(&owner).await;
+    ready(&entry).await;
     let ways = [
         ("direct", upstream),
         ("own node", owner_config.caller),
@@ -57,6 +55,7 @@
             measure(name, address, callers).await;
         }
     }
+    heartbeat.abort();
     entry.close().await;
     owner.close().await;
 }
@@ -145,6 +144,35 @@
     (node.expect("the node starts"), config)
 }
 
+/// Renews the upstream's lease, which lapses after 5 s.
+async fn announce(upstream: Upstream, address: SocketAddr) {
+    loop {
+        let announced = upstream.announce(Announcement {
+            service: "desk".parse().expect("a name"),
+            address,
+            slots: SLOTS,
+            phase: Phase::Ready,
+        });
+        announced.expect("the node runs");
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+}
+
+/// Waits until the node has caught up and knows the upstream as ready.
+async fn ready(node: &Node) {
+    let name = "desk".parse().expect("a name");
+    loop {
+        let view = node.control().view();
+        let service = view.services.get(&name);
+        let upstream =
+            service.is_some_and(|it| it.endpoints.iter().any(|it| it.phase == Phase::Ready));
+        if view.ready && upstream {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 async fn submit(node: &Node) {
     let submission = Submission {
         id: SubmitId(1),
