--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -9,14 +9,17 @@
     client::legacy::{self, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use laburnum_edge::api::{
-    AuditBody, ErrorBody, LiftBody, ListBody, QuarantinesBody, ResolveBody, ServiceBody,
-    StatusBody, SubmitAnswer, SubmitBody, UnknownBody,
+use laburnum_edge::{
+    Token,
+    api::{
+        AuditBody, ErrorBody, LiftBody, ListBody, QuarantinesBody, ResolveBody, ServiceBody,
+        StatusBody, SubmitAnswer, SubmitBody, UnknownBody,
+    },
 };
 use laburnum_kernel::{Name, Seq, SubmitId};
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::report::Outcome;
+use crate::{cli::Target, report::Outcome};
 
 /// How long a connection may take.
 const CONNECT: Duration = Duration::from_secs(2);
@@ -29,6 +32,7 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     node: SocketAddr,
+    token: Option<Token>,
     http: legacy::Client<HttpConnector, Full<Bytes>>,
     patience: Duration,
 }
@@ -82,12 +86,13 @@
 }
 
 impl Client {
-    /// A client of the node whose admin API listens on `node`.
-    pub fn new(node: SocketAddr) -> Client {
+    /// A client of the node that `target` names.
+    pub fn new(target: Target) -> Client {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT));
         Client {
-            node,
+            node: target.address,
+            token: target.token,
             http: legacy::Client::builder(TokioExecutor::new()).build(connector),
             patience: ANSWER,
         }
@@ -210,12 +215,17 @@
     }
 
     fn request(&self, method: Method, path: &str, body: Bytes) -> Request<Full<Bytes>> {
-        Request::builder()
+        let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.node))
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
-            .expect("names, ids and numbers make a valid path")
+            .expect("names, ids and numbers make a valid path");
+        if let Some(token) = &self.token {
+            let value = token.authorization();
+            request.headers_mut().insert(header::AUTHORIZATION, value);
+        }
+        request
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Answer, ClientError> {
