--- a/crates/kernel/src/accept/commit.rs
+++ b/crates/kernel/src/accept/commit.rs
@@ -267,7 +267,10 @@
             queue.failures += 1;
             begin_read(cx, state);
         }
-        TableAnswer::Failed(Fault::Unavailable) => failed(cx, queue, &Fault::Unavailable, 0),
+        TableAnswer::Failed(Fault::Unavailable) => {
+            failed(cx, queue, &Fault::Unavailable, 0);
+            give_up_if_down(cx, state);
+        }
         TableAnswer::Failed(fault @ Fault::Throttled { after }) => failed(cx, queue, fault, *after),
         TableAnswer::Failed(fault @ Fault::Invalid(_)) => rejected(cx, queue, &batch, fault),
         TableAnswer::Failed(Fault::Unknown) | TableAnswer::Rows(_) => {
@@ -300,8 +303,12 @@
 /// The log could not be read from the table.
 pub(super) fn unread(cx: &mut Context<'_>, state: &mut State) {
     let queue = &mut state.accept.queue;
-    if matches!(queue.stage, Stage::Reading) {
-        failed(cx, queue, &Fault::Unavailable, 0);
+    if !matches!(queue.stage, Stage::Reading) {
+        return;
+    }
+    failed(cx, queue, &Fault::Unavailable, 0);
+    if queue.failures >= DOWN_FAILURES {
+        give_up(cx, queue);
     }
 }
 
@@ -445,11 +452,27 @@
 fn failed(cx: &mut Context<'_>, queue: &mut Queue, fault: &Fault, least: u64) {
     queue.why = fault.to_string();
     queue.back_off(cx, least);
-    if *fault != Fault::Unavailable || queue.failures < DOWN_FAILURES {
+}
+
+/// Refuses what was surely not written once the table counts as down.
+///
+/// A submission may be here for the second time, its first copy accepted through another node: the log is
+/// read before it is told that nothing was changed, if the table lets itself be read.
+fn give_up_if_down(cx: &mut Context<'_>, state: &mut State) {
+    let queue = &state.accept.queue;
+    if queue.failures < DOWN_FAILURES {
         return;
     }
+    let unread = |it: &Waiting| it.trace == Trace::Clean && it.since > queue.read;
+    match queue.waiting.iter().any(unread) {
+        true => begin_read(cx, state),
+        false => give_up(cx, &mut state.accept.queue),
+    }
+}
+
+fn give_up(cx: &mut Context<'_>, queue: &mut Queue) {
     for it in queue.take(|it| it.trace == Trace::Clean) {
-        let verdict = it.give_up(&fault.to_string());
+        let verdict = it.give_up(&queue.why);
         it.answer(cx, &verdict);
     }
 }
