--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -10,14 +10,13 @@
 use axum::body::Body;
 use bytes::Bytes;
 use http::{
-    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header,
-    request::Parts, uri::PathAndQuery,
+    HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request::Parts,
+    uri::PathAndQuery,
 };
 use http_body::Body as _;
 use hyper::body::Incoming;
 use laburnum_kernel::{
     Ms, Name, NodeId,
-    admission::Load,
     document::{Class, Document, Repeat},
     hot::Verdict,
     pick::{Choice, Outcome},
@@ -33,8 +32,8 @@
     body::{self, BodyFault, Bounded, End, Intact, Share},
     denial::{Denial, UNPROVEN},
     headers::{
-        self, ATTEMPT, BUDGET, DEADLINE, LOAD, NEVER, NOT_RUN, OUTCOME, RAN, REASON, REPEAT,
-        REQUEST, RETRY_AFTER_MS, SERVICE, UNKNOWN,
+        self, ATTEMPT, BUDGET, DEADLINE, NEVER, NOT_RUN, OUTCOME, RAN, REPEAT, REQUEST, SERVICE,
+        UNKNOWN,
     },
     peers,
     services::{Flight, Service},
@@ -277,8 +276,8 @@
         let left = left - (left / MARGIN_SHARE).min(MARGIN_MAX);
         let headers = request.headers_mut();
         *headers = plan.headers.clone();
-        insert_text(headers, SERVICE, plan.name.as_str());
-        insert_text(headers, BUDGET, &tree.to_string());
+        headers::insert_text(headers, SERVICE, plan.name.as_str());
+        headers::insert_text(headers, BUDGET, &tree.to_string());
         headers.insert(DEADLINE, HeaderValue::from(left));
         headers.insert(ATTEMPT, HeaderValue::from(number));
         headers.insert(REQUEST, HeaderValue::from(rand::random::<u64>()));
@@ -327,26 +326,26 @@
                 "the answer belonged to another request and was dropped; ask again if you may";
             return lost(Denial::unknown("crossed", why));
         }
-        flight.loaded(load(response.headers()));
+        flight.loaded(headers::load(response.headers()));
         self.judge(plan, flight, response)
     }
 
     fn judge(&self, plan: &Plan, flight: Flight, response: Response<Body>) -> Attempt {
         let outcome = response.headers().get(OUTCOME).cloned();
-        let refusal = refusal(response.headers());
+        let refusal = headers::refusal(response.headers());
         if outcome == Some(RAN) {
             return Attempt::Answered(self.hand_on(plan, flight, response));
         }
         if outcome == Some(UNKNOWN) {
             flight.ended(Outcome::Failed);
-            return Attempt::Failed(Failure::Unknown, clean(response));
+            return Attempt::Failed(Failure::Unknown, headers::clean(response));
         }
         if outcome != Some(NOT_RUN) {
             flight.ended(Outcome::Failed);
             let why = "the other node does not say whether it was run: update both to one version";
             return lost(Denial::unknown("no-outcome", why));
         }
-        if response.headers().get(REASON) == Some(&UNPROVEN_VALUE) {
+        if response.headers().get(headers::REASON) == Some(&UNPROVEN_VALUE) {
             // Two nodes differ in their keys or clocks, which is no fault of the caller's: it may be served
             // elsewhere, and a 401 would send it looking for a password.
             self.0.faults.count("node-refused-proof", None);
@@ -358,11 +357,11 @@
         match refusal {
             Some(refusal) => {
                 flight.ended(Outcome::Refused(refusal));
-                Attempt::Failed(Failure::NotRun(refusal), clean(response))
+                Attempt::Failed(Failure::NotRun(refusal), headers::clean(response))
             }
             None => {
                 flight.answered();
-                Attempt::Final(clean(response))
+                Attempt::Final(headers::clean(response))
             }
         }
     }
@@ -371,7 +370,7 @@
     fn hand_on(&self, plan: &Plan, flight: Flight, response: Response<Body>) -> Response<Body> {
         let limit = plan.document.limits.body;
         let deadline = self.instant(plan.deadline);
-        let (parts, body) = clean(response).into_parts();
+        let (parts, body) = headers::clean(response).into_parts();
         if body.is_end_stream() {
             flight.answered();
             return Response::from_parts(parts, body);
@@ -487,37 +486,3 @@
     // A service's name is always a valid authority and the path was parsed before.
     uri.unwrap_or_default()
 }
-
-fn insert_text(headers: &mut HeaderMap, name: HeaderName, text: &str) {
-    if let Ok(value) = HeaderValue::from_str(text) {
-        headers.insert(name, value);
-    }
-}
-
-/// Reads `running/waiting/limit`.
-fn load(headers: &HeaderMap) -> Option<Load> {
-    let mut parts = headers.get(LOAD)?.to_str().ok()?.split('/');
-    let mut next = || parts.next()?.parse().ok();
-    Some(Load {
-        running: next()?,
-        waiting: next()?,
-        limit: next()?,
-    })
-}
-
-fn refusal(headers: &HeaderMap) -> Option<Refusal> {
-    let reason = headers.get(REASON)?.to_str().ok()?.parse().ok()?;
-    let after = headers::number(headers, &RETRY_AFTER_MS).ok().flatten();
-    Some(Refusal::after(reason, after.unwrap_or(0)))
-}
-
-/// Removes what only nodes need to know.
-fn clean(mut response: Response<Body>) -> Response<Body> {
-    let headers = response.headers_mut();
-    [SERVICE, REQUEST, LOAD, DEADLINE, BUDGET, ATTEMPT, REPEAT]
-        .iter()
-        .for_each(|it| {
-            headers.remove(it);
-        });
-    response
-}
--- a/crates/node/src/traffic/headers.rs
+++ b/crates/node/src/traffic/headers.rs
@@ -1,6 +1,7 @@
 //! Header fields of the request path, and what is kept from whom.
 
-use http::{HeaderMap, HeaderName, HeaderValue, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, header};
+use laburnum_kernel::{admission::Load, refusal::Refusal};
 
 /// Every field of the system's own starts so; such fields of callers and upstreams are never passed on.
 pub const PREFIX: &str = "laburnum-";
@@ -112,3 +113,39 @@
 pub fn content_length(headers: &HeaderMap) -> Option<u64> {
     number(headers, &header::CONTENT_LENGTH).ok().flatten()
 }
+
+/// Sets a field, unless `text` cannot be a field's value.
+pub fn insert_text(headers: &mut HeaderMap, name: HeaderName, text: &str) {
+    if let Ok(value) = HeaderValue::from_str(text) {
+        headers.insert(name, value);
+    }
+}
+
+/// Reads [`LOAD`].
+pub fn load(headers: &HeaderMap) -> Option<Load> {
+    let mut parts = headers.get(LOAD)?.to_str().ok()?.split('/');
+    let mut next = || parts.next()?.parse().ok();
+    Some(Load {
+        running: next()?,
+        waiting: next()?,
+        limit: next()?,
+    })
+}
+
+/// Reads why and until when a request was refused.
+pub fn refusal(headers: &HeaderMap) -> Option<Refusal> {
+    let reason = headers.get(REASON)?.to_str().ok()?.parse().ok()?;
+    let after = number(headers, &RETRY_AFTER_MS).ok().flatten();
+    Some(Refusal::after(reason, after.unwrap_or(0)))
+}
+
+/// Removes from an answer what only nodes need to know.
+pub fn clean<B>(mut response: Response<B>) -> Response<B> {
+    let headers = response.headers_mut();
+    [SERVICE, REQUEST, LOAD, DEADLINE, BUDGET, ATTEMPT, REPEAT]
+        .iter()
+        .for_each(|it| {
+            headers.remove(it);
+        });
+    response
+}
