--- a/crates/node/tests/promises.rs
+++ b/crates/node/tests/promises.rs
@@ -16,7 +16,7 @@
     members::Phase,
     platform::{Fault, ObjectAnswer, ObjectOp, TableAnswer, TableOp},
 };
-use laburnum_node::{Config, Node, upstream::Announcement};
+use laburnum_node::{Config, Node, traffic::proof::Proofs, upstream::Announcement};
 use tokio::net::TcpStream;
 
 /// A platform that is down.
@@ -151,7 +151,9 @@
 async fn stricter_document_decides_whether_a_request_may_repeat() {
     let fake = Fake::start(|_| answer("draft")).await;
     let cluster = cluster(&[&fake]).await;
-    let stream = TcpStream::connect(cluster.nodes[1].config.traffic).await;
+    let (entry, owner) = (&cluster.nodes[0].config, cluster.nodes[1].config.traffic);
+    let proofs = Proofs::new(entry.traffic, &entry.keys, Clock::system());
+    let stream = TcpStream::connect(owner).await;
     let stream = TokioIo::new(stream.expect("connects"));
     let shaken = hyper::client::conn::http2::handshake(TokioExecutor::new(), stream).await;
     let (mut sender, connection) = shaken.expect("speaks HTTP/2");
@@ -165,7 +167,8 @@
             .header("laburnum-budget", "2/3")
             .header("laburnum-repeat", "never")
             .header("idempotency-key", "k1");
-        let asked = asked.body(Body::from("text")).expect("a request");
+        let mut asked = asked.body(Body::from("text")).expect("a request");
+        proofs.prove(&mut asked, owner);
         let got = sender.send_request(asked).await.expect("an answer");
         let outcome = got.headers().get("laburnum-outcome");
         assert_eq!(outcome.and_then(|it| it.to_str().ok()), Some("ran"));
