--- a/crates/node/tests/promises.rs
+++ b/crates/node/tests/promises.rs
@@ -151,7 +151,9 @@
 async fn stricter_document_decides_whether_a_request_may_repeat() {
     let fake = Fake::start(|_| answer("draft")).await;
     let cluster = cluster(&[&fake]).await;
-    let stream = TcpStream::connect(cluster.nodes[1].config.traffic).await;
+    let (entry, owner) = (&cluster.nodes[0].config, cluster.nodes[1].config.traffic);
+    let proofs = Proofs::new(entry.traffic, &entry.keys, Clock::system());
+    let stream = TcpStream::connect(owner).await;
     let stream = TokioIo::new(stream.expect("connects"));
     let shaken = hyper::client::conn::http2::handshake(TokioExecutor::new(), stream).await;
     let (mut sender, connection) = shaken.expect("speaks HTTP/2");
