--- a/crates/kernel/examples/capacity_plots.rs
+++ b/crates/kernel/examples/capacity_plots.rs
@@ -12,6 +12,9 @@
 /// The letter's number of nodes, and so the right end of every plot.
 const NODES: f64 = 2_800.0;
 
+/// How far the axis goes below the lowest value, so that the legend has room under the lines.
+const LEGEND: f64 = 20.0;
+
 /// One plot: its name in the CSV and of its file.
 struct Plot {
     name: &'static str,
@@ -92,7 +95,7 @@
 
 fn draw(plot: &Plot, mut series: Series) -> Result<(), Box<dyn Error>> {
     let points = series.values().flatten();
-    let low = points.clone().map(|it| it.1).fold(plot.budget, f64::min) / 2.0;
+    let low = points.clone().map(|it| it.1).fold(plot.budget, f64::min) / LEGEND;
     let high = points.clone().map(|it| it.1).fold(plot.budget, f64::max) * 2.0;
     let left = points.map(|it| it.0).fold(NODES, f64::min);
     series.insert(
@@ -112,6 +115,8 @@
         .configure_mesh()
         .x_desc("nodes")
         .y_desc(plot.unit)
+        .x_label_formatter(&|it| format!("{it:.0}"))
+        .y_label_formatter(&|it| format!("{it}"))
         .draw()?;
     for (idx, (label, points)) in series.into_iter().enumerate() {
         let colour = Palette99::pick(idx).to_rgba();
@@ -123,6 +128,7 @@
     }
     chart
         .configure_series_labels()
+        .position(SeriesLabelPosition::LowerRight)
         .background_style(WHITE.mix(0.8))
         .border_style(BLACK)
         .draw()?;
--- a/crates/node/examples/added_latency.rs
+++ b/crates/node/examples/added_latency.rs
@@ -21,12 +21,17 @@
     log::Edit,
     members::Phase,
 };
-use laburnum_node::{Config, Node, upstream::Announcement};
+use laburnum_node::{
+    Config, Node,
+    upstream::{Announcement, Upstream},
+};
 use tokio::net::{TcpListener, TcpStream};
 
 const DOCUMENT: &str = include_str!("../tests/data/desk.toml");
 /// Length of one measurement.
 const MEASURED: Duration = Duration::from_secs(3);
+/// Longest wait for the nodes to be ready.
+const START: Duration = Duration::from_secs(30);
 /// Callers at once in the second round; fewer than the upstream's slots.
 const CALLERS: usize = 16;
 /// Slots of the upstream.
@@ -38,15 +43,11 @@
     let platform = Arc::new(Memory::default());
     let (owner, owner_config) = node(Vec::new(), platform.clone(), 17_100).await;
     let (entry, entry_config) = node(vec![owner_config.control], platform, 17_110).await;
-    let announced = owner.upstream().announce(Announcement {
-        service: "desk".parse().expect("a name"),
-        address: upstream,
-        slots: SLOTS,
-        phase: Phase::Ready,
-    });
-    announced.expect("the node runs");
+    let announcing = tokio::spawn(announce(owner.upstream().clone(), upstream));
     submit(&owner).await;
-    tokio::time::sleep(Duration::from_secs(1)).await;
+    for node in [&owner, &entry] {
+        serving(node).await;
+    }
     let ways = [
         ("direct", upstream),
         ("own node", owner_config.caller),
@@ -57,6 +58,7 @@
             measure(name, address, callers).await;
         }
     }
+    announcing.abort();
     entry.close().await;
     owner.close().await;
 }
@@ -98,7 +100,7 @@
         let start = Instant::now();
         sender.ready().await.expect("a connection");
         let answer = sender.send_request(request).await.expect("an answer");
-        assert_eq!(answer.status(), 200);
+        assert_eq!(answer.status(), 200, "{:?}", answer.headers());
         answer.into_body().collect().await.expect("a whole body");
         times.push(start.elapsed());
     }
@@ -145,6 +147,36 @@
     (node.expect("the node starts"), config)
 }
 
+/// Announces the upstream each second, as upstreams do: one that falls silent is taken for gone.
+async fn announce(beside: Upstream, address: SocketAddr) {
+    loop {
+        let announced = beside.announce(Announcement {
+            service: "desk".parse().expect("a name"),
+            address,
+            slots: SLOTS,
+            phase: Phase::Ready,
+        });
+        announced.expect("the node runs");
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+}
+
+/// Waits until `node` caught up and knows a ready endpoint of the service; before that it refuses requests.
+async fn serving(node: &Node) {
+    let name = "desk".parse().expect("a name");
+    let begun = Instant::now();
+    while begun.elapsed() < START {
+        let view = node.control().view();
+        let mut endpoints = view.services.get(&name).into_iter();
+        if view.ready && endpoints.any(|it| it.endpoints.iter().any(|it| it.phase == Phase::Ready))
+        {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("a node is not ready within {START:?}");
+}
+
 async fn submit(node: &Node) {
     let submission = Submission {
         id: SubmitId(1),
--- a/crates/node/examples/memory.rs
+++ b/crates/node/examples/memory.rs
@@ -18,7 +18,7 @@
     log::Edit,
 };
 use laburnum_node::{Config, Node};
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, task::JoinSet};
 
 const DOCUMENT: &str = include_str!("../../../examples/nile/drafting-desk.toml");
 /// Until the nodes know each other and hold every document, at most.
@@ -58,9 +58,11 @@
         resident_kb.saturating_sub(empty_kb) as f64 / all,
         share * 100.0 / all,
     );
+    let mut closing = JoinSet::new();
     for node in nodes {
-        node.close().await;
+        closing.spawn(node.close());
     }
+    closing.join_all().await;
 }
 
 /// Whether every node holds every document within [`SETTLE`], and each has caught up.
