--- a/crates/node/examples/added_latency.rs
+++ b/crates/node/examples/added_latency.rs
@@ -30,6 +30,8 @@
 const DOCUMENT: &str = include_str!("../tests/data/desk.toml");
 /// Length of one measurement.
 const MEASURED: Duration = Duration::from_secs(3);
+/// Longest wait for the nodes to be ready.
+const START: Duration = Duration::from_secs(30);
 /// Callers at once in the second round; fewer than the upstream's slots.
 const CALLERS: usize = 16;
 /// Slots of the upstream.
@@ -41,10 +43,11 @@
     let platform = Arc::new(Memory::default());
     let (owner, owner_config) = node(Vec::new(), platform.clone(), 17_100).await;
     let (entry, entry_config) = node(vec![owner_config.control], platform, 17_110).await;
-    let heartbeat = tokio::spawn(announce(owner.upstream().clone(), upstream));
+    let announcing = tokio::spawn(announce(owner.upstream().clone(), upstream));
     submit(&owner).await;
-    ready(&owner).await;
-    ready(&entry).await;
+    for node in [&owner, &entry] {
+        serving(node).await;
+    }
     let ways = [
         ("direct", upstream),
         ("own node", owner_config.caller),
@@ -55,7 +58,7 @@
             measure(name, address, callers).await;
         }
     }
-    heartbeat.abort();
+    announcing.abort();
     entry.close().await;
     owner.close().await;
 }
@@ -97,7 +100,7 @@
         let start = Instant::now();
         sender.ready().await.expect("a connection");
         let answer = sender.send_request(request).await.expect("an answer");
-        assert_eq!(answer.status(), 200);
+        assert_eq!(answer.status(), 200, "{:?}", answer.headers());
         answer.into_body().collect().await.expect("a whole body");
         times.push(start.elapsed());
     }
@@ -144,10 +147,10 @@
     (node.expect("the node starts"), config)
 }
 
-/// Renews the upstream's lease, which lapses after 5 s.
-async fn announce(upstream: Upstream, address: SocketAddr) {
+/// Announces the upstream each second, as upstreams do: one that falls silent is taken for gone.
+async fn announce(beside: Upstream, address: SocketAddr) {
     loop {
-        let announced = upstream.announce(Announcement {
+        let announced = beside.announce(Announcement {
             service: "desk".parse().expect("a name"),
             address,
             slots: SLOTS,
@@ -158,19 +161,20 @@
     }
 }
 
-/// Waits until the node has caught up and knows the upstream as ready.
-async fn ready(node: &Node) {
+/// Waits until `node` caught up and knows a ready endpoint of the service; before that it refuses requests.
+async fn serving(node: &Node) {
     let name = "desk".parse().expect("a name");
-    loop {
+    let begun = Instant::now();
+    while begun.elapsed() < START {
         let view = node.control().view();
-        let service = view.services.get(&name);
-        let upstream =
-            service.is_some_and(|it| it.endpoints.iter().any(|it| it.phase == Phase::Ready));
-        if view.ready && upstream {
+        let mut endpoints = view.services.get(&name).into_iter();
+        if view.ready && endpoints.any(|it| it.endpoints.iter().any(|it| it.phase == Phase::Ready))
+        {
             return;
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
+    panic!("a node is not ready within {START:?}");
 }
 
 async fn submit(node: &Node) {
--- a/crates/node/tests/promises.rs
+++ b/crates/node/tests/promises.rs
@@ -8,7 +8,7 @@
 use common::{Cluster, Fake, Step, answer, cluster, request, send, spawn, until};
 use http::Request;
 use hyper_util::rt::{TokioExecutor, TokioIo};
-use laburnum_edge::{Clock, Platform, link::Keys, platform::Answer};
+use laburnum_edge::{Clock, Platform, platform::Answer};
 use laburnum_kernel::{
     Call, Reply,
     drain::{FAREWELL_MS, NOTICE_MS},
@@ -158,8 +158,6 @@
     let shaken = hyper::client::conn::http2::handshake(TokioExecutor::new(), stream).await;
     let (mut sender, connection) = shaken.expect("speaks HTTP/2");
     let connection = tokio::spawn(connection);
-    let owner = cluster.nodes[1].config.traffic;
-    let proofs = Proofs::new(owner, &Keys::default(), Clock::system());
     for _ in 0..2 {
         let asked = Request::put("http://desk/drafts/1")
             .header("laburnum-service", "desk")
