--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -4,7 +4,10 @@
 
 use std::{net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
 
-use laburnum_edge::api::{AUDIT_MAX, BadSubmission, Found, check_author, check_reason};
+use laburnum_edge::{
+    Token,
+    api::{AUDIT_MAX, BadSubmission, Found, check_author, check_reason},
+};
 use laburnum_flags::{Fault, Faults, Input, Operand, Row, Stop, Values};
 use laburnum_kernel::{Name, Revision, Seq, SubmitId};
 use rand::Rng;
@@ -12,7 +15,7 @@
 pub use self::table::SUITE;
 use self::table::{
     AFTER, AUTHOR, BASE, FINGERPRINT, FOUND, ID, JSON, LIMIT, NODE, REASON, RETRY, SERVICE,
-    SUBMISSION, TIMEOUT, WAIT,
+    SUBMISSION, TIMEOUT, TOKEN, WAIT,
 };
 
 /// What was asked for.
@@ -43,32 +46,32 @@
     /// Delete a service.
     Delete { service: Name, change: Change },
     /// Ask what became of a submission.
-    Outcome { node: SocketAddr, id: SubmitId },
+    Outcome { node: Target, id: SubmitId },
     /// Print a document in force.
-    Get { node: SocketAddr, service: Name },
+    Get { node: Target, service: Name },
     /// List the services in force.
-    List { node: SocketAddr },
+    List { node: Target },
     /// Compare a file with what is in force.
-    Diff { node: SocketAddr, file: PathBuf },
+    Diff { node: Target, file: PathBuf },
     /// Print who changed what.
-    Audit { node: SocketAddr, range: Range },
+    Audit { node: Target, range: Range },
     /// Print who changed one service.
     History {
-        node: SocketAddr,
+        node: Target,
         service: Name,
         range: Range,
     },
     /// Print who holds what.
-    Status { node: SocketAddr, wait: Wait },
+    Status { node: Target, wait: Wait },
     /// Lift a quarantine.
     Lift {
-        node: SocketAddr,
+        node: Target,
         print: Print,
         act: Act,
     },
     /// Decide on a request of unknown outcome.
     Resolve {
-        node: SocketAddr,
+        node: Target,
         service: Name,
         key: String,
         found: Found,
@@ -76,11 +79,20 @@
     },
 }
 
+/// The node to ask, and what it asks for.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Its admin address.
+    pub address: SocketAddr,
+    /// The token that it accepts, if it has any.
+    pub token: Option<Token>,
+}
+
 /// A change to submit.
 #[derive(Clone, Debug)]
 pub struct Change {
     /// The node to submit it to.
-    pub node: SocketAddr,
+    pub node: Target,
     /// The revision that it is based on.
     pub base: Base,
     /// Its id.
@@ -172,7 +184,10 @@
         let files = values.operands().iter().map(PathBuf::from).collect();
         return Some(Command::Check { files });
     }
-    let node = values.get(&NODE);
+    let node = Target {
+        address: values.get(&NODE),
+        token: values.find(&TOKEN),
+    };
     Some(match name {
         "submit" => Command::Submit {
             file: PathBuf::from(values.operand(0)),
@@ -224,7 +239,7 @@
     })
 }
 
-fn change(node: SocketAddr, values: &Values, faults: &mut Faults) -> Change {
+fn change(node: Target, values: &Values, faults: &mut Faults) -> Change {
     let latest = |it: Option<u64>| it.map_or(Base::Latest, |it| Base::Revision(Revision(it)));
     Change {
         node,
--- a/crates/ctl/src/commands/change.rs
+++ b/crates/ctl/src/commands/change.rs
@@ -22,7 +22,7 @@
     let text = files::read(file)?;
     match Document::parse(&text) {
         Ok(document) => {
-            let client = Client::new(change.node);
+            let client = Client::new(change.node.clone());
             let service = document.service;
             let base = match change.base {
                 Base::Revision(revision) => revision,
@@ -41,7 +41,7 @@
 
 /// Submits the deletion of a service.
 pub async fn delete(service: Name, change: Change, err: &mut dyn Write) -> Result<Report, Failure> {
-    let client = Client::new(change.node);
+    let client = Client::new(change.node.clone());
     let base = match change.base {
         Base::Revision(revision) => revision,
         Base::Latest => client.service(&service).await?.revision,
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -10,16 +10,23 @@
 
 use axum::{
     Router,
-    extract::{Path, State, rejection::PathRejection},
+    extract::{Path, Request, State, rejection::PathRejection},
+    middleware::{Next, from_fn_with_state},
     response::{IntoResponse, Response},
     routing::{get, post, put},
 };
+use http::{StatusCode, header};
 use laburnum_edge::api;
 use laburnum_kernel::{Call, Reply};
 use tower::limit::GlobalConcurrencyLimitLayer;
 
 pub use self::refusal::Refusal;
-use crate::{control::Control, upstream::Upstream};
+use crate::{
+    auth::{Guard, Peer, Unauthorized},
+    control::Control,
+    metrics::Metrics,
+    upstream::Upstream,
+};
 
 /// What the API needs.
 #[derive(Clone, Debug)]
@@ -28,8 +35,12 @@
     pub control: Control,
     /// The upstream beside this node.
     pub upstream: Upstream,
+    /// The metrics of this node.
+    pub metrics: Metrics,
     /// Bounds on requests.
     pub bounds: Bounds,
+    /// Who may ask for what. Default: anybody.
+    pub guard: Guard,
 }
 
 /// Bounds on the API's requests.
@@ -58,12 +69,14 @@
 
 impl Admin {
     /// An API with the default bounds.
-    pub fn new(control: Control, upstream: Upstream) -> Admin {
+    pub fn new(control: Control, upstream: Upstream, metrics: Metrics) -> Admin {
         let bounds = Bounds::default();
         Admin {
             control,
             upstream,
+            metrics,
             bounds,
+            guard: Guard::default(),
         }
     }
 
@@ -86,12 +99,15 @@
             .layer(limit)
             .route("/livez", get(|| async { "ok\n" }))
             .route("/readyz", get(ready))
+            .route("/metrics", get(metrics))
             .route(
                 "/v1/upstream",
                 put(upstream::announce).delete(upstream::withdraw),
             )
             .fallback(|| async { Refusal::Path })
             .method_not_allowed_fallback(|| async { Refusal::Method })
+            // Outermost and over every path: no body is read for a stranger, and none of the places above taken.
+            .layer(from_fn_with_state(self.guard.clone(), authorize))
             .with_state(self)
     }
 
@@ -102,6 +118,14 @@
     }
 }
 
+async fn authorize(State(guard): State<Guard>, request: Request, next: Next) -> Response {
+    let peer = request.extensions().get::<Peer>().copied();
+    match guard.admit(request.uri().path(), request.headers(), peer) {
+        Ok(()) => next.run(request).await,
+        Err(Unauthorized) => Refusal::Unauthorized.into_response(),
+    }
+}
+
 async fn ready(State(admin): State<Admin>) -> Response {
     let view = admin.control.view();
     match view.ready {
@@ -110,6 +134,18 @@
     }
 }
 
+async fn metrics(State(admin): State<Admin>) -> Response {
+    let content = [(header::CONTENT_TYPE, prometheus::TEXT_FORMAT)];
+    match admin.metrics.text() {
+        Ok(text) => (content, text).into_response(),
+        Err(error) => {
+            let text =
+                format!("cannot write the metrics: {error}; ask again, or update the node\n");
+            (StatusCode::INTERNAL_SERVER_ERROR, text).into_response()
+        }
+    }
+}
+
 /// The variable segment of a path.
 type Segment = Result<Path<String>, PathRejection>;
 
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,7 +1,7 @@
 //! The control thread: it owns the kernel and the link, and carries out the kernel's actions.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -13,9 +13,14 @@
 use arc_swap::ArcSwap;
 use laburnum_edge::{
     Clock, Incoming, Link, LinkError, Platform,
-    link::{Keys, Waker, ZmqLink},
+    link::{Keys, Traffic, Waker, ZmqLink},
+};
+use laburnum_kernel::{
+    Action, Call, Event, Kernel, Reply, Seq, Settings, Token, View,
+    event::TICK_MS,
+    members::{Phase, Reach},
+    spread,
 };
-use laburnum_kernel::{Action, Call, Event, Kernel, Reply, Settings, Token, View, event::TICK_MS};
 use tokio::{runtime::Handle, sync::oneshot};
 
 use crate::logs;
@@ -26,9 +31,30 @@
     queue: Sender<Command>,
     waker: Waker,
     view: Arc<ArcSwap<View>>,
+    stats: Arc<ArcSwap<Stats>>,
     tokens: Arc<AtomicU64>,
 }
 
+/// What the control thread counted since it started.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// What went over the link, by kind.
+    pub traffic: Traffic,
+    /// How configuration spread.
+    pub spread: spread::Stats,
+    /// The highest position heard of.
+    pub heard: Seq,
+    /// Nodes that are there, by reach and phase.
+    pub members: BTreeMap<(Reach, Phase), u64>,
+    /// Submissions that wait here to be committed.
+    pub accepting: usize,
+    /// Outcomes that are not kept yet.
+    pub unsettled: usize,
+}
+
+/// Interval at which [`Control::stats`] is refreshed, in ms.
+pub const STATS_MS: u64 = 1_000;
+
 #[derive(Debug)]
 enum Command {
     Event(Event),
@@ -60,6 +86,11 @@
         self.view.load_full()
     }
 
+    /// What the control thread counted, at most about [`STATS_MS`] ago.
+    pub fn stats(&self) -> Arc<Stats> {
+        self.stats.load_full()
+    }
+
     fn push(&self, command: Command) -> Result<(), Closed> {
         self.queue.send(command).map_err(|_| Closed)?;
         self.waker.wake();
@@ -78,16 +109,18 @@
     /// Binds the link and starts the thread. Platform calls run on `runtime`.
     pub fn start(
         settings: Settings,
+        keys: Keys,
         clock: Clock,
         platform: Arc<dyn Platform>,
         runtime: Handle,
     ) -> Result<ControlThread, LinkError> {
-        let (link, waker) = ZmqLink::bind(settings.node, Keys::default(), clock.clone())?;
+        let (link, waker) = ZmqLink::bind(settings.node, keys, clock.clone())?;
         let (queue, commands) = channel();
         let control = Control {
             queue,
             waker,
             view: Arc::default(),
+            stats: Arc::default(),
             tokens: Arc::default(),
         };
         let seed = settings.incarnation ^ u64::from(settings.node.0.port());
@@ -148,6 +181,7 @@
     fn run(mut self, commands: &Receiver<Command>) {
         self.step(Event::Start);
         let mut ticked = self.clock.now();
+        let mut counted = ticked;
         loop {
             let due = TICK_MS.saturating_sub(self.clock.now().since(ticked));
             for incoming in self.link.wait(due) {
@@ -163,12 +197,33 @@
                 ticked = self.clock.now();
                 self.step(Event::Tick);
             }
+            if self.clock.now().since(counted) >= STATS_MS {
+                counted = self.clock.now();
+                self.count();
+            }
             if self.next == Next::Close {
                 return self.link.close();
             }
         }
     }
 
+    fn count(&self) {
+        let state = self.kernel.state();
+        let mut members = BTreeMap::new();
+        for (record, reach) in state.members.alive_with_reach() {
+            *members.entry((reach, record.phase)).or_default() += 1;
+        }
+        let stats = Stats {
+            traffic: self.link.traffic().clone(),
+            spread: state.spread.stats(),
+            heard: state.spread.heard(),
+            members,
+            accepting: state.accept.waiting(),
+            unsettled: state.once.unsettled(),
+        };
+        self.control.stats.store(Arc::new(stats));
+    }
+
     fn commands(&mut self, commands: &Receiver<Command>) -> Next {
         while let Ok(command) = commands.try_recv() {
             match command {
@@ -186,6 +241,9 @@
     fn step(&mut self, event: Event) {
         let mut actions = Vec::new();
         self.kernel.step(self.clock.now(), event, &mut actions);
+        // Whoever gets a reply may read at once, in another thread: the view that the reply stands for must
+        // be there by then, or an accepted document would seem to be missing. The order of the others stays.
+        actions.sort_by_key(|it| !matches!(it, Action::Publish(_)));
         for action in actions {
             self.act(action);
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,7 +6,8 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use laburnum_edge::{Clock, LinkError, Platform};
-use laburnum_kernel::{Event, NodeId, Settings, id::BadName, pick::Place};
+use laburnum_kernel::{Event, NodeId, Settings, id::BadName, once::OnceSettings, pick::Place};
+use opentelemetry_sdk::error::OTelSdkError;
 use tokio::{
     net::TcpListener,
     runtime::Handle,
@@ -18,11 +19,15 @@
 
 use crate::{
     admin::Admin,
+    auth::{self, Exposed, Guard, Peer},
     config::Config,
     control::{Control, ControlThread},
+    metrics::Metrics,
     traffic::{
-        Traffic,
+        Parts, Traffic,
+        counts::Counts,
         faults::Faults,
+        proof::Proofs,
         serve::{Server, Speech},
     },
     upstream::Upstream,
@@ -37,6 +42,12 @@
     /// The link's sockets cannot be opened.
     #[error(transparent)]
     Link(#[from] LinkError),
+    /// The registry of metrics refuses them.
+    #[error("cannot register the metrics: {0}; update the node")]
+    Metrics(#[from] OTelSdkError),
+    /// The settings would leave a socket open to strangers.
+    #[error("{}", .0.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))]
+    Exposed(Vec<Exposed>),
     /// An HTTP socket cannot be bound.
     #[error("cannot bind {address}: {source}; choose a free address with --{flag}")]
     Bind {
@@ -51,6 +62,8 @@
     control: ControlThread,
     traffic: Traffic,
     upstream: Upstream,
+    metrics: Metrics,
+    faults: Arc<Faults>,
     grace: Duration,
     /// Ends the sockets of callers and operators.
     callers: Servers,
@@ -74,6 +87,7 @@
         clock: Clock,
         platform: Arc<dyn Platform>,
     ) -> Result<Node, StartError> {
+        auth::check(&config).map_err(StartError::Exposed)?;
         let settings = Settings {
             node: NodeId(config.control),
             incarnation: clock.now().0,
@@ -82,7 +96,9 @@
             zone: config.zone.parse()?,
             peers: config.peers.iter().copied().map(NodeId).collect(),
             spread: config.spread.clone(),
-            ..Settings::default()
+            once: OnceSettings {
+                retention: config.retention,
+            },
         };
         let node = settings.node;
         let place = Place {
@@ -92,19 +108,33 @@
         let caller = bind("caller", config.caller).await?;
         let traffic = bind("traffic", config.traffic).await?;
         let admin = bind("admin", config.admin).await?;
-        let control = ControlThread::start(settings, clock.clone(), platform, Handle::current())?;
+        let control = ControlThread::start(
+            settings,
+            config.keys.clone(),
+            clock.clone(),
+            platform,
+            Handle::current(),
+        )?;
         let handle = control.control().clone();
         let faults = Arc::new(Faults::new(clock.clone()));
+        let metrics = Metrics::new()?;
+        let guard = Guard::new(&config, faults.clone());
         let upstream = Upstream::start(handle.clone(), clock.clone(), config.pool);
-        let path = Traffic::start(
+        let path = Traffic::start(Parts {
             node,
             place,
-            handle.clone(),
-            clock,
-            upstream.clone(),
-            faults.clone(),
-        );
-        let api = Admin::new(handle, upstream.clone());
+            control: handle.clone(),
+            clock: clock.clone(),
+            upstream: upstream.clone(),
+            faults: faults.clone(),
+            proofs: Proofs::new(config.traffic, &config.keys, clock),
+            counts: Counts::new(metrics.latency()),
+        });
+        metrics.follow(handle.clone(), path.clone());
+        let api = Admin {
+            guard,
+            ..Admin::new(handle, upstream.clone(), metrics.clone())
+        };
         let (mut callers, mut nodes) = (Servers::default(), Servers::default());
         let entry = path.clone();
         callers.serve(
@@ -124,7 +154,7 @@
                 bounds: config.callers,
                 faults: faults.clone(),
             },
-            move |_| operators(router.clone()),
+            move |peer| operators(router.clone(), peer),
         );
         let owner = path.clone();
         nodes.serve(
@@ -132,14 +162,16 @@
                 listener: traffic,
                 speech: Speech::Http2,
                 bounds: config.nodes,
-                faults,
+                faults: faults.clone(),
             },
-            move |_| owner.owner(),
+            move |peer| owner.owner(peer),
         );
         Ok(Node {
             control,
             traffic: path,
             upstream,
+            metrics,
+            faults,
             grace: Duration::from_millis(config.grace),
             callers,
             nodes,
@@ -151,11 +183,26 @@
         self.control.control()
     }
 
+    /// The node's metrics.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// The upstream beside the node.
     pub fn upstream(&self) -> &Upstream {
         &self.upstream
     }
 
+    /// Faults of callers, operators and nodes so far.
+    pub fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    /// Attempts beyond each request's first that callers' requests took at this node so far.
+    pub fn retries(&self) -> u64 {
+        self.traffic.retries()
+    }
+
     /// Drains and stops: the upstream takes no new work, and every request in progress gets its answer.
     ///
     /// What takes longer than the grace is cut. Dropping the future stops at once.
@@ -177,6 +224,21 @@
         let _ = timeout_at(end, self.nodes.close()).await;
         self.control.close();
     }
+
+    /// Stops at once, as a process that is killed: requests in progress are cut, and no other node is told.
+    pub async fn kill(self) {
+        let Node {
+            control,
+            callers,
+            nodes,
+            ..
+        } = self;
+        // Aborted tasks drop their sockets; only then may another node take the addresses.
+        let (mut callers, mut nodes) = (callers.tasks, nodes.tasks);
+        callers.shutdown().await;
+        nodes.shutdown().await;
+        control.close();
+    }
 }
 
 async fn exited(control: &ControlThread) {
@@ -222,10 +284,12 @@
 
 fn operators(
     router: Router,
+    peer: SocketAddr,
 ) -> impl tower::Service<Request<Incoming>, Response = Response<Body>, Error = Infallible, Future: Send>
 + Clone
 + Send {
-    tower::service_fn(move |request: Request<Incoming>| {
+    tower::service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(Peer(peer));
         router.clone().oneshot(request.map(Body::new))
     })
 }
