--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,10 +4,12 @@
 //! immutable view that the control thread publishes. [`Node::start`] runs both inside any process.
 
 pub mod admin;
+pub mod auth;
 pub mod cli;
 pub mod config;
 pub mod control;
 pub mod logs;
+pub mod metrics;
 pub mod node;
 pub mod traffic;
 pub mod upstream;
--- a/crates/node/src/traffic/denial.rs
+++ b/crates/node/src/traffic/denial.rs
@@ -155,6 +155,8 @@
     }
 }
 
+/// Reason of a request at the port for nodes that proves no key.
+pub const UNPROVEN: &str = "unproven";
 /// Reason of an answer that did not arrive by the deadline.
 pub const DEADLINE: &str = "deadline";
 /// Reason of a request that was refused after an attempt that may have run.
--- a/crates/node/src/traffic/once.rs
+++ b/crates/node/src/traffic/once.rs
@@ -13,9 +13,11 @@
 
 use super::{
     Traffic,
+    answer::Answer,
+    counts::Claimed,
     denial::{self, Denial},
     headers::{IDEMPOTENCY_KEY, OUTCOME, RAN, REPLAYED},
-    owner::{Answer, Job},
+    owner::{Job, Window},
 };
 
 /// How long a run goes on after its deadline, so that its outcome is known to those who ask again.
@@ -92,8 +94,11 @@
                 return Err(denial);
             }
         };
-        let limit = self.instant(job.deadline) + OVERTIME;
-        let result = self.exchange(job, slot, limit).await;
+        let window = Window {
+            start: until.min(job.deadline.at()),
+            end: self.instant(job.deadline) + OVERTIME,
+        };
+        let result = self.exchange(job, slot, window).await;
         let ended = match &result {
             Ok(Answer::Whole(parts, bytes)) => Ended::Ran(kept(parts, bytes)),
             Ok(Answer::Streamed(_)) | Err(Denial::Unknown { .. }) => Ended::Unknown,
@@ -112,6 +117,16 @@
 
     /// Asks for the right to run.
     async fn claim(&self, job: &Job, key: &Key, attempt: AttemptId) -> Result<Claim, Denial> {
+        let claim = self.ask_claim(job, key, attempt).await;
+        self.0.counts.claimed(match claim {
+            Ok(Claim::Granted { .. }) => Claimed::Granted,
+            Ok(Claim::Replay(_)) => Claimed::Replayed,
+            Err(_) => Claimed::Refused,
+        });
+        claim
+    }
+
+    async fn ask_claim(&self, job: &Job, key: &Key, attempt: AttemptId) -> Result<Claim, Denial> {
         let Ok(_place) = self.0.claims.clone().try_acquire_owned() else {
             return Err(no_claim(CLAIMS_MS));
         };
--- a/crates/standin/src/upstream/announce.rs
+++ b/crates/standin/src/upstream/announce.rs
@@ -9,7 +9,7 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use laburnum_edge::api::AnnounceBody;
+use laburnum_edge::{Token, api::AnnounceBody};
 use tokio::sync::watch;
 
 use crate::upstream::Phase;
@@ -22,6 +22,8 @@
 pub struct Lease {
     /// The node's admin address.
     pub node: SocketAddr,
+    /// Token that the node accepts from other hosts.
+    pub token: Option<Token>,
     /// Milliseconds between two heartbeats, and the longest wait for one answer.
     pub heartbeat: u64,
     /// What to announce; `ready` follows the phase.
@@ -66,10 +68,15 @@
 }
 
 fn request(lease: &Lease, method: Method, body: Bytes) -> Option<Request<Full<Bytes>>> {
-    Request::builder()
+    let mut request = Request::builder()
         .method(method)
         .uri(format!("http://{}{PATH}", lease.node))
         .header(header::CONTENT_TYPE, "application/json")
         .body(Full::new(body))
-        .ok()
+        .ok()?;
+    if let Some(token) = &lease.token {
+        let value = token.authorization();
+        request.headers_mut().insert(header::AUTHORIZATION, value);
+    }
+    Some(request)
 }
