--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,7 +6,9 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use laburnum_edge::{Clock, LinkError, Platform};
-use laburnum_kernel::{Event, NodeId, Settings, id::BadName, once::OnceSettings, pick::Place};
+use laburnum_kernel::{
+    Event, NodeId, Settings, id::BadName, once::OnceSettings, pick::Place, settings::AcceptSettings,
+};
 use opentelemetry_sdk::error::OTelSdkError;
 use tokio::{
     net::TcpListener,
@@ -95,6 +97,7 @@
             region: config.region.parse()?,
             zone: config.zone.parse()?,
             peers: config.peers.iter().copied().map(NodeId).collect(),
+            accept: AcceptSettings::default(),
             spread: config.spread.clone(),
             once: OnceSettings {
                 retention: config.retention,
