--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -102,7 +102,6 @@
             once: OnceSettings {
                 retention: config.retention,
             },
-            ..Settings::default()
         };
         let node = settings.node;
         let place = Place {
