Spread: the relays' wait at start is taken back

Cause: with it cargo test -p laburnum-kernel fails in a_submission_found_by_recovery_is_accepted (accept) and a_zone_is_cut_off_and_healed (members_session: readiness later); only the tests of spread had been run. Conclusion: the herd's reads of the whole log remain to be mended.

--- a/crates/kernel/src/spread/readiness.rs
+++ b/crates/kernel/src/spread/readiness.rs
@@ -22,9 +22,6 @@
 /// How long a new node asks peers only; then it also reads the table, at a random moment.
 const PEERS_ONLY_MS: u64 = 4_000;
 
-/// A relay that is not ready waits this part of the time that others wait: 1 to 2 s.
-const RELAY_PART: u64 = 4;
-
 /// How far a new process is with catching up.
 #[derive(Debug)]
 pub enum Start {
@@ -32,8 +29,6 @@
     New {
         /// When it begins to read the table.
         table_at: Ms,
-        /// When it begins to, if it is a relay.
-        relay_at: Ms,
         /// Peers that are ready and told their position.
         votes: BTreeSet<NodeId>,
         /// Whether the table told its own position.
@@ -56,7 +51,6 @@
     fn default() -> Start {
         Start::New {
             table_at: Ms(0),
-            relay_at: Ms(0),
             votes: BTreeSet::new(),
             table: Table::Unread,
         }
@@ -71,25 +65,8 @@
         // A herd that starts together reads the table spread over this long, not at once.
         (false, SpreadMode::Relays) => cx.rng.random_range(PEERS_ONLY_MS..=2 * PEERS_ONLY_MS),
     };
-    if let Start::New {
-        table_at, relay_at, ..
-    } = &mut state.spread.start
-    {
+    if let Start::New { table_at, .. } = &mut state.spread.start {
         *table_at = cx.now + wait;
-        *relay_at = cx.now + wait / RELAY_PART;
-    }
-}
-
-/// Whether a relay may read the table.
-///
-/// A process that has just started knows few members, and so seems to be a relay of its zone. If it read at
-/// once, every node of a herd would read the whole log from the table although its peers hold it. After a second
-/// it knows its zone, and its peers have mostly made it ready. Where all of a fleet starts anew, the true relays
-/// still read some seconds before the others would.
-pub fn relay_may_read(cx: &Context<'_>, state: &State) -> bool {
-    match &state.spread.start {
-        Start::New { relay_at, .. } => cx.now >= *relay_at,
-        Start::Ready => true,
     }
 }
 
@@ -120,7 +97,6 @@
         table_at,
         votes,
         table,
-        ..
     } = &state.spread.start
     else {
         return;
--- a/crates/kernel/src/spread/relay.rs
+++ b/crates/kernel/src/spread/relay.rs
@@ -119,7 +119,7 @@
     state.spread.stats.relay = relay;
     let polls = match cx.settings.spread.mode {
         SpreadMode::Poll => true,
-        SpreadMode::Relays => relay && readiness::relay_may_read(cx, state),
+        SpreadMode::Relays => relay,
     };
     if polls {
         retry_head(cx, state);
