Refused frames of the control link are logged, at most one line in ten seconds

Cause: frames of strangers and repeated frames were counted in the metrics but never logged, unlike the faults of every other socket. Conclusion: a wrong key shows in the log within seconds.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -16,7 +16,7 @@
     link::{Keys, Traffic, Waker, ZmqLink},
 };
 use laburnum_kernel::{
-    Action, Call, Event, Kernel, Reply, Seq, Settings, Token, View,
+    Action, Call, Event, Kernel, Ms, Reply, Seq, Settings, Token, View,
     event::TICK_MS,
     members::{Phase, Reach},
     spread,
@@ -52,6 +52,8 @@
     pub unsettled: usize,
 }
 
+/// Shortest time between two log lines on refused frames, in ms.
+const REFUSALS_MS: u64 = 10_000;
 /// Interval at which [`Control::stats`] is refreshed, in ms.
 pub const STATS_MS: u64 = 1_000;
 
@@ -133,6 +135,7 @@
             control: control.clone(),
             waiting: HashMap::new(),
             next: Next::Run,
+            refusals: Refusals::default(),
         };
         let thread = std::thread::Builder::new()
             .name("control".to_owned())
@@ -168,6 +171,14 @@
     control: Control,
     waiting: HashMap<Token, oneshot::Sender<Reply>>,
     next: Next,
+    refusals: Refusals,
+}
+
+/// Frames refused when the last log line on them was written.
+#[derive(Debug, Default)]
+struct Refusals {
+    count: u64,
+    told: Option<Ms>,
 }
 
 /// Whether the control loop goes on.
@@ -200,6 +211,7 @@
             if self.clock.now().since(counted) >= STATS_MS {
                 counted = self.clock.now();
                 self.count();
+                self.tell_refusals(counted);
             }
             if self.next == Next::Close {
                 return self.link.close();
@@ -224,6 +236,28 @@
         self.control.stats.store(Arc::new(stats));
     }
 
+    /// One log line on refused frames in [`REFUSALS_MS`]: a flood of them must not become a flood of lines.
+    fn tell_refusals(&mut self, now: Ms) {
+        let traffic = self.link.traffic();
+        let (strange, replayed) = (traffic.strange, traffic.replayed);
+        let quiet = self
+            .refusals
+            .told
+            .is_none_or(|it| now.since(it) >= REFUSALS_MS);
+        if strange + replayed == self.refusals.count || !quiet {
+            return;
+        }
+        self.refusals = Refusals {
+            count: strange + replayed,
+            told: Some(now),
+        };
+        let pairs = [
+            ("strange", strange.to_string()),
+            ("replayed", replayed.to_string()),
+        ];
+        logs::event("link-refused", &pairs);
+    }
+
     fn commands(&mut self, commands: &Receiver<Command>) -> Next {
         while let Ok(command) = commands.try_recv() {
             match command {
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -12,9 +12,10 @@
 const TARGET: &str = "laburnum";
 
 /// Events that somebody should look at; docs/LOGS.md says what to do.
-const WARNINGS: [&str; 18] = [
+const WARNINGS: [&str; 19] = [
     "claims_damaged",
     "claims_filling",
+    "link-refused",
     "log-row-refused",
     "member",
     "paused",
