--- a/crates/kernel/src/accept/commit.rs
+++ b/crates/kernel/src/accept/commit.rs
@@ -5,8 +5,6 @@
     sync::Arc,
 };
 
-use rand::Rng;
-
 use crate::{
     accept::{
         Origin, QUEUE_BYTES, QUEUE_MAX, Verdict, WINDOW_MAX, accepted,
@@ -20,6 +18,7 @@
     kernel::{Context, State},
     log::{Batch, Change, Edit},
     platform::{ABSENT, Check, Fault, TableAnswer, TableOp, Write},
+    utils::backoff,
 };
 
 /// Submissions that wait for a transaction of this node, and that transaction.
@@ -135,10 +134,8 @@
     /// Committers that collide would collide again if they waited equally long; full jitter spreads them.
     fn back_off(&mut self, cx: &mut Context<'_>, least: u64) {
         self.failures += 1;
-        let most = BACKOFF
-            .saturating_mul(1 << self.failures.min(10))
-            .min(BACKOFF_MAX);
-        self.stage = Stage::Backoff(cx.now + least + cx.rng.random_range(0..=most));
+        let wait = backoff(cx.rng, BACKOFF, BACKOFF_MAX, self.failures);
+        self.stage = Stage::Backoff(cx.now + least + wait);
     }
 }
 
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -9,7 +9,7 @@
     accept::Accept,
     clock::Ms,
     drain::Drain,
-    event::{Action, Call, Event, Message, Notice, Reply, TICK_MS},
+    event::{Action, Event, Message, Notice, Reply, TICK_MS},
     guard::Guard,
     id::{CallId, NodeId, Token},
     log::{Log, Recovery},
@@ -205,13 +205,3 @@
 fn rng(seed: u64, plugin: &Plugin) -> ChaCha8Rng {
     ChaCha8Rng::seed_from_u64(hash64(&[&seed.to_le_bytes(), plugin.name.as_bytes()]))
 }
-
-/// Whether `call` is one that `plugin` answers; used by drivers to route statistics.
-pub fn call_name(call: &Call) -> &'static str {
-    match call {
-        Call::Accept(_) => "accept",
-        Call::Once(_) => "once",
-        Call::Guard(_) => "guard",
-        Call::Status => "status",
-    }
-}
--- a/crates/kernel/src/log/recovery.rs
+++ b/crates/kernel/src/log/recovery.rs
@@ -12,6 +12,7 @@
     kernel::Context,
     log::{Applied, Log, Snapshot},
     platform::{ObjectAnswer, ObjectOp, Row, TableAnswer, TableOp},
+    utils::backoff,
 };
 
 /// Reads the newest snapshot, where it is far ahead, and the log after it.
@@ -135,8 +136,9 @@
     fn retry(&mut self, cx: &mut Context<'_>) {
         self.failures += 1;
         if self.failures < ATTEMPTS_MAX {
-            let most = BACKOFF.saturating_mul(1 << self.failures).min(BACKOFF_MAX);
-            return self.wait(cx, most);
+            let wait = backoff(cx.rng, BACKOFF, BACKOFF_MAX, self.failures);
+            self.stage = Stage::Waiting(cx.now + wait);
+            return;
         }
         self.failures = 0;
         let attempts = ATTEMPTS_MAX.to_string();
--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -465,6 +465,6 @@
     Denial::Refused(Refusal::new(reason))
 }
 
-pub(super) fn not_ready() -> Denial {
+fn not_ready() -> Denial {
     Denial::Refused(Refusal::after(Reason::NotReady, NOT_READY_MS))
 }
