--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -22,6 +22,7 @@
 pub mod proof;
 pub mod serve;
 mod services;
+mod socket;
 mod stall;
 
 use std::{
--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -415,7 +415,9 @@
     /// Waits for the header of the answer, and finds out whether a silent connection is to be given up.
     ///
     /// Only a reused connection is doubted, only for a request that may be sent again, and only while the
-    /// upstream answers on a new one: a slow upstream keeps its work.
+    /// upstream answers on a new one: a slow upstream keeps its work. With an imported configuration it is not
+    /// doubted at all: the connection itself tells when its bytes are not acknowledged, and a second run of a
+    /// slow request takes a second slot of an upstream that is short of them.
     async fn wait(
         &self,
         job: &Job,
@@ -424,7 +426,8 @@
         limit: Instant,
     ) -> Sent {
         let left = limit.saturating_duration_since(Instant::now());
-        let doubtful = lease.usage() == Usage::Reused
+        let doubtful = self.0.origin == Origin::Submitted
+            && lease.usage() == Usage::Reused
             && job.repeat == Repeat::Idempotent
             && matches!(job.payload, Payload::Whole(_));
         let patience = match doubtful {
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -15,12 +15,12 @@
 use http::{Request, Response};
 use hyper::{body::Incoming, client::conn::http2};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use tokio::{
-    net::TcpStream,
-    time::{Instant, timeout, timeout_at},
-};
+use tokio::time::{Instant, timeout, timeout_at};
 
-use super::serve::{CONNECTION_WINDOW, PING_INTERVAL, PING_TIMEOUT, STREAM_WINDOW};
+use super::{
+    serve::{CONNECTION_WINDOW, PING_INTERVAL, PING_TIMEOUT, STREAM_WINDOW},
+    socket,
+};
 
 /// Longest time in which a connection to another node must open.
 const CONNECT: Duration = Duration::from_millis(500);
@@ -176,8 +176,7 @@
 }
 
 async fn open(address: SocketAddr) -> Option<http2::SendRequest<Body>> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    let _ = stream.set_nodelay(true);
+    let stream = socket::connect(address).await.ok()?;
     let (sender, connection) = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
         .keep_alive_interval(PING_INTERVAL)
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -15,12 +15,13 @@
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use tokio::{
-    net::TcpStream,
     sync::{Notify, OwnedSemaphorePermit, Semaphore},
     task::AbortHandle,
     time::{Instant, sleep_until, timeout_at},
 };
 
+use super::socket;
+
 /// Settings of one [`Pool`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PoolSettings {
@@ -247,10 +248,9 @@
 }
 
 async fn open(address: SocketAddr) -> Result<(http1::SendRequest<Body>, AbortHandle), Unavailable> {
-    let stream = TcpStream::connect(address)
+    let stream = socket::connect(address)
         .await
         .map_err(|_| Unavailable::Refused)?;
-    let _ = stream.set_nodelay(true);
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|_| Unavailable::Refused)?;
