--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -39,6 +39,8 @@
 /// What to do.
 #[derive(Clone, Debug)]
 pub enum Command {
+    /// Tell the way of a request from nodes' logs.
+    Explain { id: String, files: Vec<PathBuf> },
     /// Check files without a node.
     Check { files: Vec<PathBuf> },
     /// Submit a file.
@@ -184,6 +186,13 @@
         let files = values.operands().iter().map(PathBuf::from).collect();
         return Some(Command::Check { files });
     }
+    if name == "explain" {
+        let files = values.operands().iter().skip(1).map(PathBuf::from);
+        return Some(Command::Explain {
+            id: values.operand(0).to_owned(),
+            files: files.collect(),
+        });
+    }
     let node = Target {
         address: values.get(&NODE),
         token: values.find(&TOKEN),
--- a/crates/ctl/src/cli/table.rs
+++ b/crates/ctl/src/cli/table.rs
@@ -90,6 +90,15 @@
     help: "Idempotency-Key of the request, as printed by status.",
 };
 
+const REQUEST: Operand = Operand {
+    name: "ID",
+    help: "Id of a request, as its caller sent it.",
+};
+const LOGS: Operand = Operand {
+    name: "FILE...",
+    help: "Logs of the nodes that it may have passed.",
+};
+
 const VERSION: &str = env!("CARGO_PKG_VERSION");
 
 const fn command(
@@ -136,6 +145,12 @@
     JSON.row(),
 ];
 
+const EXPLAIN: Program = command(
+    "laburnum-ctl explain",
+    "Tells the way of one request from the logs of several nodes.",
+    &[REQUEST, LOGS],
+    &[JSON.row()],
+);
 const CHECK: Program = command(
     "laburnum-ctl check",
     "Checks documents without a node, by the same code as the nodes.",
@@ -240,6 +255,7 @@
         ("status", STATUS),
         ("lift", LIFT),
         ("resolve", RESOLVE),
+        ("explain", EXPLAIN),
     ],
 };
 
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -12,6 +12,7 @@
 use crate::{
     cli::{Act, Command, Print, Target, Wait},
     client::{Client, ClientError},
+    explain::explain,
     files,
     report::{Failure, Outcome, Report},
     show,
@@ -21,6 +22,7 @@
 pub async fn run(command: Command, err: &mut dyn Write) -> Result<Report, Failure> {
     match command {
         Command::Check { files } => check(&files),
+        Command::Explain { id, files } => explain(&id, &files),
         Command::Submit { file, change } => change::submit(&file, change, err).await,
         Command::Delete { service, change } => change::delete(service, change, err).await,
         Command::Outcome { node, id } => outcome(node, id).await,
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cli;
 pub mod client;
 mod commands;
+mod explain;
 mod files;
 pub mod report;
 mod show;
--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -9,6 +9,10 @@
 #[test_case("help", &["--help"])]
 #[test_case("submit-help", &["submit", "--help"])]
 #[test_case("check", &["check", "tests/data/archive.toml", "tests/data/faulty.toml"])]
+#[test_case("explain", &["explain", "94e1052307bc43b9", "tests/data/entry.log", "tests/data/owner.log"])]
+#[test_case("explain-absent", &["explain", "0000000000000000", "tests/data/entry.log"])]
+#[test_case("explain-nothing", &["explain", "0000000000000000", "tests/data/archive.toml"])]
+#[test_case("explain-no-file", &["explain", "0000000000000000", "tests/data/absent.log"])]
 #[test_case("check-json", &["check", "--json", "tests/data/archive.toml", "tests/data/faulty.toml"])]
 #[tokio::test]
 async fn prints(name: &str, args: &[&str]) {
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod refusal;
 pub mod retry;
 pub mod routing;
+pub mod sampling;
 pub mod settings;
 pub mod spread;
 pub mod utils;
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -6,7 +6,12 @@
 };
 
 use log::Level;
-use logforth::{Diagnostic, Error, Layout, filter::rustlog::RustLogFilterBuilder, record::Record};
+use logforth::{
+    Diagnostic, Error, Layout,
+    append::{Stdout, asynchronous::AsyncBuilder},
+    filter::rustlog::RustLogFilterBuilder,
+    record::Record,
+};
 
 /// Lines of the node's own events, which are pairs already; other lines are text of a library.
 const TARGET: &str = "laburnum";
@@ -63,6 +68,29 @@
     starter.filter(filter).layout(Pairs).apply();
 }
 
+/// Lines that wait for a reader of standard output; more are dropped. Some 100 KB, a second at the highest rate.
+const PENDING_MAX: usize = 512;
+
+/// Sends log lines to standard output through a thread of its own, which nothing ever waits for.
+///
+/// Whoever collects the lines may stop reading: written in place, the next line would stop the node.
+pub fn init_pending() {
+    let filter = RustLogFilterBuilder::from_default_env_or("info").build();
+    let stdout = AsyncBuilder::new("log")
+        .buffered_lines_limit(Some(PENDING_MAX))
+        .overflow_drop_incoming()
+        .append(Stdout::default().with_layout(Pairs))
+        .build();
+    logforth::starter_log::builder()
+        .dispatch(|it| it.filter(filter).append(stdout))
+        .apply();
+}
+
+/// Writes what is still pending, at the end of a process.
+pub fn flush() {
+    log::logger().flush();
+}
+
 /// Writes `ts=<ms since the epoch> level=<level>` before each event's pairs.
 #[derive(Clone, Copy, Debug)]
 pub struct Pairs;
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -20,6 +20,7 @@
 mod peers;
 pub mod pool;
 pub mod proof;
+pub mod report;
 pub mod serve;
 mod services;
 mod socket;
@@ -58,6 +59,7 @@
 use headers::REQUEST;
 use peers::Peers;
 use proof::{Proofs, Unproven};
+use report::Reports;
 use serve::Line;
 use services::Services;
 
@@ -77,6 +79,7 @@
     faults: Arc<Faults>,
     counts: Counts,
     limiter: Mutex<Limiter>,
+    reports: Reports,
     /// Bounds what the entry holds of bodies to send again.
     held: Budget,
     origin: Origin,
@@ -158,6 +161,7 @@
             dialect,
             service,
             limiter: Mutex::default(),
+            reports: Reports::default(),
             held: Budget::new(HELD_TOTAL),
             draining: AtomicBool::new(false),
             suspects: Arc::new(Semaphore::new(1)),
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -40,6 +40,7 @@
         REQUEST, SERVICE, UNKNOWN,
     },
     peers,
+    report::{Attempted, Decided, Ended},
     services::{Flight, Service},
 };
 
@@ -76,6 +77,14 @@
     headers: HeaderMap,
 }
 
+/// A request's way so far, for the log.
+struct Way {
+    id: Option<HeaderValue>,
+    started: Ms,
+    decided: Option<Decided>,
+    tried: Vec<NodeId>,
+}
+
 /// The request's body, as far as it can be sent again.
 enum Payload {
     /// All of it is here; `_share` is what it takes of the node's budget.
@@ -108,8 +117,17 @@
         let started = self.now();
         let (parts, incoming) = request.into_parts();
         let id = self.0.dialect.id(&parts.headers);
+        let mut way = Way {
+            id: id.clone(),
+            started,
+            decided: None,
+            tried: Vec::new(),
+        };
         let (class, result) = match self.plan(parts, peer) {
-            Ok(plan) => (Some(plan.class), self.carry(plan, incoming).await),
+            Ok(plan) => {
+                way.decided = self.decided(&plan);
+                (Some(plan.class), self.carry(plan, incoming, &mut way).await)
+            }
             Err(denial) => (None, Err(denial)),
         };
         let response = result.unwrap_or_else(|denial| {
@@ -122,6 +140,9 @@
         if let Some(class) = class {
             self.0.counts.took(class, self.now().since(started));
         }
+        if self.0.origin == Origin::Imported {
+            self.tell_end(&way, &response);
+        }
         self.0.dialect.answer(response, id)
     }
 
@@ -268,10 +289,71 @@
         }
     }
 
-    async fn carry(&self, plan: Plan, incoming: Incoming) -> Result<Response<Body>, Denial> {
+    /// What the log says of the decisions on a request, where routes have names.
+    fn decided(&self, plan: &Plan) -> Option<Decided> {
+        let now = self.now();
+        let view = self.view();
+        let route = view.table.route(&plan.authority, plan.path.path())?;
+        let endpoints = plan.service.lock().chooser.len();
+        Some(Decided {
+            route: route.name.to_string(),
+            service: plan.name.to_string(),
+            priority: route.priority,
+            version: view.table.version(),
+            left: plan.deadline.left(now),
+            goal: plan.goal.since(now),
+            endpoints,
+        })
+    }
+
+    fn tell_end(&self, way: &Way, response: &Response<Body>) {
+        let now = self.now();
+        let ended = Ended {
+            id: way.id.as_ref(),
+            decided: way.decided.as_ref(),
+            tried: &way.tried,
+            took: now.since(way.started),
+            status: response.status(),
+            headers: response.headers(),
+        };
+        self.0.reports.ended(now, &ended);
+    }
+
+    fn tell_attempt(&self, way: &Way, number: u32, response: &Response<Body>, next: Next) {
+        let (Some(node), Origin::Imported) = (way.tried.last(), self.0.origin) else {
+            return;
+        };
+        let text = |name| {
+            response
+                .headers()
+                .get(name)
+                .and_then(|it: &HeaderValue| it.to_str().ok())
+        };
+        let now = self.now();
+        let attempted = Attempted {
+            id: way.id.as_ref(),
+            number,
+            node: *node,
+            outcome: text(OUTCOME).unwrap_or_default(),
+            reason: text(headers::REASON).unwrap_or_default(),
+            next: match next {
+                Next::Retry { after } => format!("retry-after-{after}"),
+                Next::GiveUp(why) => format!("give-up-{why:?}").to_lowercase(),
+            },
+            took: now.since(way.started),
+        };
+        self.0.reports.attempted(now, &attempted);
+    }
+
+    async fn carry(
+        &self,
+        plan: Plan,
+        incoming: Incoming,
+        way: &mut Way,
+    ) -> Result<Response<Body>, Denial> {
         let payload = self.payload(&plan, incoming).await?;
         let mut past = Past::NotRun;
-        let result = self.attempts(&plan, payload, &mut past).await;
+        let result = self.attempts(&plan, payload, &mut past, way).await;
         match (past, result) {
             (Past::NotRun, result) => result,
             (Past::Unknown, Err(denial)) => Err(denial.doubted()),
@@ -288,6 +370,7 @@
         plan: &Plan,
         mut payload: Payload,
         past: &mut Past,
+        way: &mut Way,
     ) -> Result<Response<Body>, Denial> {
         let counted = match self.0.origin {
             Origin::Submitted => Counted::All,
@@ -307,6 +390,7 @@
                 Choice::Refuse(refusal) => return Err(Denial::Refused(refusal)),
             };
             tried.push(endpoint.node);
+            way.tried.push(endpoint.node);
             let tree = retry.attempt();
             let request = self.request(plan, &payload, tree, number);
             let attempt = self.attempt(plan, &endpoint, request).await;
@@ -321,7 +405,9 @@
             if failure == Failure::Unknown {
                 *past = Past::Unknown;
             }
-            let Next::Retry { after } = self.next(plan, &mut retry, &mut tried, failure) else {
+            let next = self.next(plan, &mut retry, &mut tried, failure);
+            self.tell_attempt(way, number, &response, next);
+            let Next::Retry { after } = next else {
                 return Ok(response);
             };
             let Some(again) = payload.again() else {
--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -10,7 +10,9 @@
 
 use axum::body::Body;
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, Method, Request, Response, StatusCode, Uri, header};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header,
+};
 use http_body::Body as _;
 use laburnum_kernel::{
     Ms, Name, View,
@@ -41,6 +43,7 @@
         SERVICE,
     },
     pool::{Lease, Sent, Unavailable, Usage},
+    report,
     services::Told,
 };
 
@@ -117,9 +120,18 @@
     /// Carries one request from an entry to the upstream beside this node.
     pub(super) async fn own(&self, request: Request<Body>) -> Response<Body> {
         let number = request.headers().get(REQUEST).cloned();
+        let id = self.0.dialect.id(request.headers());
+        let started = self.now();
         let owned = self.owned_guard();
         let result = self.serve(request, &owned).await;
-        let mut response = result.unwrap_or_else(|it| it.response());
+        let mut response = match result {
+            Ok(response) => response,
+            Err(denial) => {
+                let response = denial.response();
+                self.tell_owned(id, started, &response);
+                response
+            }
+        };
         let headers = response.headers_mut();
         match self.0.gate.told() {
             Told::Load(load) => headers::insert_text(headers, LOAD, &load.to_string()),
@@ -132,6 +144,26 @@
         response
     }
 
+    /// Logs a request that is not served here.
+    fn tell_owned(&self, id: Option<HeaderValue>, started: Ms, response: &Response<Body>) {
+        if self.0.origin == Origin::Submitted {
+            return;
+        }
+        let now = self.now();
+        let gauges = self.0.gate.gauges();
+        let present = self.0.upstream.present();
+        let instance = present.as_ref().and_then(|it| it.instance.as_deref());
+        let owned = report::Owned {
+            id: id.as_ref(),
+            instance: instance.unwrap_or_default(),
+            load: [gauges.running, gauges.waiting, gauges.limit],
+            took: now.since(started),
+            status: response.status(),
+            headers: response.headers(),
+        };
+        self.0.reports.owned(now, &owned);
+    }
+
     /// Brings the gate up to what `view` says of the upstream.
     pub(super) fn follow(&self, view: &View) {
         let Some(own) = &view.own else {
