A node is ready when it knows an endpoint of each service

Change: ready after a join was answered and each service of the configuration has an endpoint, or after 3 s. Test: node_that_knows_no_endpoint_yet_is_not_ready failed first; the test of readiness by peers alone is replaced by three stricter ones.

--- a/crates/kernel/src/import.rs
+++ b/crates/kernel/src/import.rs
@@ -4,7 +4,10 @@
 //! its peers instead: it asks one after the other for a newer version. Versions only grow, so whichever way a
 //! version comes, a node never moves back within one incarnation.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use rand::{Rng, seq::IteratorRandom};
 use serde::{Deserialize, Serialize};
@@ -12,8 +15,9 @@
 use crate::{
     clock::Ms,
     event::{self, Event, Notice},
-    id::NodeId,
+    id::{Name, NodeId},
     kernel::{Context, Plugin, Scope, State},
+    members::Phase,
     routing::{Spec, Table},
 };
 
@@ -26,11 +30,12 @@
 /// The same while the source does not answer, in ms. With two thirds of the peers ahead, four questions a
 /// second bring a version within a second in 99 of 100 cases.
 pub const ASK_LOST_MS: u64 = 250;
-/// Longest time that a new process waits for its first peers before it serves without them, in ms.
+/// Longest time that a new process waits until it knows an endpoint of each service, in ms.
 ///
-/// Without peers it refuses all but its own upstream's requests. Peers answer a join within a few round trips;
-/// after this long there are none, or they cannot be reached.
-pub const ALONE_MS: u64 = 1_500;
+/// A process that is ready before it knows them refuses its callers' requests, which others would carry. Peers
+/// answer a join within a few round trips; where everything starts at once, upstreams announce themselves within
+/// 1.5 s. After twice that, some service has none.
+pub const SETTLE_MS: u64 = 3_000;
 /// Most bytes of a version in one message; under the longest frame of the link.
 pub const PART_MAX: usize = 48 * 1024;
 /// Most parts that are taken of one version: 4 MiB, some hundred times the largest configuration expected.
@@ -86,7 +91,7 @@
         &self.table
     }
 
-    /// Whether this process holds a configuration and knows its peers, or has looked for them long enough.
+    /// Whether this process holds a configuration and knows who serves it, or has looked for them long enough.
     pub fn ready(&self) -> bool {
         self.ready
     }
@@ -258,9 +263,8 @@
     if state.import.ready || state.import.table.version() == 0 {
         return;
     }
-    let own = cx.settings.node;
-    let peers = state.members.alive().any(|it| it.id != own);
-    if peers || cx.now.since(state.import.started) >= ALONE_MS {
+    let known = state.members.joined() && served(state);
+    if known || cx.now.since(state.import.started) >= SETTLE_MS {
         state.import.ready = true;
         cx.log(
             "ready",
@@ -269,3 +273,16 @@
         cx.raise(Notice::Ready);
     }
 }
+
+/// Whether an endpoint of each service is known.
+fn served(state: &State) -> bool {
+    let offered: BTreeSet<&Name> = state
+        .members
+        .alive()
+        .filter(|it| it.phase == Phase::Ready)
+        .filter_map(|it| it.offer.as_ref())
+        .map(|it| &it.service)
+        .collect();
+    let mut services = state.import.table.spec().services.iter();
+    services.all(|it| offered.contains(&it.name))
+}
--- a/crates/kernel/src/members.rs
+++ b/crates/kernel/src/members.rs
@@ -97,6 +97,8 @@
     heartbeat: Ms,
     /// The whole node leaves, not only its upstream.
     leaving: bool,
+    /// Somebody told this process whom it knows.
+    joined: bool,
     changed: bool,
 }
 
@@ -133,6 +135,7 @@
             contacts: Contacts::default(),
             heartbeat: Ms(0),
             leaving: false,
+            joined: false,
             changed: false,
         }
     }
@@ -170,6 +173,11 @@
         self.others.get(&id).map(|it| it.reach)
     }
 
+    /// Whether somebody has told this process whom it knows since the start.
+    pub fn joined(&self) -> bool {
+        self.joined
+    }
+
     /// Whether the view is fresh enough to relay or commit by it. False after a pause of the process,
     /// until others have answered again.
     pub fn trusted(&self) -> bool {
--- a/crates/kernel/src/members/sync.rs
+++ b/crates/kernel/src/members/sync.rs
@@ -121,6 +121,7 @@
     for it in updates {
         learned |= members.learn(cx.now, it, relay) == Learned::New;
     }
+    members.joined = true;
     suspect::refreshed(members);
     if alone && learned {
         members.change_own(cx.now, |_| {}, super::Pace::Origin);
--- a/crates/kernel/tests/import.rs
+++ b/crates/kernel/tests/import.rs
@@ -8,9 +8,11 @@
 use laburnum_kernel::{
     Event, Settings,
     document::Repeat,
-    import::{ALONE_MS, PART_MAX, Source},
+    event::UpstreamEvent,
+    import::{PART_MAX, SETTLE_MS, Source},
     routing::{RouteSpec, ServiceSpec, Spec, Table, Target},
     settings::Origin,
+    view,
 };
 
 use driver::{Driver, name, node};
@@ -120,22 +122,60 @@
     assert!(packed > PART_MAX, "the version needs several parts");
 }
 
-/// A node that serves before it holds a version would answer that there is no route; one that knows no peer refuses
-/// what its own upstream does not serve. Alone for good, it serves all the same.
+fn announce(driver: &mut Driver, index: usize) {
+    let announced = UpstreamEvent::Announced {
+        service: name("desk"),
+        slots: 6,
+    };
+    driver.event(index, Event::Upstream(announced));
+    driver.event(index, Event::Upstream(UpstreamEvent::Ready));
+}
+
+fn ready(driver: &Driver, index: usize) -> bool {
+    driver.kernels[index].state().import.ready()
+}
+
+/// A node that serves before it holds a version would answer that there is no route.
 #[test]
-fn node_is_ready_with_a_version_and_its_peers() {
+fn node_without_a_version_is_not_ready() {
     let mut driver = fleet(2);
-    let ready = |driver: &Driver, index: usize| driver.kernels[index].state().import.ready();
-    driver.run(ALONE_MS + 500);
-    assert!(!ready(&driver, 0), "without a version");
+    announce(&mut driver, 1);
+    driver.run(2 * SETTLE_MS);
+    assert!(!ready(&driver, 0));
     driver.event(0, Event::Imported(table(5, 10)));
     driver.run(100);
     assert!(ready(&driver, 0));
+}
 
+/// A new host's node reads the configuration before any peer has told it who is there. Ready by then, it refused each
+/// request of its callers for want of an endpoint, though the fleet had many.
+#[test]
+fn node_that_knows_no_endpoint_yet_is_not_ready() {
+    let mut driver = fleet(2);
+    announce(&mut driver, 0);
+    driver.run(1_000);
+    let late = driver.add_with(Settings {
+        node: node(2),
+        incarnation: driver.now.0,
+        peers: vec![node(0), node(1)],
+        origin: Origin::Imported,
+        ..Settings::default()
+    });
+    driver.event(late, Event::Imported(table(5, 10)));
+    assert!(!ready(&driver, late), "nobody has told it anything");
+    driver.run(500);
+    assert!(ready(&driver, late));
+    let view = view::build(driver.kernels[late].state(), Origin::Imported);
+    assert_eq!(view.services[&name("desk")].endpoints.len(), 1);
+}
+
+/// A service of the configuration has no endpoint at all, or a node is alone: it must not wait for ever.
+#[test]
+fn node_serves_what_it_can_after_a_while() {
     let mut alone = fleet(1);
     alone.event(0, Event::Imported(table(5, 10)));
-    alone.run(ALONE_MS / 2);
+    alone.run(SETTLE_MS / 2);
     assert!(!ready(&alone, 0), "its peers may still answer");
-    alone.run(ALONE_MS);
+    alone.run(SETTLE_MS);
     assert!(ready(&alone, 0));
 }
