A few watchers pass differences on; waiting requests give up on a deaf node together

Change 1: nodes with links under 50 Mbit/s rest while a watcher answers them; a watcher sends its zone what changed. Change 2: an attempt that failed answers all that waited for it.

--- a/crates/kernel/src/import.rs
+++ b/crates/kernel/src/import.rs
@@ -1,8 +1,11 @@
 //! Import: the configuration comes from an external source, whole, version by version.
 //!
-//! Each node watches the source by itself ([`Event::Imported`]). A node that the source turns away learns from
-//! its peers instead: it asks one after the other for a newer version. Versions only grow, so whichever way a
-//! version comes, a node never moves back within one incarnation.
+//! A node with a fast link watches the source by itself ([`Event::Imported`]) and passes what changed on to those in
+//! its availability zone that do not. A node with a slow link watches only while no watcher answers it: a
+//! configuration of thousands of routes takes such a link for the better part of a second, a difference for a
+//! millisecond. A node that the source turns away learns from its peers as well: it asks one after the other for
+//! a newer version. Versions only grow, so whichever way a version comes, a node never moves back within one
+//! incarnation.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -10,7 +13,7 @@
 };
 
 use rand::{Rng, seq::IteratorRandom};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{
     clock::Ms,
@@ -18,7 +21,7 @@
     id::{Name, NodeId},
     kernel::{Context, Plugin, Scope, State},
     members::Phase,
-    routing::{Spec, Table},
+    routing::{Difference, Spec, Table},
 };
 
 inventory::submit! { Plugin { name: "import", order: 16, scope: Scope::Imported, handle } }
@@ -43,11 +46,41 @@
 /// Compression level: the fastest; a version is packed once per question.
 const LEVEL: i32 = 1;
 
+/// Silence of all watchers after which a node with a slow link watches by itself, in ms: two of its questions went
+/// unanswered, and a version is due within twice that.
+pub const WATCH_MS: u64 = 2_500;
+/// The same for a new process without a version: its peers answer within a few round trips, if there are any.
+pub const WATCH_FIRST_MS: u64 = 1_000;
+
+/// Whether a node watches the source.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Watch {
+    /// Always.
+    #[default]
+    Always,
+    /// While no watcher answers.
+    Fallback,
+}
+
+/// Whether this node is to watch the source now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Turn {
+    /// It is.
+    #[default]
+    Follow,
+    /// Others do it for this node.
+    Rest,
+}
+
 /// What nodes tell one another of versions.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// I hold `version`: send me a newer one if you have it.
     Ask { version: u64 },
+    /// I hold none newer than `version`, and the source answers me.
+    Watching { version: u64 },
+    /// What changed, compressed; sent by a watcher to those that do not watch.
+    Changed { version: u64, bytes: Vec<u8> },
     /// One of the `parts` parts of `version`, compressed.
     Part {
         version: u64,
@@ -75,6 +108,9 @@
     started: Ms,
     asked: Ms,
     ready: bool,
+    /// Nodes that said that the source answers them, and when.
+    watchers: BTreeMap<NodeId, Ms>,
+    turn: Turn,
     arriving: Arriving,
 }
 
@@ -91,6 +127,11 @@
         &self.table
     }
 
+    /// Whether this node is to watch the source now.
+    pub fn turn(&self) -> Turn {
+        self.turn
+    }
+
     /// Whether this process holds a configuration and knows who serves it, or has looked for them long enough.
     pub fn ready(&self) -> bool {
         self.ready
@@ -99,8 +140,13 @@
 
 fn handle(cx: &mut Context<'_>, state: &mut State, event: &Event) {
     match event {
-        Event::Start => state.import.started = cx.now,
-        Event::Imported(table) => adopt(cx, state, table, "source"),
+        Event::Start => {
+            state.import.started = cx.now;
+            if cx.settings.watch == Watch::Fallback {
+                state.import.turn = Turn::Rest;
+            }
+        }
+        Event::Imported(table) => imported(cx, state, table),
         Event::Source(source) => follow(cx, state, *source),
         Event::Message {
             from,
@@ -111,6 +157,40 @@
     }
 }
 
+/// Takes a version of the source over and passes it on to the zone's nodes that do not watch.
+fn imported(cx: &mut Context<'_>, state: &mut State, table: &Arc<Table>) {
+    let before = state.import.table.clone();
+    adopt(cx, state, table, "source");
+    let newer = table.version() > before.version() && before.version() > 0;
+    if !newer || cx.settings.watch == Watch::Fallback {
+        return;
+    }
+    let difference = Difference::between(before.spec(), table.spec());
+    let bytes = match pack(&difference) {
+        Ok(it) => it,
+        Err(why) => return refuse(cx, cx.settings.node, table.version(), why),
+    };
+    if bytes.len() > PART_MAX {
+        // Those who lack it ask, and get it in parts.
+        return;
+    }
+    let own = state.members.own();
+    let near: Vec<NodeId> = state
+        .members
+        .ready()
+        .filter(|it| it.zone == own.zone && it.id != own.id)
+        .map(|it| it.id)
+        .filter(|it| !state.import.watchers.contains_key(it))
+        .collect();
+    for to in near {
+        let message = Message::Changed {
+            version: table.version(),
+            bytes: bytes.clone(),
+        };
+        cx.send(to, event::Message::Import(message));
+    }
+}
+
 fn adopt(cx: &mut Context<'_>, state: &mut State, table: &Arc<Table>, from: &'static str) {
     let held = state.import.table.version();
     if table.version() <= held {
@@ -145,7 +225,19 @@
         Message::Ask { version } if *version < state.import.table.version() => {
             tell(cx, state, from)
         }
-        Message::Ask { .. } => {}
+        Message::Ask { .. } => {
+            let version = state.import.table.version();
+            if state.import.source == Source::Held && cx.settings.watch == Watch::Always {
+                cx.send(from, event::Message::Import(Message::Watching { version }));
+            }
+        }
+        Message::Watching { .. } => {
+            state.import.watchers.insert(from, cx.now);
+        }
+        Message::Changed { version, bytes } => {
+            state.import.watchers.insert(from, cx.now);
+            changed(cx, state, from, *version, bytes);
+        }
         Message::Part {
             version,
             part,
@@ -165,6 +257,26 @@
     }
 }
 
+/// Takes a difference over, or asks for the whole version if it starts from another than the one held.
+fn changed(cx: &mut Context<'_>, state: &mut State, from: NodeId, version: u64, bytes: &[u8]) {
+    let held = state.import.table.version();
+    if version <= held {
+        return;
+    }
+    let difference: Difference = match unpack(bytes) {
+        Ok(it) => it,
+        Err(why) => return refuse(cx, from, version, why),
+    };
+    let Some(spec) = difference.apply(state.import.table.spec()) else {
+        let ask = Message::Ask { version: held };
+        return cx.send(from, event::Message::Import(ask));
+    };
+    match Table::new(spec) {
+        Ok(table) => adopt(cx, state, &Arc::new(table), "peer"),
+        Err(error) => refuse(cx, from, version, error.to_string()),
+    }
+}
+
 fn refuse(cx: &mut Context<'_>, from: NodeId, version: u64, why: String) {
     let pairs = vec![
         ("version", version.to_string()),
@@ -215,19 +327,23 @@
             .into_values()
             .flatten()
             .collect();
-        Some(unpack(&packed, version))
+        Some(whole(&packed, version))
     }
 }
 
-fn pack(spec: &Spec) -> Result<Vec<u8>, String> {
-    let bytes = postcard::to_stdvec(spec).map_err(|it| it.to_string())?;
+fn pack<T: Serialize>(it: &T) -> Result<Vec<u8>, String> {
+    let bytes = postcard::to_stdvec(it).map_err(|it| it.to_string())?;
     zstd::bulk::compress(&bytes, LEVEL).map_err(|it| it.to_string())
 }
 
-fn unpack(packed: &[u8], version: u64) -> Result<Table, String> {
+fn unpack<T: DeserializeOwned>(packed: &[u8]) -> Result<T, String> {
     let longest = PART_MAX * usize::from(PARTS_MAX);
     let bytes = zstd::bulk::decompress(packed, longest).map_err(|it| it.to_string())?;
-    let spec: Spec = postcard::from_bytes(&bytes).map_err(|it| it.to_string())?;
+    postcard::from_bytes(&bytes).map_err(|it| it.to_string())
+}
+
+fn whole(packed: &[u8], version: u64) -> Result<Table, String> {
+    let spec: Spec = unpack(packed)?;
     if spec.version != version {
         return Err(format!("its parts hold version {}", spec.version));
     }
@@ -236,28 +352,75 @@
 
 fn tick(cx: &mut Context<'_>, state: &mut State) {
     settle(cx, state);
-    let gap = match state.import.source {
-        Source::Held => ASK_MS,
-        Source::Lost => ASK_LOST_MS,
+    take_turn(cx, state);
+    let held = state.import.table.version() > 0;
+    let gap = match (state.import.turn, state.import.source) {
+        (Turn::Rest, _) if held => ASK_MS,
+        (Turn::Follow, Source::Held) => ASK_MS,
+        _ => ASK_LOST_MS,
     };
     if cx.now.since(state.import.asked) < gap {
         return;
     }
     // Jitter, so that a herd that started together does not ask in step.
     state.import.asked = Ms(cx.now.0.saturating_sub(cx.rng.random_range(0..=gap / 4)));
-    let own = cx.settings.node;
-    let peers = state
-        .members
-        .ready()
-        .map(|it| it.id)
-        .filter(|it| *it != own);
-    let Some(peer) = peers.choose(cx.rng) else {
+    let Some(peer) = whom_to_ask(cx, state) else {
         return;
     };
     let version = state.import.table.version();
     cx.send(peer, event::Message::Import(Message::Ask { version }));
 }
 
+/// A random peer; a watcher, if this node depends on them and knows one.
+fn whom_to_ask(cx: &mut Context<'_>, state: &State) -> Option<NodeId> {
+    let own = cx.settings.node;
+    let peers = || {
+        let ids = state.members.ready().map(|it| it.id);
+        ids.filter(|it| *it != own)
+    };
+    if cx.settings.watch == Watch::Fallback {
+        let watchers = peers().filter(|it| state.import.watchers.contains_key(it));
+        // Now and then somebody else: the watchers known may be of another time.
+        if cx.rng.random_ratio(3, 4)
+            && let Some(watcher) = watchers.choose(cx.rng)
+        {
+            return Some(watcher);
+        }
+    }
+    peers().choose(cx.rng)
+}
+
+/// Decides whether this node watches the source.
+fn take_turn(cx: &mut Context<'_>, state: &mut State) {
+    let import = &mut state.import;
+    if cx.settings.watch == Watch::Always {
+        return;
+    }
+    let now = cx.now;
+    import
+        .watchers
+        .retain(|_, heard| now.since(*heard) < WATCH_MS + 2 * ASK_MS);
+    let heard = import.watchers.values().max().copied();
+    let patience = match import.table.version() {
+        0 => WATCH_FIRST_MS,
+        _ => WATCH_MS + ASK_MS,
+    };
+    let turn = match now.since(heard.unwrap_or(import.started)) >= patience {
+        true => Turn::Follow,
+        false => Turn::Rest,
+    };
+    if turn == import.turn {
+        return;
+    }
+    import.turn = turn;
+    if turn == Turn::Rest {
+        import.source = Source::Lost;
+    }
+    let what = format!("{turn:?}").to_lowercase();
+    cx.log("config-source", vec![("state", what)]);
+    cx.raise(Notice::Own);
+}
+
 /// Makes the process ready, once, when it holds what it needs to serve.
 fn settle(cx: &mut Context<'_>, state: &mut State) {
     if state.import.ready || state.import.table.version() == 0 {
--- a/crates/kernel/src/routing.rs
+++ b/crates/kernel/src/routing.rs
@@ -3,7 +3,10 @@
 //! [`Table::new`] checks a [`Spec`] as a whole. What it refuses is never applied in part, and a route of a table
 //! never names a service that the table lacks.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -80,6 +83,64 @@
     }
 }
 
+/// What changed from one version to another; small where few routes did.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Difference {
+    /// The version that it starts from.
+    pub base: u64,
+    /// The version that it leads to.
+    pub version: u64,
+    /// Names of routes that are gone.
+    pub dropped: Vec<Arc<str>>,
+    /// Routes that are new or different.
+    pub routes: Vec<RouteSpec>,
+    /// Every service, if any changed.
+    pub services: Option<Vec<ServiceSpec>>,
+    /// What callers may send.
+    pub limits: Limits,
+}
+
+impl Difference {
+    /// What leads from `base` to `spec`.
+    pub fn between(base: &Spec, spec: &Spec) -> Difference {
+        let before: HashMap<&str, &RouteSpec> =
+            base.routes.iter().map(|it| (&*it.name, it)).collect();
+        let after: HashSet<&str> = spec.routes.iter().map(|it| &*it.name).collect();
+        let changed = |it: &&RouteSpec| before.get(&*it.name) != Some(it);
+        let dropped = base.routes.iter().filter(|it| !after.contains(&*it.name));
+        Difference {
+            base: base.version,
+            version: spec.version,
+            dropped: dropped.map(|it| it.name.clone()).collect(),
+            routes: spec.routes.iter().filter(changed).cloned().collect(),
+            services: (base.services != spec.services).then(|| spec.services.clone()),
+            limits: spec.limits,
+        }
+    }
+
+    /// The version that it leads to, if `base` is the one that it starts from.
+    pub fn apply(&self, base: &Spec) -> Option<Spec> {
+        if base.version != self.base {
+            return None;
+        }
+        let replaced: HashSet<&str> = self.routes.iter().map(|it| &*it.name).collect();
+        let dropped: HashSet<&str> = self.dropped.iter().map(|it| &**it).collect();
+        let kept = base
+            .routes
+            .iter()
+            .filter(|it| !replaced.contains(&*it.name) && !dropped.contains(&*it.name));
+        Some(Spec {
+            version: self.version,
+            routes: kept.chain(&self.routes).cloned().collect(),
+            services: self
+                .services
+                .clone()
+                .unwrap_or_else(|| base.services.clone()),
+            limits: self.limits,
+        })
+    }
+}
+
 /// Why a version is refused whole.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum BadSpec {
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     id::{Name, NodeId},
+    import::Watch,
     once::OnceSettings,
 };
 
@@ -24,6 +25,8 @@
     pub peers: Vec<NodeId>,
     /// Where the configuration comes from. Default: submitted.
     pub origin: Origin,
+    /// Whether this node watches an external source. Default: always.
+    pub watch: Watch,
     /// How submissions are taken. Default: [`AcceptSettings::default`].
     pub accept: AcceptSettings,
     /// How configuration spreads. Default: [`SpreadSettings::default`].
@@ -141,6 +144,7 @@
             zone: name("local-a"),
             peers: Vec::new(),
             origin: Origin::default(),
+            watch: Watch::default(),
             accept: AcceptSettings::default(),
             spread: SpreadSettings::default(),
             once: OnceSettings::default(),
--- a/crates/kernel/src/view.rs
+++ b/crates/kernel/src/view.rs
@@ -8,6 +8,7 @@
     event::{Action, Event, Notice, TICK_MS},
     guard::Quarantined,
     id::{Name, NodeId, Revision, Seq},
+    import::Turn,
     kernel::{Context, Plugin, Scope, State},
     members::{Phase, Reach, Record},
     routing::Table,
@@ -27,6 +28,8 @@
     pub services: BTreeMap<Name, ServiceView>,
     /// The offer and phase of the upstream beside this node.
     pub own: Option<OwnView>,
+    /// Whether this node is to watch the external source now.
+    pub turn: Turn,
     /// Routes of an external source; empty where documents are submitted.
     pub table: Arc<Table>,
     /// Requests that crash their upstream: refused, or run one at a time.
@@ -145,6 +148,7 @@
             phase: own.phase,
             slots: it.slots,
         }),
+        turn: state.import.turn(),
         table: state.import.table().clone(),
         quarantined: state.guard.quarantined(),
     }
--- a/crates/kernel/tests/import.rs
+++ b/crates/kernel/tests/import.rs
@@ -9,7 +9,7 @@
     Event, Settings,
     document::Repeat,
     event::UpstreamEvent,
-    import::{PART_MAX, SETTLE_MS, Source},
+    import::{PART_MAX, SETTLE_MS, Source, Turn, WATCH_FIRST_MS, Watch},
     routing::{RouteSpec, ServiceSpec, Spec, Table, Target},
     settings::Origin,
     view,
@@ -179,3 +179,63 @@
     alone.run(SETTLE_MS);
     assert!(ready(&alone, 0));
 }
+
+/// Nodes on slow links would take a storm of versions, half a megabyte each, for longer than it lasts, and requests would
+/// wait behind it. One watcher with a fast link passes on what changed; the others do not touch the source.
+#[test]
+fn watcher_passes_differences_on_to_its_zone() {
+    let mut driver = fleet(1);
+    for index in 1..4 {
+        driver.add_with(Settings {
+            node: node(index),
+            incarnation: driver.now.0,
+            peers: (0..index).map(node).collect(),
+            origin: Origin::Imported,
+            watch: Watch::Fallback,
+            ..Settings::default()
+        });
+    }
+    driver.event(0, Event::Source(Source::Held));
+    driver.event(0, Event::Imported(table(5, 500)));
+    driver.run(3_000);
+    for index in 1..4 {
+        assert_eq!(
+            version(&driver, index),
+            5,
+            "node {index} asked for the first"
+        );
+        assert_eq!(driver.kernels[index].state().import.turn(), Turn::Rest);
+    }
+    driver.event(0, Event::Imported(table(8, 501)));
+    driver.run(20);
+    for index in 1..4 {
+        assert_eq!(version(&driver, index), 8, "node {index} was told");
+        let spec = driver.kernels[index].state().import.table().spec().clone();
+        assert_eq!(spec.routes.len(), 501);
+    }
+}
+
+/// The watchers are gone: whoever depended on them watches by itself, and rests again once one is back.
+#[test]
+fn node_watches_by_itself_while_no_watcher_answers() {
+    let mut driver = fleet(1);
+    driver.add_with(Settings {
+        node: node(1),
+        incarnation: driver.now.0,
+        peers: vec![node(0)],
+        origin: Origin::Imported,
+        watch: Watch::Fallback,
+        ..Settings::default()
+    });
+    let turn = |driver: &Driver| driver.kernels[1].state().import.turn();
+    assert_eq!(turn(&driver), Turn::Rest);
+    driver.run(WATCH_FIRST_MS + 500);
+    assert_eq!(turn(&driver), Turn::Follow, "nobody holds a version");
+    driver.event(0, Event::Source(Source::Held));
+    driver.event(0, Event::Imported(table(5, 10)));
+    driver.run(6_000);
+    assert_eq!(turn(&driver), Turn::Rest, "a watcher answers");
+    driver.event(0, Event::Source(Source::Lost));
+    driver.run(12_000);
+    assert_eq!(turn(&driver), Turn::Follow, "the watcher lost the source");
+}
--- a/crates/kernel/tests/routing.rs
+++ b/crates/kernel/tests/routing.rs
@@ -2,7 +2,7 @@
 
 use laburnum_kernel::{
     document::Repeat,
-    routing::{BadSpec, RouteSpec, ServiceSpec, Spec, Table, Target},
+    routing::{BadSpec, Difference, RouteSpec, ServiceSpec, Spec, Table, Target},
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -91,3 +91,27 @@
     let other = route("other", "h", "/b/", &[("desk", 1)]);
     Table::new(spec(vec![other, route("r", "h", prefix, targets)]))
 }
+
+#[test]
+fn difference_leads_from_one_version_to_another() {
+    let before = spec(vec![
+        route("same", "h", "/same/", &[("desk", 1)]),
+        route("moved", "h", "/moved/", &[("desk", 1)]),
+        route("gone", "h", "/gone/", &[("desk", 1)]),
+    ]);
+    let mut after = spec(vec![
+        route("same", "h", "/same/", &[("desk", 1)]),
+        route("moved", "h", "/moved/", &[("registry", 1)]),
+        route("new", "h", "/new/", &[("desk", 1)]),
+    ]);
+    after.version = 9;
+    let difference = Difference::between(&before, &after);
+    assert_eq!(difference.routes.len(), 2);
+    assert_eq!(difference.services, None);
+    assert_eq!(difference.apply(&before), Some(after.clone()));
+    assert_eq!(
+        difference.apply(&after),
+        None,
+        "it starts from another version"
+    );
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -5,6 +5,7 @@
 use laburnum_edge::{Token, link::Keys};
 use laburnum_kernel::{
     Name,
+    import::Watch,
     once::OnceSettings,
     settings::{Origin, SpreadSettings},
 };
@@ -57,6 +58,8 @@
     pub linger: u64,
     /// Where the configuration comes from. Default: submitted.
     pub origin: Origin,
+    /// Whether the node watches an external source. Default: always.
+    pub watch: Watch,
     /// The service of the upstream beside the node, told to the upstreams that it calls. Default: unknown.
     pub service: Option<Name>,
     /// Header fields that callers and upstreams know. Default: the system's own.
@@ -92,6 +95,7 @@
             grace: 30_000,
             linger: 0,
             origin: Origin::default(),
+            watch: Watch::default(),
             service: None,
             dialect: Dialect::default(),
             polling: Polling::default(),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -99,6 +99,7 @@
             zone: config.zone.parse()?,
             peers: config.peers.iter().copied().map(NodeId).collect(),
             origin: config.origin,
+            watch: config.watch,
             accept: AcceptSettings::default(),
             spread: config.spread.clone(),
             once: OnceSettings {
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -17,7 +17,7 @@
 pub mod headers;
 mod once;
 mod owner;
-mod peers;
+pub mod peers;
 pub mod pool;
 pub mod proof;
 pub mod report;
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -47,8 +47,9 @@
 #[derive(Debug)]
 struct Peer {
     connection: Mutex<Option<Connection>>,
-    /// Held while one request opens a connection, so that others wait for that one.
-    opening: tokio::sync::Mutex<()>,
+    /// Held while one request opens a connection, so that others wait for that one; holds when an attempt
+    /// last failed.
+    opening: tokio::sync::Mutex<Option<Instant>>,
     /// When the connection was last used, in ms since `epoch`.
     used: AtomicU64,
     epoch: Instant,
@@ -133,11 +134,20 @@
         if let Some(it) = self.current() {
             return Some(it);
         }
-        let _opening = timeout_at(deadline, self.opening.lock()).await.ok()?;
+        let asked = Instant::now();
+        let mut failed = timeout_at(deadline, self.opening.lock()).await.ok()?;
         if let Some(it) = self.current() {
             return Some(it);
         }
-        let sender = timeout(CONNECT, open(address)).await.ok()??;
+        // A node that is cut off does not answer: were each waiting request to try anew, one after the other, the
+        // tenth would be told after five seconds that its request was not sent.
+        if failed.is_some_and(|it| it >= asked) {
+            return None;
+        }
+        let Some(sender) = timeout(CONNECT, open(address)).await.ok().flatten() else {
+            *failed = Some(Instant::now());
+            return None;
+        };
         let connection = Connection {
             sender,
             heard: Arc::new(AtomicU64::new(self.now())),
