Limits of callers follow the configuration; a request's log line costs nothing while it is left out

Cause: the sockets of callers and of other nodes held the node's own bounds (16 KiB of header, 60 s idle); a deployment that allows more would see its requests refused. And each request looked its route up twice and built its log strings before the sampler left the line out; each view built every service's document anew. Change: header bytes and idle time of the imported configuration widen the bounds for each new connection; what the log says of a request is filled where its route is found, as shared names and numbers, and written out behind the sampler; a table makes its documents once. A service's decoded but unused number of connections is gone. Not measured apart.

--- a/crates/kernel/src/routing.rs
+++ b/crates/kernel/src/routing.rs
@@ -66,8 +66,6 @@
 pub struct ServiceSpec {
     /// Its name.
     pub name: Name,
-    /// Most connections that one of its endpoints accepts from all callers.
-    pub connections: usize,
 }
 
 /// What callers may send.
@@ -75,11 +73,19 @@
 pub struct Limits {
     /// Longest body, in bytes. Default: 1 MiB.
     pub body: u64,
+    /// Longest header of a request, in bytes. Default: 16 KiB.
+    pub header: usize,
+    /// How long a caller's connection may be idle, in ms. Default: 10 s.
+    pub idle: u64,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { body: 1 << 20 }
+        Limits {
+            body: 1 << 20,
+            header: 16 * 1024,
+            idle: 10_000,
+        }
     }
 }
 
@@ -166,6 +172,8 @@
     spec: Spec,
     /// Places in `spec.routes` by host, then by prefix.
     hosts: HashMap<Arc<str>, HashMap<Arc<str>, usize>>,
+    /// The services as documents, made once a version: views are built many times a second.
+    documents: Vec<Arc<Document>>,
 }
 
 impl Table {
@@ -182,7 +190,12 @@
                 });
             }
         }
-        Ok(Table { spec, hosts })
+        let documents = spec.services.iter().map(|it| Arc::new(document(&spec, it)));
+        Ok(Table {
+            documents: documents.collect(),
+            spec,
+            hosts,
+        })
     }
 
     /// The version that the table holds.
@@ -206,20 +219,24 @@
     }
 
     /// The services as documents: what a document says beside its routes, with the defaults of a document.
-    pub fn documents(&self) -> impl Iterator<Item = Document> {
-        self.spec.services.iter().map(|it| Document {
-            schema: document::SCHEMA,
-            service: it.name.clone(),
-            owner: String::new(),
-            routes: Vec::new(),
-            limits: document::Limits {
-                body: self.spec.limits.body,
-                ..document::Limits::default()
-            },
-            retry: document::Retry::default(),
-            drain: Drain::default(),
-            warmup: Warmup { ramp: RAMP_MS },
-        })
+    pub fn documents(&self) -> &[Arc<Document>] {
+        &self.documents
+    }
+}
+
+fn document(spec: &Spec, service: &ServiceSpec) -> Document {
+    Document {
+        schema: document::SCHEMA,
+        service: service.name.clone(),
+        owner: String::new(),
+        routes: Vec::new(),
+        limits: document::Limits {
+            body: spec.limits.body,
+            ..document::Limits::default()
+        },
+        retry: document::Retry::default(),
+        drain: Drain::default(),
+        warmup: Warmup { ramp: RAMP_MS },
     }
 }
 
--- a/crates/kernel/src/view.rs
+++ b/crates/kernel/src/view.rs
@@ -169,14 +169,14 @@
 
 fn imported(state: &State) -> BTreeMap<Name, ServiceView> {
     let table = state.import.table();
-    let services = table.documents().map(|document| {
+    let services = table.documents().iter().map(|document| {
         let view = ServiceView {
             revision: Revision(table.version()),
             text: Arc::from(""),
             endpoints: Vec::new(),
-            document: Arc::new(document),
+            document: document.clone(),
         };
-        (view.document.service.clone(), view)
+        (document.service.clone(), view)
     });
     services.collect()
 }
--- a/crates/kernel/tests/import.rs
+++ b/crates/kernel/tests/import.rs
@@ -36,10 +36,7 @@
     let spec = Spec {
         version,
         routes: routes.collect(),
-        services: vec![ServiceSpec {
-            name: name("desk"),
-            connections: 110,
-        }],
+        services: vec![ServiceSpec { name: name("desk") }],
         ..Spec::default()
     };
     Arc::new(Table::new(spec).expect("a valid version"))
--- a/crates/kernel/tests/routing.rs
+++ b/crates/kernel/tests/routing.rs
@@ -29,7 +29,6 @@
 fn spec(routes: Vec<RouteSpec>) -> Spec {
     let services = ["desk", "registry"].map(|it| ServiceSpec {
         name: it.parse().expect("a name"),
-        connections: 110,
     });
     Spec {
         version: 7,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,7 +7,11 @@
 use hyper::body::Incoming;
 use laburnum_edge::{Clock, LinkError, Platform};
 use laburnum_kernel::{
-    Event, NodeId, Settings, id::BadName, once::OnceSettings, pick::Place, settings::AcceptSettings,
+    Event, NodeId, Settings,
+    id::BadName,
+    once::OnceSettings,
+    pick::Place,
+    settings::{AcceptSettings, Origin},
 };
 use opentelemetry_sdk::error::OTelSdkError;
 use tokio::{
@@ -30,7 +34,7 @@
         counts::Counts,
         faults::Faults,
         proof::Proofs,
-        serve::{Server, Speech},
+        serve::{Bounds, Server, Speech},
     },
     upstream::Upstream,
 };
@@ -146,7 +150,7 @@
         metrics.follow(handle.clone(), path.clone());
         let api = Admin {
             guard,
-            ..Admin::new(handle, upstream.clone(), metrics.clone())
+            ..Admin::new(handle.clone(), upstream.clone(), metrics.clone())
         };
         let (mut callers, mut nodes) = (Servers::default(), Servers::default());
         let entry = path.clone();
@@ -154,7 +158,7 @@
             Server {
                 listener: caller,
                 speech: Speech::Both,
-                bounds: config.callers.clone(),
+                bounds: followed(&config.callers, config.origin, handle.clone()),
                 faults: faults.clone(),
             },
             move |peer| entry.entry(peer),
@@ -164,7 +168,7 @@
             Server {
                 listener: admin,
                 speech: Speech::Both,
-                bounds: config.callers,
+                bounds: Box::new(move || config.callers.clone()),
                 faults: faults.clone(),
             },
             move |peer| operators(router.clone(), peer),
@@ -174,7 +178,7 @@
             Server {
                 listener: traffic,
                 speech: Speech::Http2,
-                bounds: config.nodes,
+                bounds: followed(&config.nodes, config.origin, handle),
                 faults: faults.clone(),
             },
             move |peer| owner.owner(peer),
@@ -268,6 +272,19 @@
     }
 }
 
+/// What a socket lets others hold: the settings, and what an imported configuration grants beyond them.
+fn followed(
+    bounds: &Bounds,
+    origin: Origin,
+    control: Control,
+) -> Box<dyn Fn() -> Bounds + Send + Sync> {
+    let bounds = bounds.clone();
+    match origin {
+        Origin::Submitted => Box::new(move || bounds.clone()),
+        Origin::Imported => Box::new(move || bounds.widened(control.view().table.spec().limits)),
+    }
+}
+
 async fn exited(control: &ControlThread) {
     while !control.exited() {
         sleep(DRAIN_POLL).await;
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -75,6 +75,8 @@
     path: PathAndQuery,
     method: Method,
     headers: HeaderMap,
+    /// What the log is to say of it, where routes have names.
+    decided: Option<Decided>,
 }
 
 /// A request's way so far, for the log.
@@ -125,8 +127,8 @@
             tried: Vec::new(),
         };
         let (class, result) = match self.plan(parts, peer) {
-            Ok(plan) => {
-                way.decided = self.decided(&plan);
+            Ok(mut plan) => {
+                way.decided = plan.decided.take();
                 (Some(plan.class), self.carry(plan, incoming, &mut way).await)
             }
             Err(denial) => (None, Err(denial)),
@@ -177,6 +179,16 @@
             let refusal = Refusal::after(Reason::NotReady, CATCH_UP_MS);
             return Err(Denial::Refused(refusal));
         };
+        let goal = (now + route.goal).min(deadline.at());
+        let decided = Decided {
+            route: route.name.clone(),
+            service: name.clone(),
+            priority: route.priority,
+            version: view.table.version(),
+            left: deadline.left(now),
+            goal: goal.since(now),
+            endpoints: found.endpoints.len(),
+        };
         let mut headers = parts.headers;
         headers::strip_hop(&mut headers);
         headers::strip_internal(&mut headers);
@@ -193,7 +205,7 @@
             service: self.0.services.get(now, view, &name, found),
             class: routing::class_of(route.priority),
             priority: Some(route.priority),
-            goal: (now + route.goal).min(deadline.at()),
+            goal,
             repeat: route.repeat,
             document: found.document.clone(),
             retry: document::Retry {
@@ -207,6 +219,7 @@
             path,
             method: parts.method,
             headers,
+            decided: Some(decided),
         })
     }
 
@@ -269,6 +282,7 @@
             path,
             method: parts.method,
             headers,
+            decided: None,
         })
     }
 
@@ -290,23 +304,6 @@
         }
     }
 
-    /// What the log says of the decisions on a request, where routes have names.
-    fn decided(&self, plan: &Plan) -> Option<Decided> {
-        let now = self.now();
-        let view = self.view();
-        let route = view.table.route(&plan.authority, plan.path.path())?;
-        let endpoints = plan.service.lock().chooser.count();
-        Some(Decided {
-            route: route.name.to_string(),
-            service: plan.name.to_string(),
-            priority: route.priority,
-            version: view.table.version(),
-            left: plan.deadline.left(now),
-            goal: plan.goal.since(now),
-            endpoints,
-        })
-    }
-
     fn tell_end(&self, way: &Way, response: &Response<Body>) {
         let now = self.now();
         let ended = Ended {
@@ -324,24 +321,14 @@
         let (Some(node), Origin::Imported) = (way.tried.last(), self.0.origin) else {
             return;
         };
-        let text = |name| {
-            response
-                .headers()
-                .get(name)
-                .and_then(|it: &HeaderValue| it.to_str().ok())
-        };
         let now = self.now();
         let attempted = Attempted {
             id: way.id.as_ref(),
             number,
             node: *node,
-            outcome: text(OUTCOME).unwrap_or_default(),
-            reason: text(headers::REASON).unwrap_or_default(),
-            next: match next {
-                Next::Retry { after } => format!("retry-after-{after}"),
-                Next::GiveUp(why) => format!("give-up-{why:?}").to_lowercase(),
-            },
+            next,
             took: now.since(way.started),
+            headers: response.headers(),
         };
         self.0.reports.attempted(now, &attempted);
     }
--- a/crates/node/src/traffic/report.rs
+++ b/crates/node/src/traffic/report.rs
@@ -4,11 +4,12 @@
 //! an owner writes `owned` for each request that it did not serve. All carry the request's id, so one request can be
 //! followed through the logs of several nodes.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use http::{HeaderMap, HeaderValue, StatusCode};
 use laburnum_kernel::{
-    Ms, NodeId,
+    Ms, Name, NodeId,
+    retry::Next,
     sampling::{Kind, Sampler, Verdict},
 };
 
@@ -28,9 +29,9 @@
 #[derive(Clone, Debug)]
 pub struct Decided {
     /// The route, by name.
-    pub route: String,
+    pub route: Arc<str>,
     /// The service drawn from the route's targets.
-    pub service: String,
+    pub service: Name,
     /// Its rank under load.
     pub priority: u8,
     /// Version of the configuration that said so.
@@ -39,7 +40,7 @@
     pub left: u64,
     /// Ms until its goal, at the start.
     pub goal: u64,
-    /// Endpoints of the service that could be chosen.
+    /// Endpoints of the service in the view.
     pub endpoints: usize,
 }
 
@@ -67,14 +68,12 @@
     pub number: u32,
     /// The owner.
     pub node: NodeId,
-    /// Whether the request was run.
-    pub outcome: &'a str,
-    /// Why it was not served.
-    pub reason: &'a str,
     /// What is done next.
-    pub next: String,
+    pub next: Next,
     /// Ms from its start.
     pub took: u64,
+    /// The header of the owner's answer, or of what stands for it.
+    pub headers: &'a HeaderMap,
 }
 
 /// A request that an owner did not serve.
@@ -112,8 +111,8 @@
         ];
         if let Some(decided) = it.decided {
             pairs.extend([
-                ("route", decided.route.clone()),
-                ("service", decided.service.clone()),
+                ("route", decided.route.to_string()),
+                ("service", decided.service.to_string()),
                 ("priority", decided.priority.to_string()),
                 ("version", decided.version.to_string()),
                 ("left", decided.left.to_string()),
@@ -136,9 +135,9 @@
             ("id", text(it.id)),
             ("number", it.number.to_string()),
             ("node", it.node.to_string()),
-            ("outcome", it.outcome.to_owned()),
-            ("reason", it.reason.to_owned()),
-            ("next", it.next.clone()),
+            ("outcome", field(it.headers, &OUTCOME)),
+            ("reason", field(it.headers, &REASON)),
+            ("next", step(it.next)),
             ("took", it.took.to_string()),
             ("omitted", omitted.to_string()),
         ];
@@ -175,6 +174,13 @@
     }
 }
 
+fn step(next: Next) -> String {
+    match next {
+        Next::Retry { after } => format!("retry-after-{after}"),
+        Next::GiveUp(why) => format!("give-up-{why:?}").to_lowercase(),
+    }
+}
+
 fn text(value: Option<&HeaderValue>) -> String {
     let text = value.map(|it| String::from_utf8_lossy(it.as_bytes()).into_owned());
     text.unwrap_or_default()
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -19,6 +19,7 @@
     server::conn::auto,
     service::TowerToHyperService,
 };
+use laburnum_kernel::routing::Limits;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Notify, OwnedSemaphorePermit, Semaphore, watch},
@@ -45,6 +46,23 @@
     pub streams: u32,
 }
 
+impl Bounds {
+    /// These bounds, widened to what the configuration lets callers do.
+    ///
+    /// A request that the configuration allows and the socket refuses would be an error of ours. Time between two
+    /// requests is twice what the configuration says: operators shorten it while callers count on the longer one.
+    pub fn widened(&self, limits: Limits) -> Bounds {
+        Bounds {
+            header_bytes: self.header_bytes.max(limits.header + HEADER_SPARE),
+            header_time: self.header_time.max(2 * limits.idle),
+            ..self.clone()
+        }
+    }
+}
+
+/// Room for the request line beside the header's fields, in bytes.
+const HEADER_SPARE: usize = 1024;
+
 impl Default for Bounds {
     fn default() -> Bounds {
         Bounds {
@@ -73,8 +91,8 @@
     pub listener: TcpListener,
     /// What it speaks.
     pub speech: Speech,
-    /// What its callers may hold.
-    pub bounds: Bounds,
+    /// What its callers may hold; asked for each new connection.
+    pub bounds: Box<dyn Fn() -> Bounds + Send + Sync>,
     /// Where refused connections are counted.
     pub faults: Arc<Faults>,
 }
@@ -105,8 +123,9 @@
         S::Future: Send,
         F: Fn(SocketAddr) -> S,
     {
-        let places = Arc::new(Semaphore::new(self.bounds.connections));
-        let builder = Arc::new(self.builder());
+        let mut bounds = (self.bounds)();
+        let places = Arc::new(Semaphore::new(bounds.connections));
+        let mut builder = Arc::new(builder(self.speech, &bounds));
         let mut open = JoinSet::new();
         let stopped = stop.clone();
         let mut stopping = pin!(async move {
@@ -127,12 +146,17 @@
                 self.faults.count("too-many-connections", Some(peer));
                 continue;
             };
+            let present = (self.bounds)();
+            if present != bounds {
+                builder = Arc::new(self::builder(self.speech, &present));
+                bounds = present;
+            }
             let connection = Connection {
                 builder: builder.clone(),
                 peer,
                 place,
-                header_time: Duration::from_millis(self.bounds.header_time),
-                stall_time: Duration::from_millis(self.bounds.stall_time),
+                header_time: Duration::from_millis(bounds.header_time),
+                stall_time: Duration::from_millis(bounds.stall_time),
                 faults: self.faults.clone(),
                 stop: stopped.clone(),
             };
@@ -141,30 +165,29 @@
         drop(self.listener);
         while open.join_next().await.is_some() {}
     }
+}
 
-    fn builder(&self) -> auto::Builder<TokioExecutor> {
-        let bounds = &self.bounds;
-        let mut builder = auto::Builder::new(TokioExecutor::new());
-        if self.speech == Speech::Http2 {
-            builder = builder.http2_only();
-        }
-        builder
-            .http1()
-            .timer(TokioTimer::new())
-            .header_read_timeout(Duration::from_millis(bounds.header_time))
-            .max_headers(bounds.header_fields)
-            .max_buf_size(bounds.header_bytes.max(BUFFER_MIN));
-        builder
-            .http2()
-            .timer(TokioTimer::new())
-            .max_header_list_size(bounds.header_bytes as u32)
-            .max_concurrent_streams(bounds.streams)
-            .initial_stream_window_size(STREAM_WINDOW)
-            .initial_connection_window_size(CONNECTION_WINDOW)
-            .keep_alive_interval(PING_INTERVAL * 10)
-            .keep_alive_timeout(PING_TIMEOUT * 4);
-        builder
+fn builder(speech: Speech, bounds: &Bounds) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    if speech == Speech::Http2 {
+        builder = builder.http2_only();
     }
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(bounds.header_time))
+        .max_headers(bounds.header_fields)
+        .max_buf_size(bounds.header_bytes.max(BUFFER_MIN));
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(bounds.header_bytes as u32)
+        .max_concurrent_streams(bounds.streams)
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .keep_alive_interval(PING_INTERVAL * 10)
+        .keep_alive_timeout(PING_TIMEOUT * 4);
+    builder
 }
 
 struct Connection {
