Control traffic between zones: versions from the own zone, idle connections closed

Change: a node asks watchers or two fixed peers of its zone, one question in eight abroad, two fixed ones; who knows a watcher names it; without one it asks at the fast rate. Only the end that opened a connection asks, the other closes after 4 s of silence; connections unused for 8 s are closed.

--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -10,7 +10,7 @@
 
 pub use self::{
     key::{Key, Keys},
-    zmq::{PEERS_MAX, Waker, ZmqLink},
+    zmq::{IDLE_MS, PEERS_MAX, SWEEP_MS, Waker, ZmqLink},
 };
 
 /// What arrived over the link, from a sender that holds the key.
--- a/crates/edge/src/link/zmq.rs
+++ b/crates/edge/src/link/zmq.rs
@@ -12,7 +12,7 @@
     sync::Arc,
 };
 
-use laburnum_kernel::{Message, NodeId, members::Packet};
+use laburnum_kernel::{Message, Ms, NodeId, members::Packet};
 use serde::{Serialize, de::DeserializeOwned};
 
 use super::{
@@ -27,7 +27,16 @@
 
 /// Frames queued a peer before further ones are dropped.
 const QUEUE_MAX: i32 = 256;
+/// Interval in which whoever opened a connection asks whether it still works, in ms. The other end only answers, and
+/// closes it after [`SILENT_MS`] without a question: were both to ask, each open connection would take twice as much.
 const HEARTBEAT_MS: i32 = 2_000;
+/// Silence after which either end gives a connection up, in ms.
+const SILENT_MS: i32 = 2 * HEARTBEAT_MS;
+/// Connections unused for so long are closed, in ms. Questions and answers on one that idles take some 100 bytes a
+/// second; opening it again takes about 700.
+pub const IDLE_MS: u64 = 8_000;
+/// Interval in which idle connections are looked for, in ms.
+pub const SWEEP_MS: u64 = 1_000;
 /// A peer that is gone is tried again after this, doubling up to [`RECONNECT_MAX_MS`].
 const RECONNECT_MS: i32 = 100;
 const RECONNECT_MAX_MS: i32 = 5_000;
@@ -57,7 +66,8 @@
     udp: UdpSocket,
     wake: UnixStream,
     peers: HashMap<NodeId, Peer>,
-    uses: u64,
+    /// When idle connections were last looked for.
+    swept: Ms,
     messages: Counters,
     probes: Counters,
     traffic: Traffic,
@@ -65,7 +75,7 @@
 
 struct Peer {
     socket: zmq::Socket,
-    used: u64,
+    used: Ms,
 }
 
 #[derive(Default)]
@@ -96,7 +106,7 @@
             udp,
             wake,
             peers: HashMap::new(),
-            uses: 0,
+            swept: Ms(0),
             messages: Counters::default(),
             probes: Counters::default(),
             traffic: Traffic::default(),
@@ -115,8 +125,7 @@
     }
 
     fn peer(&mut self, to: NodeId) -> Result<&Peer, zmq::Error> {
-        self.uses += 1;
-        let used = self.uses;
+        let used = self.clock.now();
         if !self.peers.contains_key(&to) {
             self.make_room();
             let socket = dial(&self.context, to)?;
@@ -137,6 +146,14 @@
         }
     }
 
+    fn close_idle(&mut self) {
+        let now = self.clock.now();
+        if now.since(self.swept) >= SWEEP_MS {
+            self.swept = now;
+            self.peers.retain(|_, it| now.since(it.used) < IDLE_MS);
+        }
+    }
+
     fn seal<T: Serialize>(
         &mut self,
         channel: Channel,
@@ -227,8 +244,6 @@
     router.set_ipv6(own.0.is_ipv6())?;
     router.set_maxmsgsize(FRAME_MAX as i64)?;
     router.set_rcvhwm(QUEUE_MAX)?;
-    router.set_heartbeat_ivl(HEARTBEAT_MS)?;
-    router.set_heartbeat_timeout(2 * HEARTBEAT_MS)?;
     router
         .bind(&format!("tcp://{own}"))
         .map_err(|source| LinkError::Bind {
@@ -253,7 +268,8 @@
     socket.set_rcvhwm(1)?;
     socket.set_maxmsgsize(FRAME_MAX as i64)?;
     socket.set_heartbeat_ivl(HEARTBEAT_MS)?;
-    socket.set_heartbeat_timeout(2 * HEARTBEAT_MS)?;
+    socket.set_heartbeat_timeout(SILENT_MS)?;
+    socket.set_heartbeat_ttl(SILENT_MS)?;
     socket.set_reconnect_ivl(RECONNECT_MS)?;
     socket.set_reconnect_ivl_max(RECONNECT_MAX_MS)?;
     socket.connect(&format!("tcp://{to}"))?;
@@ -296,6 +312,7 @@
         // An interrupted poll is an early return; the caller waits again.
         let _ = zmq::poll(&mut items, timeout as i64);
         let mut incoming = Vec::new();
+        self.close_idle();
         self.drain_wake();
         self.take_messages(&mut incoming);
         self.take_probes(&mut incoming);
--- a/crates/edge/tests/link.rs
+++ b/crates/edge/tests/link.rs
@@ -8,7 +8,7 @@
 use laburnum_edge::{
     Clock, Incoming, Link,
     link::{
-        Key, Keys, ZmqLink,
+        IDLE_MS, Key, Keys, SWEEP_MS, ZmqLink,
         frame::{self, Channel, FRAME_MAX, Frame, FrameError},
         replay::{FORGET_MS, Replay, Seen},
     },
@@ -61,6 +61,25 @@
     }
 }
 
+/// A node of a large fleet speaks with other members now and then, another one each time. Each connection that stays open
+/// takes questions and answers for ever; over some dozen of them that is most of what an idle node sends.
+#[test]
+fn connections_that_nobody_uses_are_closed() {
+    let clock = Clock::manual(Ms(1_000));
+    let (own, one, other) = (free(), free(), free());
+    let mut sender = ZmqLink::bind(own, Keys::default(), clock.clone());
+    let sender = &mut sender.as_mut().expect("the link binds").0;
+    sender.send(one, &message("hello"));
+    sender.send(other, &message("hello"));
+    clock.advance(IDLE_MS - 1);
+    sender.send(other, &message("hello"));
+    sender.wait(0);
+    assert_eq!(sender.peers(), 2);
+    clock.advance(SWEEP_MS);
+    sender.wait(0);
+    assert_eq!(sender.peers(), 1, "the one used of late stays");
+}
+
 #[test]
 fn messages_arrive_whole_and_name_their_sender() {
     let (lhs, rhs) = (free(), free());
--- a/crates/kernel/src/import.rs
+++ b/crates/kernel/src/import.rs
@@ -12,7 +12,10 @@
     sync::Arc,
 };
 
-use rand::{Rng, seq::IteratorRandom};
+use rand::{
+    Rng,
+    seq::{IndexedRandom, IteratorRandom},
+};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{
@@ -20,8 +23,9 @@
     event::{self, Event, Notice},
     id::{Name, NodeId},
     kernel::{Context, Plugin, Scope, State},
-    members::Phase,
+    members::{Phase, Record},
     routing::{Difference, Spec, Table},
+    utils::rendezvous,
 };
 
 inventory::submit! { Plugin { name: "import", order: 16, scope: Scope::Imported, handle } }
@@ -39,6 +43,12 @@
 /// answer a join within a few round trips; where everything starts at once, upstreams announce themselves within
 /// 1.5 s. After twice that, some service has none.
 pub const SETTLE_MS: u64 = 3_000;
+/// One question in this many goes to any peer; the others to watchers or peers of the own zone. A zone of three nodes
+/// that are all cut off from the source still asks abroad more than once a second.
+const ABROAD: u32 = 8;
+/// Peers of the own zone, and of others, that a node asks: one that hangs leaves others.
+const NEAR_PARTNERS: usize = 2;
+const ABROAD_PARTNERS: usize = 2;
 /// Most bytes of a version in one message; under the longest frame of the link.
 pub const PART_MAX: usize = 48 * 1024;
 /// Most parts that are taken of one version: 4 MiB, some hundred times the largest configuration expected.
@@ -50,7 +60,7 @@
 /// unanswered, and a version is due within twice that.
 pub const WATCH_MS: u64 = 2_500;
 /// The same for a new process without a version: its peers answer within a few round trips, if there are any.
-pub const WATCH_FIRST_MS: u64 = 1_000;
+pub const WATCH_FIRST_MS: u64 = 1_500;
 
 /// Whether a node watches the source.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -77,8 +87,8 @@
 pub enum Message {
     /// I hold `version`: send me a newer one if you have it.
     Ask { version: u64 },
-    /// I hold none newer than `version`, and the source answers me.
-    Watching { version: u64 },
+    /// The source answers `watcher`: the sender, or one that the sender heard so from.
+    Watching { watcher: NodeId },
     /// What changed, compressed; sent by a watcher to those that do not watch.
     Changed { version: u64, bytes: Vec<u8> },
     /// One of the `parts` parts of `version`, compressed.
@@ -110,6 +120,8 @@
     ready: bool,
     /// Nodes that said that the source answers them, and when.
     watchers: BTreeMap<NodeId, Ms>,
+    /// A node that watches, as another one said; it is asked next.
+    hinted: Option<NodeId>,
     turn: Turn,
     arriving: Arriving,
 }
@@ -226,13 +238,21 @@
             tell(cx, state, from)
         }
         Message::Ask { .. } => {
-            let version = state.import.table.version();
-            if state.import.source == Source::Held && cx.settings.watch == Watch::Always {
-                cx.send(from, event::Message::Import(Message::Watching { version }));
+            if let Some(watcher) = watcher(cx, state).filter(|it| *it != from) {
+                cx.send(from, event::Message::Import(Message::Watching { watcher }));
             }
         }
-        Message::Watching { .. } => {
+        Message::Watching { watcher } if *watcher == from => {
             state.import.watchers.insert(from, cx.now);
+            state.import.hinted = None;
+        }
+        Message::Watching { watcher } => {
+            let own = &cx.settings.zone;
+            let ready = state.members.ready().find(|it| it.id == *watcher);
+            let known = ready.is_some_and(|it| it.zone == *own);
+            if known && state.import.watchers.is_empty() {
+                state.import.hinted = Some(*watcher);
+            }
         }
         Message::Changed { version, bytes } => {
             state.import.watchers.insert(from, cx.now);
@@ -353,9 +373,10 @@
 fn tick(cx: &mut Context<'_>, state: &mut State) {
     settle(cx, state);
     take_turn(cx, state);
-    let held = state.import.table.version() > 0;
+    // Who knows no watcher would soon go to the source although there may be one.
+    let led = state.import.table.version() > 0 && !state.import.watchers.is_empty();
     let gap = match (state.import.turn, state.import.source) {
-        (Turn::Rest, _) if held => ASK_MS,
+        (Turn::Rest, _) if led => ASK_MS,
         (Turn::Follow, Source::Held) => ASK_MS,
         _ => ASK_LOST_MS,
     };
@@ -371,23 +392,52 @@
     cx.send(peer, event::Message::Import(Message::Ask { version }));
 }
 
-/// A random peer; a watcher, if this node depends on them and knows one.
-fn whom_to_ask(cx: &mut Context<'_>, state: &State) -> Option<NodeId> {
+/// The watcher to tell others of: this node, or one that it heard from.
+fn watcher(cx: &Context<'_>, state: &State) -> Option<NodeId> {
+    match (cx.settings.watch, state.import.source) {
+        (Watch::Always, Source::Held) => Some(cx.settings.node),
+        (Watch::Always, Source::Lost) => None,
+        (Watch::Fallback, _) => state.import.watchers.keys().next().copied(),
+    }
+}
+
+/// Whom to ask for a newer version: a watcher, if this node depends on them and knows one, else a peer.
+///
+/// Peers of the own zone come first, because a whole version is some ten KB and bytes between zones cost money; now
+/// and then one abroad is asked, since the zone may be behind as a whole, or the watchers known of another time. They
+/// are the same few each time: a first message to a node opens a connection, which takes ten times the bytes.
+fn whom_to_ask(cx: &mut Context<'_>, state: &mut State) -> Option<NodeId> {
+    if let Some(hinted) = state.import.hinted.take() {
+        return Some(hinted);
+    }
     let own = cx.settings.node;
-    let peers = || {
-        let ids = state.members.ready().map(|it| it.id);
-        ids.filter(|it| *it != own)
-    };
+    let peers = state.members.ready().filter(|it| it.id != own);
+    let (near, abroad): (Vec<&Record>, Vec<&Record>) =
+        peers.partition(|it| it.zone == cx.settings.zone);
+    if cx.rng.random_ratio(1, ABROAD) || near.is_empty() {
+        let abroad = partners(own, &abroad, ABROAD_PARTNERS);
+        if let Some(it) = abroad.choose(cx.rng) {
+            return Some(*it);
+        }
+    }
     if cx.settings.watch == Watch::Fallback {
-        let watchers = peers().filter(|it| state.import.watchers.contains_key(it));
-        // Now and then somebody else: the watchers known may be of another time.
-        if cx.rng.random_ratio(3, 4)
-            && let Some(watcher) = watchers.choose(cx.rng)
-        {
-            return Some(watcher);
+        let watches = |it: &&NodeId| state.import.watchers.contains_key(it);
+        let ids: Vec<NodeId> = near.iter().map(|it| it.id).collect();
+        let watcher = ids.iter().filter(watches).choose(cx.rng);
+        let watcher = watcher.or_else(|| state.import.watchers.keys().choose(cx.rng));
+        if let Some(it) = watcher {
+            return Some(*it);
         }
     }
-    peers().choose(cx.rng)
+    let near = partners(own, &near, NEAR_PARTNERS);
+    near.choose(cx.rng).copied()
+}
+
+/// The peers that `own` asks, among those given.
+fn partners(own: NodeId, peers: &[&Record], count: usize) -> Vec<NodeId> {
+    let mut ranked = rendezvous(&format!("import/{own}"), peers.iter().map(|it| it.id));
+    ranked.truncate(count);
+    ranked
 }
 
 /// Decides whether this node watches the source.
--- a/crates/kernel/tests/import.rs
+++ b/crates/kernel/tests/import.rs
@@ -3,19 +3,19 @@
 #[path = "common/driver.rs"]
 mod driver;
 
-use std::sync::Arc;
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, sync::Arc};
 
 use laburnum_kernel::{
-    Event, Settings,
+    Event, Message, Settings,
     document::Repeat,
     event::UpstreamEvent,
-    import::{PART_MAX, SETTLE_MS, Source, Turn, WATCH_FIRST_MS, Watch},
+    import::{Message as Import, PART_MAX, SETTLE_MS, Source, Turn, WATCH_FIRST_MS, Watch},
     routing::{RouteSpec, ServiceSpec, Spec, Table, Target},
     settings::Origin,
     view,
 };
 
-use driver::{Driver, name, node};
+use driver::{Driver, Fate, name, node};
 
 fn table(version: u64, routes: usize) -> Arc<Table> {
     let routes = (0..routes).map(|it| RouteSpec {
@@ -212,6 +212,66 @@
     }
 }
 
+/// Thirty nodes of three zones start before there is a configuration; three of them, one a zone, have fast links and watch
+/// the source. The others find out who watches within a second and a half by asking around: did each of them go to the
+/// source as well, their links would carry the same half megabyte side by side. The first version then comes to each
+/// from its own zone, for whole versions between zones cost the most of a quiet day.
+#[test]
+fn whole_fleet_starts_without_reading_the_source_or_other_zones() {
+    let mut driver = Driver::new(&[]);
+    for index in 0..30 {
+        driver.add_with(Settings {
+            node: node(index),
+            incarnation: driver.now.0,
+            peers: (0..index).map(node).collect(),
+            zone: name(["nasr", "maadi", "giza"][index % 3]),
+            origin: Origin::Imported,
+            watch: match index < 3 {
+                true => Watch::Always,
+                false => Watch::Fallback,
+            },
+            ..Settings::default()
+        });
+    }
+    let abroad = Rc::new(RefCell::new((0, 0)));
+    let pairs = Rc::new(RefCell::new(BTreeSet::new()));
+    let met = pairs.clone();
+    let seen = abroad.clone();
+    driver.tap = Some(Box::new(move |_, from, to, message| {
+        if from % 3 != to % 3 && matches!(message, Message::Import(_)) {
+            met.borrow_mut().insert((from.min(to), from.max(to)));
+        }
+        if let Message::Import(Import::Part { .. }) = message {
+            let mut seen = seen.borrow_mut();
+            seen.0 += 1;
+            seen.1 += usize::from(from % 3 != to % 3);
+        }
+        Fate::Arrives
+    }));
+    for index in 0..3 {
+        driver.event(index, Event::Source(Source::Held));
+    }
+    driver.run(WATCH_FIRST_MS + 1_000);
+    let resting = |driver: &Driver| {
+        let turns = (3..30).map(|it| driver.kernels[it].state().import.turn());
+        turns.filter(|it| *it == Turn::Rest).count()
+    };
+    assert_eq!(resting(&driver), 27, "all have found a watcher");
+    for index in 0..3 {
+        driver.event(index, Event::Imported(table(5, 500)));
+    }
+    driver.run(3_000);
+    assert!((3..30).all(|it| version(&driver, it) == 5));
+    driver.run(30_000);
+    let met = pairs.borrow().len();
+    assert!(met <= 3 * 30, "{met} pairs of nodes spoke across zones");
+    let (parts, abroad) = *abroad.borrow();
+    assert!(
+        abroad * 5 <= parts,
+        "{abroad} of {parts} parts crossed zones"
+    );
+}
+
 /// The watchers are gone: whoever depended on them watches by itself, and rests again once one is back.
 #[test]
 fn node_watches_by_itself_while_no_watcher_answers() {
