Requests probe endpoints not heard of lately before they queue at one

Cause: in a zone of seventeen endpoints an entry hears of each about once a second; what it knows is stale, so all entries take the fastest endpoint for idle and queue there while others have free slots. Change: up to two endpoints of the own zone that were not heard of for 250 ms are asked to run the request soon (a twelfth of the time to its goal) or refuse; the third may queue it.

--- a/crates/kernel/examples/overload/cost.rs
+++ b/crates/kernel/examples/overload/cost.rs
@@ -35,7 +35,9 @@
     let start = Instant::now();
     for round in 0..ROUNDS {
         let now = Ms(round / 10);
-        if let Choice::Send(it) = picker.pick(now, &mut rng, Class::Interactive, &[]) {
+        if let Choice::Send(it) | Choice::Probe(it) =
+            picker.pick(now, &mut rng, Class::Interactive, &[])
+        {
             picker.started(now, it.node);
             let outcome = Outcome::Answered { latency: 20 };
             picker.finished(now, it.node, Class::Interactive, outcome, None);
--- a/crates/kernel/examples/overload/sim.rs
+++ b/crates/kernel/examples/overload/sim.rs
@@ -183,7 +183,7 @@
             Policy::Managed => {
                 let class = CLASSES[call.class];
                 match entry.picker.pick(now, &mut self.rng, class, &call.tried) {
-                    Choice::Send(it) => {
+                    Choice::Send(it) | Choice::Probe(it) => {
                         entry.picker.started(now, it.node);
                         call.tried.push(it.node);
                         call.retry.attempt();
--- a/crates/kernel/src/admission/ranks.rs
+++ b/crates/kernel/src/admission/ranks.rs
@@ -40,6 +40,10 @@
 /// Largest share of the time left that a request which can only be late may wait, as its divisor. A caller
 /// that is refused later than that has no time left to come back.
 const LATE_SHARE: u64 = 16;
+/// Largest share of the time to its goal that a request with other endpoints to ask may wait, as its divisor: many
+/// times what a hop to another endpoint of the zone takes. With no wait at all the most urgent requests would pass by
+/// an endpoint whose next free slot is theirs in some ms.
+const SHORT_SHARE: u64 = 12;
 /// Time after which waiting requests are looked at again, in ms.
 const REVIEW_MS: u64 = 20;
 
@@ -52,6 +56,17 @@
     pub goal: Ms,
     /// From then on it is of none.
     pub deadline: Ms,
+    /// How long it may wait for a slot.
+    pub queue: Queue,
+}
+
+/// How long a request may wait for a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Queue {
+    /// As long as it is of use.
+    Full,
+    /// A small part of the time to its goal: another endpoint may have a free slot.
+    Short,
 }
 
 /// What a request that arrives now can expect, by rank; sent back with each answer.
@@ -290,7 +305,10 @@
         let timely = order.goal.since(now).saturating_sub(self.needed(rank));
         let left = order.deadline.since(now);
         let late = left.saturating_sub(service).min(left / LATE_SHARE);
-        timely.max(late)
+        match order.queue {
+            Queue::Full => timely.max(late),
+            Queue::Short => timely.min(order.goal.since(now) / SHORT_SHARE),
+        }
     }
 
     /// Time that a request needs to be in time more often than not, in ms.
--- a/crates/kernel/src/pick.rs
+++ b/crates/kernel/src/pick.rs
@@ -69,6 +69,8 @@
 pub enum Choice {
     /// Send it there.
     Send(Endpoint),
+    /// Send it there, to run soon or not at all: others may have room that this entry has not heard of.
+    Probe(Endpoint),
     /// No endpoint is worth trying now.
     Refuse(Refusal),
 }
--- a/crates/kernel/src/pick/placement.rs
+++ b/crates/kernel/src/pick/placement.rs
@@ -52,6 +52,12 @@
 /// Spread of the random factor on expected times, so that entries that were told the same do not all choose the
 /// same endpoint.
 const JITTER: f64 = 0.15;
+/// Endpoints of its own zone that a request may probe before it queues at one. An entry of a large fleet hears of each
+/// endpoint about once a second, so all of them take the fastest for free and queue there while others idle; two
+/// probes bring 89 instead of 85 of 100 answers in time at four fifths of the fleet's room (`tests/placement_fleet.rs`).
+const PROBES_MAX: usize = 2;
+/// Age up to which what an owner told is taken for how things stand, in ms; older, a request probes.
+const RECENT_MS: u64 = 250;
 /// When to come back if a service has no endpoint, in ms: the members tell of a new one within that.
 const NO_ENDPOINT_MS: u64 = 300;
 /// Shortest time after which a refused request has another chance, in ms.
@@ -141,6 +147,8 @@
                 *slot = Some((cost, member));
             }
         }
+        let near = untried().filter(|it| it.distance == Distance::Zone && it.usable(now, class));
+        let probes = tried.len() < PROBES_MAX && near.count() > PROBES_MAX;
         let left = order.goal.since(now);
         let within = |cost: f64, share: u64| cost <= (left * share / 100) as f64;
         let chosen = match best {
@@ -150,6 +158,9 @@
             [None, None] => None,
         };
         match chosen {
+            Some(it) if probes && it.distance == Distance::Zone && !it.heard(now) => {
+                Choice::Probe(it.endpoint.clone())
+            }
             Some(it) => Choice::Send(it.endpoint.clone()),
             None => self.last_resort(now, class, untried()),
         }
@@ -255,6 +266,11 @@
         open && self.endpoint.reach != Reach::Unreachable && self.experience.held(now, class) == 0
     }
 
+    /// Whether what its owner told is recent enough to queue on.
+    fn heard(&self, now: Ms) -> bool {
+        self.told.is_some_and(|(at, _)| now.since(at) <= RECENT_MS)
+    }
+
     /// Expected time until the answer of a request of `rank`, in ms.
     fn expected(&self, now: Ms, rank: usize) -> f64 {
         let hop = match self.distance {
--- a/crates/kernel/tests/placement.rs
+++ b/crates/kernel/tests/placement.rs
@@ -4,7 +4,7 @@
 
 use laburnum_kernel::{
     Ms, NodeId,
-    admission::ranks::{Order, Outlook, RANKS},
+    admission::ranks::{Order, Outlook, Queue, RANKS},
     document::Class,
     members::{Phase, Reach},
     pick::{Choice, Outcome, Place, placement::Placement},
@@ -53,6 +53,7 @@
         priority: 2,
         goal: now + 200,
         deadline: now + 1_200,
+        queue: Queue::Full,
     }
 }
 
@@ -82,7 +83,7 @@
     let mut counts = [0; 3];
     for _ in 0..DRAWS {
         match placement.place(NOW, &mut rng, order(NOW), tried) {
-            Choice::Send(it) => counts[usize::from(it.node.0.port()) - 1] += 1,
+            Choice::Send(it) | Choice::Probe(it) => counts[usize::from(it.node.0.port()) - 1] += 1,
             Choice::Refuse(it) => panic!("refused: {it:?}"),
         }
     }
@@ -157,6 +158,30 @@
     assert_eq!(drawn(&placement, &[])[0], 0);
 }
 
+/// An entry that heard of its zone's endpoints long ago takes all of them for idle. It asks two of them to run the
+/// request at once or refuse, then queues at the third; where what it heard is recent, or the zone has no more endpoints
+/// than probes, it queues at the first.
+#[test]
+fn endpoints_not_heard_of_lately_are_probed() {
+    let place = |placement: &Placement, now, tried: &[NodeId]| {
+        let mut rng = ChaCha8Rng::seed_from_u64(5);
+        placement.place(now, &mut rng, order(now), tried)
+    };
+    let mut placement = placement();
+    let zone: Vec<Endpoint> = (1..=5).map(|it| endpoint(it, "nasr")).collect();
+    placement.refresh(&zone);
+    (1..=5).for_each(|it| told(&mut placement, it, 0, 60));
+    assert!(matches!(place(&placement, NOW, &[]), Choice::Send(_)));
+    let later = NOW + 1_000;
+    let one = [id(1)];
+    assert!(matches!(place(&placement, later, &[]), Choice::Probe(_)));
+    assert!(matches!(place(&placement, later, &one), Choice::Probe(_)));
+    let two = [id(1), id(2)];
+    assert!(matches!(place(&placement, later, &two), Choice::Send(_)));
+    placement.refresh(&zone[..2]);
+    assert!(matches!(place(&placement, later, &[]), Choice::Send(_)));
+}
+
 #[test]
 fn refused_request_goes_to_an_untried_endpoint() {
     let placement = placement();
--- a/crates/kernel/tests/placement_fleet.rs
+++ b/crates/kernel/tests/placement_fleet.rs
@@ -6,7 +6,7 @@
     Ms, NodeId,
     admission::{
         Finish, Offer, Permit, Ticket, Wake,
-        ranks::{Order, Outlook, Ranks},
+        ranks::{Order, Outlook, Queue, Ranks},
     },
     document::Class,
     members::{Phase, Reach},
@@ -16,6 +16,7 @@
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
 
 const START: Ms = Ms(10_000);
 /// Zones of the fleet; entries and endpoints are dealt to them in turn.
@@ -153,14 +154,20 @@
             priority: 2,
             goal: request.arrived + GOAL_MS,
             deadline: request.arrived + DEADLINE_MS,
+            queue: Queue::Full,
         }
     }
 
     fn send(&mut self, mut request: Request) {
-        let order = Fleet::order(&request);
+        let mut order = Fleet::order(&request);
         let entry = &mut self.entries[request.entry];
-        let Choice::Send(to) = entry.place(self.now, &mut self.rng, order, &request.tried) else {
-            return;
+        let to = match entry.place(self.now, &mut self.rng, order, &request.tried) {
+            Choice::Send(to) => to,
+            Choice::Probe(to) => {
+                order.queue = Queue::Short;
+                to
+            }
+            Choice::Refuse(_) => return,
         };
         entry.started(self.now, to.node);
         request.tried.push(to.node);
@@ -231,19 +238,17 @@
     f64::from(part) / f64::from(whole)
 }
 
-/// Seventy-eight entries send twenty requests a second each to forty-six endpoints, half of what those can carry. Each
-/// entry hears from an endpoint about once a second. Sent to whichever seems fastest, all entries' requests meet at
-/// the same few endpoints, which answer late while others idle.
-#[test]
-fn many_entries_that_know_little_do_not_crowd_the_fastest() {
+/// Seventy-eight entries send requests to forty-six endpoints, at half and four fifths of what those can carry and
+/// beyond. Each entry hears from an endpoint about once a second. Sent to whichever seems fastest, all entries'
+/// requests meet at the same few endpoints and queue there while others idle: 0.916, 0.850 and 0.716 in time where no
+/// endpoint is probed.
+#[test_case(1_250.0, 0.93; "half of the room")]
+#[test_case(2_000.0, 0.88; "four fifths")]
+#[test_case(2_600.0, 0.74; "more than fits")]
+fn many_entries_that_know_little_do_not_crowd_the_fastest(per_second: f64, least: f64) {
     let mut fleet = Fleet::new(78, 46);
-    let tally = fleet.run(1_250.0, 20_000);
-    eprintln!(
-        "T {tally:?} {:.3} {:.3}",
-        share(tally.timely, tally.asked),
-        share(tally.far, tally.asked)
-    );
-    assert!(share(tally.timely, tally.asked) > 0.80, "{tally:?}");
+    let tally = fleet.run(per_second, 10_000);
+    assert!(share(tally.timely, tally.asked) > least, "{tally:?}");
     assert!(share(tally.far, tally.asked) < 0.10, "{tally:?}");
 }
 
@@ -253,10 +258,6 @@
 fn few_entries_that_know_much_fill_every_endpoint() {
     let mut fleet = Fleet::new(8, 5);
     let tally = fleet.run(220.0, 20_000);
-    eprintln!(
-        "T {tally:?} {:.3} {:.3}",
-        share(tally.timely, tally.asked),
-        share(tally.far, tally.asked)
-    );
-    assert!(share(tally.timely, tally.asked) > 0.70, "{tally:?}");
+    assert!(share(tally.timely, tally.asked) > 0.83, "{tally:?}");
+    assert!(share(tally.far, tally.asked) < 0.12, "{tally:?}");
 }
--- a/crates/kernel/tests/ranks.rs
+++ b/crates/kernel/tests/ranks.rs
@@ -4,7 +4,7 @@
     Ms,
     admission::{
         Finish, Offer, Permit, Ticket, Wake,
-        ranks::{Order, Outlook, RANKS, Ranks, STARVED_MS},
+        ranks::{Order, Outlook, Queue, RANKS, Ranks, STARVED_MS},
     },
     members::Phase,
     refusal::{Reason, Refusal},
@@ -26,6 +26,7 @@
         priority,
         goal: now + goal,
         deadline: now + deadline,
+        queue: Queue::Full,
     }
 }
 
@@ -105,6 +106,29 @@
     assert!(refusal.after > 0, "it says when to come back");
 }
 
+/// A request that has other endpoints to ask doesn't queue behind others of its rank; one that goes first anyway, and
+/// starts with the next free slot, does.
+#[test]
+fn probe_waits_only_where_it_starts_soon() {
+    let probe = |priority| Order {
+        queue: Queue::Short,
+        ..order(NOW, priority, 300, 2_000)
+    };
+    let mut ranks = ranks(6);
+    for _ in 0..6 {
+        let _running = run(ranks.offer(NOW, probe(2)));
+    }
+    wait(ranks.offer(NOW, probe(2)));
+    for _ in 0..4 {
+        wait(ranks.offer(NOW, order(NOW, 2, 300, 2_000)));
+    }
+    assert_eq!(
+        refused(ranks.offer(NOW, probe(2))).reason,
+        Reason::Overloaded
+    );
+    wait(ranks.offer(NOW, probe(0)));
+}
+
 #[test_case(Phase::Warming, Reason::NotReady)]
 #[test_case(Phase::Draining, Reason::Draining)]
 #[test_case(Phase::Gone, Reason::Draining)]
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use laburnum_kernel::{
     Ms, Name, NodeId,
-    admission::ranks::Order,
+    admission::ranks::{Order, Queue},
     document::{self, Class, Document, Repeat},
     hot::Verdict,
     pick::{Choice, Outcome},
@@ -36,8 +36,8 @@
     denial::{Denial, UNPROVEN},
     dialect::Dialect,
     headers::{
-        self, ATTEMPT, BUDGET, DEADLINE, GOAL, NEVER, NOT_RUN, OUTCOME, PRIORITY, RAN, REPEAT,
-        REQUEST, SERVICE, UNKNOWN,
+        self, ATTEMPT, BUDGET, DEADLINE, GOAL, NEVER, NOT_RUN, OUTCOME, PRIORITY, QUEUE, RAN,
+        REPEAT, REQUEST, SERVICE, SHORT, UNKNOWN,
     },
     peers,
     report::{Attempted, Decided, Ended},
@@ -390,21 +390,27 @@
                 let state = plan.service.lock();
                 state.chooser.choose(now, plan.class, plan.order(), &tried)
             };
-            let endpoint = match choice {
-                Choice::Send(endpoint) => endpoint,
+            let (endpoint, queue) = match choice {
+                Choice::Send(endpoint) => (endpoint, Queue::Full),
+                Choice::Probe(endpoint) => (endpoint, Queue::Short),
                 Choice::Refuse(refusal) => return Err(Denial::Refused(refusal)),
             };
             tried.push(endpoint.node);
             way.tried.push(endpoint.node);
             let tree = retry.attempt();
-            let request = self.request(plan, &payload, tree, number);
+            let mut request = self.request(plan, &payload, tree, number);
+            if queue == Queue::Short {
+                request.headers_mut().insert(QUEUE, SHORT);
+            }
             let before = std::mem::replace(past, Past::Unknown);
             let attempt = self.attempt(plan, &endpoint, request).await;
-            if !matches!(attempt, Attempt::Failed(Failure::Unknown, _)) {
+            let fault = payload.fault();
+            let unknown = matches!(attempt, Attempt::Failed(Failure::Unknown, _));
+            // A body that broke says itself whether an upstream may have run what it began with.
+            if !unknown || fault.is_some() {
                 *past = before;
             }
-            if let (Attempt::Failed(Failure::Unknown, _), Some(fault)) = (&attempt, payload.fault())
-            {
+            if let (true, Some(fault)) = (unknown, fault) {
                 return Err(broken(plan.repeat, fault));
             }
             let (failure, response) = match attempt {
@@ -613,6 +619,7 @@
             priority: self.priority.unwrap_or_default(),
             goal: self.goal,
             deadline: self.deadline.at(),
+            queue: Queue::Full,
         }
     }
 }
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -10,7 +10,7 @@
     Ms,
     admission::{
         Admission, AdmissionSettings, Finish, Offer, Permit, Request, Ticket, Wake,
-        ranks::{Order, Ranks},
+        ranks::{Order, Queue, Ranks},
     },
     members::Phase,
     refusal::Refusal,
@@ -240,6 +240,7 @@
                     priority: u8::MAX,
                     goal: request.deadline,
                     deadline: request.deadline,
+                    queue: Queue::Full,
                 };
                 it.offer(now, order)
             }
--- a/crates/node/src/traffic/headers.rs
+++ b/crates/node/src/traffic/headers.rs
@@ -29,6 +29,8 @@
 pub const PRIORITY: HeaderName = HeaderName::from_static("laburnum-priority");
 /// Between nodes: milliseconds until the answer is late, if the route gives a goal.
 pub const GOAL: HeaderName = HeaderName::from_static("laburnum-goal");
+/// Between nodes: how long the request may wait for a slot; without it, as long as it is of use.
+pub const QUEUE: HeaderName = HeaderName::from_static("laburnum-queue");
 /// Between nodes: what a further request could expect, by rank.
 pub const OUTLOOK: HeaderName = HeaderName::from_static("laburnum-outlook");
 /// Between nodes: load of the upstream as `running/waiting/limit`.
@@ -49,6 +51,9 @@
 /// Value of [`REPEAT`] for requests that run at most once.
 pub const NEVER: HeaderValue = HeaderValue::from_static("never");
 
+/// Value of [`QUEUE`] for requests that have other endpoints to ask.
+pub const SHORT: HeaderValue = HeaderValue::from_static("short");
+
 /// Fields that concern one connection only.
 const HOP_BY_HOP: [HeaderName; 8] = [
     header::CONNECTION,
--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -16,7 +16,10 @@
 use http_body::Body as _;
 use laburnum_kernel::{
     Ms, Name, View,
-    admission::{self, Finish, ranks::Order},
+    admission::{
+        self, Finish,
+        ranks::{Order, Queue},
+    },
     document::{Class, Repeat},
     guard::Fingerprint,
     health::Sign,
@@ -39,8 +42,8 @@
     dialect::Dialect,
     gate::{Ask, Slot, Standing},
     headers::{
-        self, ATTEMPT, BUDGET, DEADLINE, GOAL, LOAD, NEVER, OUTLOOK, PRIORITY, REPEAT, REQUEST,
-        SERVICE,
+        self, ATTEMPT, BUDGET, DEADLINE, GOAL, LOAD, NEVER, OUTLOOK, PRIORITY, QUEUE, REPEAT,
+        REQUEST, SERVICE, SHORT,
     },
     pool::{Lease, Sent, Unavailable, Usage},
     report,
@@ -342,6 +345,10 @@
                     priority: u8::try_from(priority).unwrap_or(u8::MAX),
                     goal: now + goal,
                     deadline: now + left,
+                    queue: match headers.get(QUEUE) {
+                        Some(it) if *it == SHORT => Queue::Short,
+                        _ => Queue::Full,
+                    },
                 }),
                 repeat: match headers.get(REPEAT) {
                     Some(it) if *it == NEVER => Repeat::Never,
