--- a/crates/kernel/src/guard.rs
+++ b/crates/kernel/src/guard.rs
@@ -344,7 +344,7 @@
         ("service", service.to_string()),
         ("inflight", prints.len().to_string()),
     ];
-    cx.log("upstream_crashed", pairs);
+    cx.log("upstream-crash-counted", pairs);
     count(cx, state, &service, &crash);
     let crashes = vec![crash];
     let message = Message::Crashes {
@@ -382,7 +382,7 @@
                 ("service", service.to_string()),
                 ("print", format!("{:016x}", print.0)),
             ];
-            cx.log("request_quarantined", pairs);
+            cx.log("request-quarantined", pairs);
             news.push(record);
         }
     }
@@ -421,7 +421,7 @@
         ("author", author.to_owned()),
         ("note", note.to_owned()),
     ];
-    cx.log("quarantine_lifted", pairs);
+    cx.log("quarantine-lifted", pairs);
     state.guard.merge(&record);
     spread::pass_on(cx, state, vec![record]);
     Reply::Lifted
--- a/crates/kernel/src/once/bucket.rs
+++ b/crates/kernel/src/once/bucket.rs
@@ -137,7 +137,7 @@
                 ("row_bytes", self.size.to_string()),
                 ("kept", self.sealer.keys().to_string()),
             ];
-            cx.log("claims_filling", pairs);
+            cx.log("claims-filling", pairs);
         }
         used >= 100
     }
@@ -431,7 +431,7 @@
         Some((version, Ok(ledger))) => known(version, ledger),
         Some((_, Err(error))) => {
             cx.log(
-                "claims_damaged",
+                "claims-damaged",
                 vec![("row", key), ("error", error.to_string())],
             );
             Known::Nothing
--- a/crates/kernel/src/once/bucket/answer.rs
+++ b/crates/kernel/src/once/bucket/answer.rs
@@ -118,5 +118,5 @@
         ("author", decision.author.clone()),
         ("note", decision.note.clone()),
     ];
-    cx.log("claim_resolved", pairs);
+    cx.log("claim-resolved", pairs);
 }
--- a/crates/kernel/src/spread/readiness.rs
+++ b/crates/kernel/src/spread/readiness.rs
@@ -138,7 +138,7 @@
     let confirmed = table == Table::Read || vouched(cx, state);
     if confirmed && seq >= state.spread.heard() {
         state.spread.start = Start::Ready;
-        cx.log("spread.ready", vec![("seq", seq.to_string())]);
+        cx.log("spread-ready", vec![("seq", seq.to_string())]);
         return cx.raise(Notice::Ready);
     }
     if cx.now >= table_at && table == Table::Unread {
--- a/crates/kernel/src/spread/repair.rs
+++ b/crates/kernel/src/spread/repair.rs
@@ -196,7 +196,7 @@
         stats.mismatches += 1;
         let why = format!("{refusal:?}").to_lowercase();
         let pairs = vec![("from", from.to_string()), ("why", why)];
-        cx.log("spread.mismatch", pairs);
+        cx.log("spread-mismatch", pairs);
     }
     // A pull under way or due brings what lacks; starting anew would lose the parts that came already.
     if matches!(it.fetch, Fetch::Idle) {
@@ -452,6 +452,6 @@
         it.holder = Some(from);
         it.want = Want::Whole;
         it.fetch = Fetch::Due(cx.now);
-        cx.log("spread.dispute", vec![("seq", own.seq.to_string())]);
+        cx.log("spread-dispute", vec![("seq", own.seq.to_string())]);
     }
 }
--- a/crates/kernel/tests/guard.rs
+++ b/crates/kernel/tests/guard.rs
@@ -122,7 +122,7 @@
     fleet.cut.clear();
     fleet.run(60_000);
     held_everywhere(&fleet, &[]);
-    let logged = |it: &String| it.contains("quarantine_lifted") && it.contains("author=amal");
+    let logged = |it: &String| it.contains("quarantine-lifted") && it.contains("author=amal");
     assert!(fleet.trace.iter().any(logged), "{:?}", fleet.trace);
     // The crashes before the lift no longer count, later ones do.
     crash(&mut fleet, 0, &[CULPRIT]);
--- a/crates/kernel/tests/once.rs
+++ b/crates/kernel/tests/once.rs
@@ -245,7 +245,7 @@
     let logged = fleet
         .trace
         .iter()
-        .any(|it| it.contains("claim_resolved") && it.contains("amal"));
+        .any(|it| it.contains("claim-resolved") && it.contains("amal"));
     assert!(logged, "{:?}", fleet.trace);
     let next = fleet.claim(1, "filing-3", 3);
     fleet.run(1_000);
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -17,28 +17,29 @@
 const TARGET: &str = "laburnum";
 
 /// Events that somebody should look at; docs/LOGS.md says what to do.
-const WARNINGS: [&str; 23] = [
+const WARNINGS: [&str; 24] = [
     "calls-ended",
-    "claims_damaged",
-    "claims_filling",
+    "claims-damaged",
+    "claims-filling",
     "config-refused",
     "heartbeat-refused",
     "link-refused",
     "log-row-refused",
     "member",
+    "metrics-ended",
     "metrics-failed",
     "paused",
     "phase-refused",
     "platform-embedded",
     "recovery-left-to-peers",
-    "request_quarantined",
+    "request-quarantined",
     "snapshot-skipped",
-    "spread.dispute",
-    "spread.mismatch",
+    "spread-dispute",
+    "spread-mismatch",
     "traffic-fault",
     "upstream",
     "upstream-crashed",
-    "upstream_crashed",
+    "upstream-crash-counted",
     "version-held",
     "zone",
 ];
--- a/crates/node/tests/api/support.rs
+++ b/crates/node/tests/api/support.rs
@@ -1,5 +1,6 @@
 //! A node and its operators' API over real sockets.
 
+pub use laburnum_standin::ports::free;
 use std::{net::SocketAddr, sync::Arc};
 
 use axum::body::Body;
@@ -136,10 +137,10 @@
 pub async fn node(platform: Arc<dyn Platform>) -> Node {
     loop {
         let config = Config {
-            caller: free().await,
-            control: free().await,
-            traffic: free().await,
-            admin: free().await,
+            caller: free(),
+            control: free(),
+            traffic: free(),
+            admin: free(),
             ..Config::default()
         };
         match Node::start(config, Clock::system(), platform.clone()).await {
@@ -153,13 +154,6 @@
     }
 }
 
-pub async fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await;
-    listener
-        .and_then(|it| it.local_addr())
-        .expect("a free port")
-}
-
 pub fn put(id: &str, service: &str, base: u64, text: &str) -> Value {
     json!({
         "id": id, "service": service, "base": base, "edit": {"put": {"text": text}},
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub use laburnum_standin::ports::free;
 use std::{
     future::Future,
     net::SocketAddr,
@@ -428,10 +429,10 @@
     let mut nodes: Vec<Running> = Vec::new();
     for _ in 0..=fakes.len() {
         let mut config = Config {
-            caller: free().await,
-            control: free().await,
-            traffic: free().await,
-            admin: free().await,
+            caller: free(),
+            control: free(),
+            traffic: free(),
+            admin: free(),
             peers: nodes.iter().map(|it| it.config.control).collect(),
             grace: 5_000,
             ..Config::default()
@@ -484,27 +485,6 @@
     };
 }
 
-/// Ports below those that the operating system hands out by itself.
-const PORTS: std::ops::Range<u32> = 10_000..32_000;
-
-/// An address that no other test has.
-///
-/// A port that the operating system chose is free again once it is known, and goes to the next connection of
-/// any other test: a node then fails to start, or a test talks to another test's node.
-pub async fn free() -> SocketAddr {
-    static TAKEN: AtomicUsize = AtomicUsize::new(0);
-    loop {
-        let taken = TAKEN.fetch_add(1, Ordering::SeqCst) as u32;
-        let offset = std::process::id().wrapping_mul(97).wrapping_add(taken);
-        let port = PORTS.start + offset % (PORTS.end - PORTS.start);
-        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        let free = TcpListener::bind(address).await.is_ok();
-        if free && std::net::UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 impl Cluster {
     /// Where callers reach the entry.
     pub fn caller(&self) -> SocketAddr {
--- a/crates/node/tests/names.rs
+++ b/crates/node/tests/names.rs
@@ -66,6 +66,8 @@
         .flat_map(|text| CALLS.iter().flat_map(|it| literals(text, it)))
         .collect();
     assert!(in_code.len() > 20, "the scan finds calls: {in_code:?}");
+    let plain = |it: &String| it.chars().all(|it| it.is_ascii_lowercase() || it == '-');
+    assert!(in_code.iter().all(plain), "words and hyphens: {in_code:?}");
     assert_eq!(in_code, listed(&page("LOGS.md")));
 }
 
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -1,5 +1,6 @@
 //! The whole path over real sockets: a document submitted at one node carries requests through another.
 
+use laburnum_standin::ports::free;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use axum::body::Body;
@@ -38,19 +39,12 @@
     panic!("a condition did not come true in {POLLS_MAX} polls");
 }
 
-async fn free() -> SocketAddr {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
-    listener
-        .and_then(|it| it.local_addr())
-        .expect("a free port")
-}
-
 async fn node(peers: Vec<SocketAddr>, platform: Arc<Memory>) -> (Node, Config) {
     let config = Config {
-        caller: free().await,
-        control: free().await,
-        traffic: free().await,
-        admin: free().await,
+        caller: free(),
+        control: free(),
+        traffic: free(),
+        admin: free(),
         peers,
         ..Config::default()
     };
--- a/crates/node/tests/promises.rs
+++ b/crates/node/tests/promises.rs
@@ -37,11 +37,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn node_that_has_not_caught_up_refuses_unrun() {
     let config = Config {
-        caller: common::free().await,
-        control: common::free().await,
-        traffic: common::free().await,
-        admin: common::free().await,
-        peers: vec![common::free().await],
+        caller: common::free(),
+        control: common::free(),
+        traffic: common::free(),
+        admin: common::free(),
+        peers: vec![common::free()],
         ..Config::default()
     };
     let node = Node::start(config.clone(), Clock::system(), Arc::new(Down)).await;
--- a/crates/node/tests/strangers.rs
+++ b/crates/node/tests/strangers.rs
@@ -170,7 +170,7 @@
         let mut stream = TcpStream::connect(control).await.expect("a connection");
         stream.write_all(noise).await.expect("written");
     }
-    let own = NodeId(common::free().await);
+    let own = NodeId(common::free());
     let (mut other, _waker) =
         ZmqLink::bind(own, Keys::new(key(9)), Clock::system()).expect("the link binds");
     let frame = Message::Accept(accept::Message::Verdict {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod faults;
 pub mod faulty;
 pub mod platform;
+pub mod ports;
 pub mod server;
 pub mod upstream;
 
