--- a/crates/kernel/src/spread/witness.rs
+++ b/crates/kernel/src/spread/witness.rs
@@ -3,7 +3,7 @@
 //! A committer serves what it accepted before it has told anyone else. If it crashes then, and is restarted while
 //! the table is down, no peer holds that position, and the new process would serve older configuration than the
 //! old one did. The witnesses remember that the position may exist and tell the new process, which waits for the
-//! table if it doesn't hold it. This costs [`COUNT`] short messages a commit and no time: they leave
+//! table if it doesn't hold it. This costs three short messages a commit and no time: they leave
 //! together with the call to the table, whose answer takes longer. It fails where most witnesses are lost together
 //! with the committer, or where membership changed so much meanwhile that others have their places.
 
