--- a/crates/kernel/src/import.rs
+++ b/crates/kernel/src/import.rs
@@ -23,7 +23,7 @@
     event::{self, Event, Notice},
     id::{Name, NodeId},
     kernel::{Context, Plugin, Scope, State},
-    members::{Phase, Record},
+    members::{Phase, Reach, Record},
     routing::{Difference, Spec, Table},
     utils::rendezvous,
 };
@@ -453,9 +453,11 @@
         return;
     }
     let now = cx.now;
+    // One that has left would be asked in vain for as long as it is remembered, in place of those who are there.
+    let there = |id| matches!(state.members.reach(id), Some(it) if it != Reach::Unreachable);
     import
         .watchers
-        .retain(|_, heard| now.since(*heard) < WATCH_MS + 2 * ASK_MS);
+        .retain(|id, heard| now.since(*heard) < WATCH_MS + 2 * ASK_MS && there(*id));
     let heard = import.watchers.values().max().copied();
     let patience = match import.table.version() {
         0 => WATCH_FIRST_MS,
--- a/crates/kernel/tests/import.rs
+++ b/crates/kernel/tests/import.rs
@@ -309,6 +309,44 @@
     assert!(behind.is_empty(), "{behind:?} are behind");
 }
 
+/// One of two watchers in a zone leaves. Those who know it must not go on asking it: they would hear of no version until
+/// they stop believing in it, seconds later, and their callers get 404 for routes that are there.
+#[test]
+fn watcher_that_left_is_not_asked() {
+    let mut driver = Driver::new(&[]);
+    for index in 0..8 {
+        driver.add_with(Settings {
+            node: node(index),
+            incarnation: driver.now.0,
+            peers: (0..index).map(node).collect(),
+            origin: Origin::Imported,
+            watch: match index < 2 {
+                true => Watch::Always,
+                false => Watch::Fallback,
+            },
+            ..Settings::default()
+        });
+    }
+    driver.event(0, Event::Source(Source::Held));
+    for index in 0..2 {
+        driver.event(index, Event::Imported(table(5, 10)));
+    }
+    driver.run(10_000);
+    driver.event(0, Event::Stop);
+    driver.event(0, Event::Idle);
+    driver.run(3_000);
+    driver.dead.insert(0);
+    let asked = Rc::new(RefCell::new(0));
+    let seen = asked.clone();
+    driver.tap = Some(Box::new(move |_, _, to, message| {
+        let asks = matches!(message, Message::Import(Import::Ask { .. }));
+        *seen.borrow_mut() += usize::from(asks && to == 0);
+        Fate::Arrives
+    }));
+    driver.run(3_000);
+    assert_eq!(*asked.borrow(), 0, "questions to one that left");
+}
+
 /// The watchers are gone: whoever depended on them watches by itself, and rests again once one is back.
 #[test]
 fn node_watches_by_itself_while_no_watcher_answers() {
