--- a/crates/kernel/src/import.rs
+++ b/crates/kernel/src/import.rs
@@ -117,6 +117,10 @@
 pub struct Import {
     table: Arc<Table>,
     source: Source,
+    /// When the source last answered.
+    answered: Ms,
+    /// Times that it stopped answering.
+    losses: u64,
     started: Ms,
     asked: Ms,
     ready: bool,
@@ -141,6 +145,16 @@
         &self.table
     }
 
+    /// Whether the source answered last.
+    pub fn source(&self) -> Source {
+        self.source
+    }
+
+    /// How often the source stopped answering since the process started.
+    pub fn losses(&self) -> u64 {
+        self.losses
+    }
+
     /// Whether this node is to watch the source now.
     pub fn turn(&self) -> Turn {
         self.turn
@@ -227,15 +241,26 @@
 }
 
 fn follow(cx: &mut Context<'_>, state: &mut State, source: Source) {
-    if state.import.source == source {
+    let import = &mut state.import;
+    let silent = cx.now.since(import.answered.max(import.started));
+    if source == Source::Held {
+        import.answered = cx.now;
+    }
+    if import.source == source {
         return;
     }
-    state.import.source = source;
+    import.source = source;
+    import.losses += u64::from(source == Source::Lost);
     let what = match source {
         Source::Lost => "lost",
         Source::Held => "held",
     };
-    cx.log("config-source", vec![("state", what.to_owned())]);
+    let pairs = vec![
+        ("state", what.to_owned()),
+        ("version", import.table.version().to_string()),
+        ("silent_ms", silent.to_string()),
+    ];
+    cx.log("config-source", pairs);
 }
 
 fn received(cx: &mut Context<'_>, state: &mut State, from: NodeId, message: &Message) {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -18,6 +18,7 @@
 use laburnum_kernel::{
     Action, Call, Event, Kernel, Ms, Reply, Seq, Settings, Token, View,
     event::TICK_MS,
+    import,
     members::{Phase, Reach},
     spread,
 };
@@ -50,6 +51,10 @@
     pub accepting: usize,
     /// Outcomes that are not kept yet.
     pub unsettled: usize,
+    /// Whether the external source of the configuration answered last.
+    pub source: import::Source,
+    /// How often it stopped answering.
+    pub losses: u64,
 }
 
 /// Shortest time between two log lines on refused frames, in ms.
@@ -232,6 +237,8 @@
             members,
             accepting: state.accept.waiting(),
             unsettled: state.once.unsettled(),
+            source: state.import.source(),
+            losses: state.import.losses(),
         };
         self.control.stats.store(Arc::new(stats));
     }
--- a/crates/node/src/metrics/table.rs
+++ b/crates/node/src/metrics/table.rs
@@ -1,12 +1,15 @@
 //! The table of metrics.
 
 use laburnum_edge::link::Kind as Control;
-use laburnum_kernel::members::{Phase, Reach};
+use laburnum_kernel::{
+    import,
+    members::{Phase, Reach},
+};
 
 use super::{Kind, LATENCY, Point, Row, Source};
 
 /// Every metric.
-pub const TABLE: [Row; 33] = [
+pub const TABLE: [Row; 35] = [
     gauge(
         "laburnum_seq",
         "Position in the log of changes that this node is at.",
@@ -22,6 +25,16 @@
         "1 once the node caught up and serves.",
         |it| one(it.control.view().ready.into()),
     ),
+    gauge(
+        "laburnum_source_held",
+        "1 while the external source of the configuration answers this node.",
+        |it| one((it.control.stats().source == import::Source::Held).into()),
+    ),
+    counter(
+        "laburnum_source_losses_total",
+        "Times that the external source stopped answering this node.",
+        |it| one(it.control.stats().losses),
+    ),
     gauge(
         "laburnum_members",
         "Nodes by reach and phase, as seen from here.",
