--- a/crates/kernel/src/admission.rs
+++ b/crates/kernel/src/admission.rs
@@ -5,6 +5,7 @@
 //! answered exactly once, by a [`Wake`], unless its caller cancels it first.
 
 mod limit;
+pub mod link;
 mod load;
 mod queue;
 pub mod ranks;
--- a/crates/kernel/src/refusal.rs
+++ b/crates/kernel/src/refusal.rs
@@ -27,10 +27,12 @@
     NoEndpoint,
     /// The upstream itself turned the request away.
     Shed,
+    /// The link to the endpoint's host has no room for the body.
+    LinkFull,
 }
 
 /// Every reason.
-pub const REASONS: [Reason; 11] = [
+pub const REASONS: [Reason; 12] = [
     Reason::NotReady,
     Reason::Draining,
     Reason::Overloaded,
@@ -42,6 +44,7 @@
     Reason::NoClaim,
     Reason::NoEndpoint,
     Reason::Shed,
+    Reason::LinkFull,
 ];
 
 /// The answer to a request that was not run.
@@ -84,6 +87,7 @@
             Reason::NoClaim => "no-claim",
             Reason::NoEndpoint => "no-endpoint",
             Reason::Shed => "shed",
+            Reason::LinkFull => "link-full",
         }
     }
 
@@ -94,7 +98,8 @@
             | Reason::Draining
             | Reason::Overloaded
             | Reason::QueueFull
-            | Reason::Shed => Remedy::Elsewhere,
+            | Reason::Shed
+            | Reason::LinkFull => Remedy::Elsewhere,
             Reason::Limited | Reason::Quarantined | Reason::NoClaim | Reason::NoEndpoint => {
                 Remedy::Later
             }
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -45,6 +45,7 @@
         header_time: values.get(&HEADER_TIME).get(),
         stall_time: values.get(&STALL_TIME).get(),
         streams: streams(values.get(&CALLERS_STREAMS).get()),
+        ..Bounds::default()
     };
     let nodes = Bounds {
         connections: values.get(&NODES_MAX).count(),
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -60,6 +60,8 @@
     pub origin: Origin,
     /// Whether the node watches an external source. Default: always.
     pub watch: Watch,
+    /// What the host's link carries, in Mbit/s. Default: 1000.
+    pub link: f64,
     /// The service of the upstream beside the node, told to the upstreams that it calls. Default: unknown.
     pub service: Option<Name>,
     /// Header fields that callers and upstreams know. Default: the system's own.
@@ -96,6 +98,7 @@
             linger: 0,
             origin: Origin::default(),
             watch: Watch::default(),
+            link: 1_000.0,
             service: None,
             dialect: Dialect::default(),
             polling: Polling::default(),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -146,6 +146,7 @@
             origin: config.origin,
             dialect: config.dialect,
             service: config.service,
+            link: config.link,
         });
         metrics.follow(handle.clone(), path.clone());
         let api = Admin {
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -22,6 +22,7 @@
 pub mod pool;
 pub mod proof;
 pub mod report;
+mod room;
 pub mod serve;
 pub mod services;
 mod socket;
@@ -61,6 +62,7 @@
 use peers::Peers;
 use proof::{Proofs, Unproven};
 use report::Reports;
+use room::Link;
 use serve::Line;
 use services::Services;
 
@@ -74,6 +76,8 @@
     clock: Clock,
     upstream: Upstream,
     gate: Gate,
+    /// Lets long bodies in at the pace of the host's link.
+    link: Link,
     peers: Peers,
     proofs: Proofs,
     services: Services,
@@ -131,6 +135,8 @@
     pub dialect: Dialect,
     /// The service of the upstream beside the node.
     pub service: Option<Name>,
+    /// What the host's link carries, in Mbit/s.
+    pub link: f64,
 }
 
 impl Traffic {
@@ -148,11 +154,13 @@
             origin,
             dialect,
             service,
+            link,
         } = parts;
         let traffic = Traffic(Arc::new(Shared {
             node,
             control,
             gate: Gate::new(clock.clone(), origin),
+            link: Link::new(link),
             clock,
             upstream,
             peers: Peers::default(),
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -145,6 +145,14 @@
         }
     }
 
+    /// Whether a request with `order` would be let in now, where ranks decide.
+    pub fn check(&self, order: Order) -> Result<(), Refusal> {
+        match &mut self.lock().policy {
+            Policy::Shares(_) => Ok(()),
+            Policy::Ranks(it) => it.check(self.clock.now(), order),
+        }
+    }
+
     /// Refuses and starts what is due.
     pub fn tick(&self) {
         let mut state = self.lock();
--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -18,7 +18,7 @@
     Ms, Name, View,
     admission::{
         Finish,
-        ranks::{Order, Queue},
+        ranks::{Order, Queue, rank_of},
     },
     document::{Class, Repeat},
     guard::Fingerprint,
@@ -47,6 +47,7 @@
     },
     pool::{Lease, Sent, Unavailable, Usage},
     report,
+    room::{self, Room},
     services::Told,
 };
 
@@ -259,7 +260,8 @@
             Origin::Submitted => repeat,
             Origin::Imported => Repeat::Idempotent,
         };
-        let payload = read(incoming, claimed, limit, self.instant(deadline)).await?;
+        let room = self.room(&incoming, asked.order)?;
+        let payload = read(incoming, claimed, limit, self.instant(deadline), room).await?;
         let mut headers = parts.headers;
         let path = parts.uri.path_and_query().map_or("/", |it| it.as_str());
         // Callers are not told apart, and the idempotency key is left out: a retry under a new key is the same
@@ -307,6 +309,26 @@
         })
     }
 
+    /// Room on the link for a long body, so that none is read for a request that would be refused afterwards.
+    fn room(&self, body: &Body, order: Option<Order>) -> Result<Option<Room>, Denial> {
+        let Some(order) = order.filter(|_| room::large(body)) else {
+            return Ok(None);
+        };
+        self.0.gate.check(order).map_err(Denial::Refused)?;
+        let now = self.now();
+        let run = match self.0.gate.told() {
+            Told::Outlook(it) => u64::from(it.service[rank_of(order.priority)]),
+            Told::Load(_) | Told::Nothing => 0,
+        };
+        let timely = order.goal.since(now).saturating_sub(run);
+        let longest = match timely {
+            0 => order.deadline.since(now).saturating_sub(run),
+            it => it,
+        };
+        let room = self.0.link.enter(body, longest);
+        room.map(Some).map_err(Denial::Refused)
+    }
+
     /// What the service's document says of the request, next to what the entry says.
     fn terms(
         &self,
@@ -562,6 +584,7 @@
     repeat: Repeat,
     limit: u64,
     deadline: Instant,
+    room: Option<Room>,
 ) -> Result<Payload, Denial> {
     let hint = incoming.size_hint();
     let short = hint.upper().is_some_and(|it| it <= WHOLE_MAX);
@@ -576,6 +599,7 @@
     let noted = broken.clone();
     let body = Bounded::new(incoming, limit, deadline, move |end| {
         noted.store(end != End::Whole, Ordering::SeqCst);
+        drop(room);
     });
     Ok(Payload::Streamed(Intact::new(Body::new(body)), broken))
 }
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -44,6 +44,8 @@
     pub stall_time: u64,
     /// Requests open at once on one HTTP/2 connection. Default: 256.
     pub streams: u32,
+    /// Bytes of one HTTP/2 request's body that may be on their way unread. Default: 64 KiB.
+    pub window: u32,
 }
 
 impl Bounds {
@@ -72,6 +74,7 @@
             header_time: 10_000,
             stall_time: 10_000,
             streams: 256,
+            window: STREAM_WINDOW,
         }
     }
 }
@@ -183,7 +186,7 @@
         .timer(TokioTimer::new())
         .max_header_list_size(bounds.header_bytes as u32)
         .max_concurrent_streams(bounds.streams)
-        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_stream_window_size(bounds.window)
         .initial_connection_window_size(CONNECTION_WINDOW)
         .keep_alive_interval(PING_INTERVAL * 10)
         .keep_alive_timeout(PING_TIMEOUT * 4);
