An upstream's start has a birth; a restarted node takes up its living upstream from the store

Cause 1: an upstream that started again under its id counts its heartbeats anew, and by the old count all of them were late: nothing went there until it passed the old count. Change: a start is its id and its birth; earlier ones count for nothing. Change: the start is written once into the table, a new process goes by it; requests name the instance, so a wrong row runs nothing.

--- a/crates/kernel/src/instance.rs
+++ b/crates/kernel/src/instance.rs
@@ -1,8 +1,9 @@
 //! Which process is the upstream beside this node, told from heartbeats that may arrive late or out of order.
 //!
-//! Each start of an upstream has its own instance id. A heartbeat that the network held up may arrive after its
-//! sender died and a successor announced itself at the same address: taken at its word, requests would name
-//! the dead instance and be turned away by the living one.
+//! Each start of an upstream has its own instance id, or the id of an earlier start and a later time of birth. A heartbeat
+//! that the network held up may arrive after its sender died and a successor announced itself at the same address: taken
+//! at its word, requests would name the dead instance and be turned away by the living one. And a successor under the
+//! same id counts its heartbeats anew: measured by the count of the one before, all it says would pass for late.
 
 use std::{collections::VecDeque, sync::Arc};
 
@@ -32,65 +33,91 @@
 #[derive(Debug, Default)]
 pub struct Instances {
     present: Option<Present>,
-    retired: VecDeque<Arc<str>>,
+    retired: VecDeque<Start>,
+}
+
+/// One start of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Start {
+    /// Its instance id.
+    pub id: Arc<str>,
+    /// Unix ms of its birth; zero if it does not tell.
+    pub born: u64,
 }
 
 #[derive(Debug)]
 struct Present {
-    id: Arc<str>,
+    start: Start,
     sequence: u64,
     heard: Ms,
 }
 
 impl Instances {
-    /// Judges a heartbeat of instance `id`; `sequence` grows with each call of one instance.
-    pub fn heartbeat(&mut self, now: Ms, id: &Arc<str>, sequence: u64) -> Verdict {
-        if let Some(it) = &mut self.present {
-            if it.id == *id {
-                if sequence <= it.sequence {
-                    return Verdict::Stale;
-                }
-                (it.sequence, it.heard) = (sequence, now);
-                return Verdict::Present;
+    /// Judges a heartbeat of `start`; `sequence` grows with each call of one start.
+    pub fn heartbeat(&mut self, now: Ms, start: &Start, sequence: u64) -> Verdict {
+        let retired = self.retired(start);
+        let Some(it) = &mut self.present else {
+            if retired {
+                return Verdict::Stale;
             }
-            if self.retired.contains(id) && now.since(it.heard) < SILENCE_MS {
+            self.replace(now, start, sequence);
+            return Verdict::Successor;
+        };
+        if it.start == *start {
+            if sequence <= it.sequence {
                 return Verdict::Stale;
             }
-        } else if self.retired.contains(id) {
+            (it.sequence, it.heard) = (sequence, now);
+            return Verdict::Present;
+        }
+        let earlier = it.start.id == start.id && start.born < it.start.born;
+        if earlier || retired && now.since(it.heard) < SILENCE_MS {
             return Verdict::Stale;
         }
-        self.replace(now, id, sequence);
+        self.replace(now, start, sequence);
         Verdict::Successor
     }
 
-    /// Judges the deregistration of instance `id`.
-    pub fn leave(&mut self, id: &Arc<str>) -> Verdict {
-        self.retire(id.clone());
-        match self.present.take_if(|it| it.id == *id) {
-            Some(_) => Verdict::Present,
-            None => Verdict::Stale,
+    /// Judges the deregistration of `start`; one that does not tell its birth stands for the present one of its id.
+    pub fn leave(&mut self, start: &Start) -> Verdict {
+        let leaves = |it: &Start| it.id == start.id && (start.born == 0 || it.born <= start.born);
+        match self.present.take_if(|it| leaves(&it.start)) {
+            Some(it) => {
+                self.retire(it.start);
+                Verdict::Present
+            }
+            None => {
+                self.retire(start.clone());
+                Verdict::Stale
+            }
         }
     }
 
-    fn replace(&mut self, now: Ms, id: &Arc<str>, sequence: u64) {
-        self.retired.retain(|it| it != id);
+    /// Whether this start, or a later one of its id, left or was replaced.
+    fn retired(&self, start: &Start) -> bool {
+        let mut retired = self.retired.iter();
+        retired.any(|it| it.id == start.id && start.born <= it.born)
+    }
+
+    fn replace(&mut self, now: Ms, start: &Start, sequence: u64) {
+        self.retired.retain(|it| it != start);
         let before = self.present.replace(Present {
-            id: id.clone(),
+            start: start.clone(),
             sequence,
             heard: now,
         });
         if let Some(before) = before {
-            self.retire(before.id);
+            self.retire(before.start);
         }
     }
 
-    fn retire(&mut self, id: Arc<str>) {
-        if self.retired.contains(&id) {
+    fn retire(&mut self, start: Start) {
+        if self.retired.contains(&start) {
             return;
         }
         if self.retired.len() == RETIRED_MAX {
             self.retired.pop_front();
         }
-        self.retired.push_back(id);
+        self.retired.push_back(start);
     }
 }
--- a/crates/kernel/tests/instance.rs
+++ b/crates/kernel/tests/instance.rs
@@ -1,14 +1,19 @@
 //! Heartbeats of the upstream beside a node: late, repeated, and of another start.
 
-use std::sync::Arc;
-
 use laburnum_kernel::{
     Ms,
-    instance::{Instances, SILENCE_MS, Verdict},
+    instance::{Instances, SILENCE_MS, Start, Verdict},
 };
 
-fn id(text: &str) -> Arc<str> {
-    Arc::from(text)
+fn id(text: &str) -> Start {
+    born(text, 0)
+}
+
+fn born(text: &str, born: u64) -> Start {
+    Start {
+        id: text.into(),
+        born,
+    }
 }
 
 #[test]
@@ -80,3 +85,37 @@
         Verdict::Successor
     );
 }
+
+/// An upstream crashes and starts again under the id that it had, and counts its heartbeats from one. Told from the start
+/// before only by its birth, it is taken up at once; were the count compared, nothing would go there until it passed the
+/// old one. What the start before still sends, its deregistration too, changes nothing.
+#[test]
+fn upstream_that_starts_again_under_its_id_is_taken_up() {
+    let mut instances = Instances::default();
+    instances.heartbeat(Ms(0), &born("a", 1_000), 40);
+    assert_eq!(
+        instances.heartbeat(Ms(100), &born("a", 9_000), 1),
+        Verdict::Successor
+    );
+    assert_eq!(
+        instances.heartbeat(Ms(200), &born("a", 1_000), 41),
+        Verdict::Stale
+    );
+    let later = Ms(100 + 2 * SILENCE_MS);
+    assert_eq!(
+        instances.heartbeat(later, &born("a", 1_000), 42),
+        Verdict::Stale,
+        "also once the present one is silent"
+    );
+    assert_eq!(instances.leave(&born("a", 1_000)), Verdict::Stale);
+    assert_eq!(
+        instances.heartbeat(later, &born("a", 9_000), 2),
+        Verdict::Present
+    );
+    assert_eq!(instances.leave(&born("a", 9_000)), Verdict::Present);
+    assert_eq!(
+        instances.heartbeat(later, &born("a", 12_000), 1),
+        Verdict::Successor,
+        "it starts once more"
+    );
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod node;
+mod recall;
 pub mod traffic;
 pub mod upstream;
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -29,6 +29,7 @@
     config::Config,
     control::{Control, ControlThread},
     metrics::Metrics,
+    recall,
     traffic::{
         Parts, Traffic,
         counts::Counts,
@@ -126,7 +127,7 @@
             settings,
             config.keys.clone(),
             clock.clone(),
-            platform,
+            platform.clone(),
             Handle::current(),
         )?;
         let handle = control.control().clone();
@@ -134,6 +135,9 @@
         let metrics = Metrics::new()?;
         let guard = Guard::new(&config, faults.clone());
         let upstream = Upstream::start(handle.clone(), clock.clone(), config.pool, config.polling);
+        if config.origin == Origin::Imported {
+            tokio::spawn(recall::run(platform, node, upstream.clone()));
+        }
         let path = Traffic::start(Parts {
             node,
             place,
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -19,12 +19,12 @@
     event::UpstreamEvent,
     guard::{self, Fingerprint},
     health::{Health, Sign},
-    instance::{Instances, Verdict},
+    instance::{Instances, Start, Verdict},
     members::Phase,
 };
 use serde::Deserialize;
 use tokio::{
-    sync::Notify,
+    sync::{Notify, watch},
     time::{Instant, MissedTickBehavior, interval, timeout},
 };
 
@@ -66,6 +66,8 @@
     settings: PoolSettings,
     polling: Polling,
     instances: Mutex<Instances>,
+    /// The heartbeat that tells of the present start, while it takes work: what a next process may go by.
+    kept: watch::Sender<Option<Heartbeat>>,
     present: ArcSwapOption<Present>,
     health: Mutex<Option<Health>>,
     running: Mutex<Running>,
@@ -122,7 +124,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
     /// Which start of the upstream.
-    pub instance: Arc<str>,
+    pub start: Start,
     /// Grows with each heartbeat of one instance.
     pub sequence: u64,
     /// What it announces.
@@ -155,6 +157,13 @@
     Draining,
 }
 
+impl Heartbeat {
+    /// What it says beyond its place in the sequence.
+    pub fn said(&self) -> (&Start, &Announcement) {
+        (&self.start, &self.announcement)
+    }
+}
+
 impl Upstream {
     /// No upstream yet. Must be called inside a tokio runtime; polling ends when `control` does.
     pub fn start(
@@ -169,6 +178,7 @@
             settings,
             polling,
             instances: Mutex::default(),
+            kept: watch::Sender::new(None),
             present: ArcSwapOption::empty(),
             health: Mutex::default(),
             running: Mutex::default(),
@@ -176,7 +186,7 @@
             poll: Arc::default(),
             served: AtomicU64::new(0),
         }));
-        tokio::spawn(watch(Arc::downgrade(&upstream.0), upstream.0.poll.clone()));
+        tokio::spawn(poll(Arc::downgrade(&upstream.0), upstream.0.poll.clone()));
         upstream
     }
 
@@ -188,23 +198,53 @@
     /// The upstream says that it lives. Late heartbeats of a process that was replaced are ignored.
     pub fn heartbeat(&self, it: Heartbeat) -> Result<(), Closed> {
         let now = self.0.clock.now();
-        let verdict = lock(&self.0.instances).heartbeat(now, &it.instance, it.sequence);
+        let verdict = lock(&self.0.instances).heartbeat(now, &it.start, it.sequence);
         match verdict {
             Verdict::Stale => return Ok(()),
             Verdict::Present => {}
             // The phase of the one before must not bind its successor: what drains never gets ready again.
             Verdict::Successor => {
-                let pairs = [("id", it.instance.to_string())];
+                let pairs = [
+                    ("id", it.start.id.to_string()),
+                    ("born", it.start.born.to_string()),
+                ];
                 logs::event("upstream-instance", &pairs);
                 self.withdraw()?;
             }
         }
-        self.take(it.announcement, Some(it.instance))
+        self.keep(&it);
+        self.take(it.announcement, Some(it.start.id))
+    }
+
+    /// Takes up what an earlier process heard, unless the upstream was heard of since.
+    pub fn recall(&self, it: Heartbeat) -> Result<(), Closed> {
+        if self.present().is_some() {
+            return Ok(());
+        }
+        logs::event("upstream-recalled", &[("id", it.start.id.to_string())]);
+        self.heartbeat(it)
+    }
+
+    /// What a next process may go by, and when it changes.
+    pub fn kept(&self) -> watch::Receiver<Option<Heartbeat>> {
+        self.0.kept.subscribe()
+    }
+
+    fn keep(&self, it: &Heartbeat) {
+        let ready = it.announcement.phase == Phase::Ready;
+        self.0.kept.send_if_modified(|kept| {
+            let same = kept.as_ref().map(Heartbeat::said) == Some(it.said());
+            if same || (kept.is_none() && !ready) {
+                return false;
+            }
+            *kept = ready.then(|| it.clone());
+            true
+        });
     }
 
-    /// The instance takes its announcement back; requests in progress keep their connections.
-    pub fn leave(&self, instance: &Arc<str>) -> Result<(), Closed> {
-        match lock(&self.0.instances).leave(instance) {
+    /// This start takes its announcement back; requests in progress keep their connections.
+    pub fn leave(&self, start: &Start) -> Result<(), Closed> {
+        match lock(&self.0.instances).leave(start) {
             Verdict::Present => self.withdraw(),
             Verdict::Successor | Verdict::Stale => Ok(()),
         }
@@ -258,6 +298,7 @@
     pub fn withdraw(&self) -> Result<(), Closed> {
         self.0.present.store(None);
         *lock(&self.0.health) = None;
+        self.0.kept.send_if_modified(|kept| kept.take().is_some());
         self.0.control.tell(Event::Upstream(UpstreamEvent::Gone))
     }
 
@@ -466,7 +507,7 @@
     Late,
 }
 
-async fn watch(shared: Weak<Shared>, asked: Arc<Notify>) {
+async fn poll(shared: Weak<Shared>, asked: Arc<Notify>) {
     let mut ticks = interval(POLL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
