Sight: open connections by socket and state, and who holds the places while none is free

Change: gauges laburnum_connections{socket,state}, event connections-full with busy, idle and the longest idle time; a registry of connections in the kernel in place of a semaphore. No decision changes.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod accept;
 pub mod admission;
 pub mod clock;
+pub mod connections;
 pub mod document;
 pub mod drain;
 pub mod event;
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -17,11 +17,12 @@
 const TARGET: &str = "laburnum";
 
 /// Events that somebody should look at; docs/LOGS.md says what to do.
-const WARNINGS: [&str; 24] = [
+const WARNINGS: [&str; 25] = [
     "calls-ended",
     "claims-damaged",
     "claims-filling",
     "config-refused",
+    "connections-full",
     "heartbeat-refused",
     "link-refused",
     "log-row-refused",
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -13,7 +13,10 @@
 use opentelemetry_sdk::{error::OTelSdkError, metrics::SdkMeterProvider};
 use prometheus::{Registry, TextEncoder};
 
-use crate::{control::Control, traffic::Traffic};
+use crate::{
+    control::Control,
+    traffic::{Traffic, lines::Lines},
+};
 
 pub use self::table::TABLE;
 
@@ -30,8 +33,14 @@
 
 /// Where values are read from when somebody asks.
 pub struct Source {
-    control: Control,
-    traffic: Traffic,
+    /// The control thread.
+    pub control: Control,
+    /// The request path.
+    pub traffic: Traffic,
+    /// Connections of callers.
+    pub callers: Lines,
+    /// Connections of other nodes.
+    pub nodes: Lines,
 }
 
 /// One metric.
@@ -100,9 +109,9 @@
             .build()
     }
 
-    /// Reads every metric of the table from these two from now on.
-    pub fn follow(&self, control: Control, traffic: Traffic) {
-        let source = Arc::new(Source { control, traffic });
+    /// Reads every metric of the table from `source` from now on.
+    pub fn follow(&self, source: Source) {
+        let source = Arc::new(source);
         for row in TABLE {
             let source = source.clone();
             let points = move || (row.read)(&source);
--- a/crates/node/src/metrics/table.rs
+++ b/crates/node/src/metrics/table.rs
@@ -9,7 +9,7 @@
 use super::{Kind, LATENCY, Point, Row, Source};
 
 /// Every metric.
-pub const TABLE: [Row; 35] = [
+pub const TABLE: [Row; 36] = [
     gauge(
         "laburnum_seq",
         "Position in the log of changes that this node is at.",
@@ -169,6 +169,11 @@
         "Faults of callers and nodes by kind.",
         |it| labelled("kind", it.traffic.faults()),
     ),
+    gauge(
+        "laburnum_connections",
+        "Open connections of callers and nodes.",
+        connections,
+    ),
     Row {
         name: LATENCY,
         kind: Kind::Histogram,
@@ -250,6 +255,19 @@
     one(endpoints.sum())
 }
 
+fn connections(source: &Source) -> Vec<Point> {
+    let sockets = [("callers", &source.callers), ("nodes", &source.nodes)];
+    let points = sockets.into_iter().flat_map(|(socket, lines)| {
+        let gauges = lines.gauges();
+        let states = [("busy", gauges.busy), ("idle", gauges.idle)];
+        states.map(|(state, value)| Point {
+            labels: vec![("socket", socket), ("state", state)],
+            value: value as u64,
+        })
+    });
+    points.collect()
+}
+
 fn members(source: &Source) -> Vec<Point> {
     let stats = source.control.stats();
     let pairs = REACHES
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -29,12 +29,13 @@
     auth::{self, Exposed, Guard, Peer},
     config::Config,
     control::{Control, ControlThread},
-    metrics::Metrics,
+    metrics::{Metrics, Source},
     recall,
     traffic::{
         Parts, Traffic,
         counts::Counts,
         faults::Faults,
+        lines::Lines,
         proof::Proofs,
         serve::{Bounds, Server, Speech},
     },
@@ -148,14 +149,21 @@
             clock: clock.clone(),
             upstream: upstream.clone(),
             faults: faults.clone(),
-            proofs: Proofs::new(config.traffic, &config.keys, clock),
+            proofs: Proofs::new(config.traffic, &config.keys, clock.clone()),
             counts: Counts::new(metrics.latency()),
             origin: config.origin,
             dialect: config.dialect,
             service: config.service,
             link: config.link,
         });
-        metrics.follow(handle.clone(), path.clone());
+        let entry_lines = Lines::new(clock.clone(), config.callers.connections);
+        let owner_lines = Lines::new(clock.clone(), config.nodes.connections);
+        metrics.follow(Source {
+            control: handle.clone(),
+            traffic: path.clone(),
+            callers: entry_lines.clone(),
+            nodes: owner_lines.clone(),
+        });
         let api = Admin {
             guard,
             ..Admin::new(handle.clone(), upstream.clone(), metrics.clone())
@@ -167,6 +175,7 @@
                 listener: caller,
                 speech: Speech::Both,
                 bounds: followed(&config.callers, config.origin, handle.clone()),
+                lines: entry_lines,
                 faults: faults.clone(),
             },
             move |peer| entry.entry(peer),
@@ -176,6 +185,7 @@
             Server {
                 listener: admin,
                 speech: Speech::Both,
+                lines: Lines::new(clock, config.callers.connections),
                 bounds: Box::new(move || config.callers.clone()),
                 faults: faults.clone(),
             },
@@ -187,6 +197,7 @@
                 listener: traffic,
                 speech: Speech::Http2,
                 bounds: followed(&config.nodes, config.origin, handle),
+                lines: owner_lines,
                 faults: faults.clone(),
             },
             move |peer| owner.owner(peer),
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -15,6 +15,7 @@
 pub mod faults;
 pub mod gate;
 pub mod headers;
+pub mod lines;
 mod once;
 mod owner;
 pub mod peers;
--- /dev/null
+++ b/crates/node/src/traffic/lines.rs
@@ -0,0 +1,129 @@
+//! The open connections of one socket, shared by their tasks.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use laburnum_edge::Clock;
+use laburnum_kernel::{
+    Ms,
+    connections::{Connections, Entry, Gauges, Key},
+};
+
+use crate::logs;
+
+/// The open connections of one socket; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Lines(Arc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    connections: Connections,
+    logged: Option<Ms>,
+    unlogged: u64,
+}
+
+/// An open connection. Dropping it frees its place.
+#[derive(Debug)]
+pub struct Open {
+    lines: Lines,
+    key: Key,
+}
+
+/// A request in progress on a connection. Dropping it says that it has its answer or was given up.
+#[derive(Debug)]
+pub struct Busy {
+    lines: Lines,
+    key: Key,
+}
+
+/// Shortest time between two log lines on connections for which there was no place, in ms.
+const LOG_INTERVAL: u64 = 10_000;
+
+impl Lines {
+    /// Room for `places` connections.
+    pub fn new(clock: Clock, places: usize) -> Lines {
+        let state = Mutex::new(State {
+            connections: Connections::new(places),
+            logged: None,
+            unlogged: 0,
+        });
+        Lines(Arc::new(Shared { clock, state }))
+    }
+
+    /// A place for the connection of `peer`, if there is one.
+    pub fn enter(&self, peer: SocketAddr) -> Option<Open> {
+        let now = self.0.clock.now();
+        let mut state = self.lock();
+        match state.connections.enter(now) {
+            Entry::Open(key) => Some(Open {
+                lines: self.clone(),
+                key,
+            }),
+            Entry::Full => {
+                state.tell(now, peer);
+                None
+            }
+        }
+    }
+
+    /// How many are open, busy and idle.
+    pub fn gauges(&self) -> Gauges {
+        self.lock().connections.gauges(self.0.clock.now())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Logs who holds the places while none is free.
+    fn tell(&mut self, now: Ms, peer: SocketAddr) {
+        self.unlogged += 1;
+        if self.logged.is_some_and(|it| now.since(it) < LOG_INTERVAL) {
+            return;
+        }
+        self.logged = Some(now);
+        let gauges = self.connections.gauges(now);
+        let pairs = [
+            ("count", std::mem::take(&mut self.unlogged).to_string()),
+            ("peer", peer.to_string()),
+            ("busy", gauges.busy.to_string()),
+            ("idle", gauges.idle.to_string()),
+            ("longest", gauges.longest.to_string()),
+        ];
+        logs::event("connections-full", &pairs);
+    }
+}
+
+impl Open {
+    /// Notes that a request has begun.
+    pub fn begin(&self) -> Busy {
+        self.lines.lock().connections.begin(self.key);
+        Busy {
+            lines: self.lines.clone(),
+            key: self.key,
+        }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.lines.lock().connections.leave(self.key);
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        let now = self.lines.0.clock.now();
+        self.lines.lock().connections.end(self.key, now);
+    }
+}
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -22,12 +22,17 @@
 use laburnum_kernel::routing::Limits;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Notify, OwnedSemaphorePermit, Semaphore, watch},
+    sync::{Notify, watch},
     task::JoinSet,
     time::{Instant, sleep, sleep_until},
 };
+use tower::{ServiceExt, service_fn};
 
-use super::{faults::Faults, stall::Stall};
+use super::{
+    faults::Faults,
+    lines::{Lines, Open},
+    stall::Stall,
+};
 
 /// What one socket lets a caller hold.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -96,6 +101,8 @@
     pub speech: Speech,
     /// What its callers may hold; asked for each new connection.
     pub bounds: Box<dyn Fn() -> Bounds + Send + Sync>,
+    /// Its open connections.
+    pub lines: Lines,
     /// Where refused connections are counted.
     pub faults: Arc<Faults>,
 }
@@ -127,9 +134,8 @@
         F: Fn(SocketAddr) -> S,
     {
         let mut bounds = (self.bounds)();
-        let places = Arc::new(Semaphore::new(bounds.connections));
         let mut builder = Arc::new(builder(self.speech, &bounds));
-        let mut open = JoinSet::new();
+        let mut tasks = JoinSet::new();
         let stopped = stop.clone();
         let mut stopping = pin!(async move {
             let _ = stop.wait_for(|it| *it).await;
@@ -138,14 +144,14 @@
             let accepted = tokio::select! {
                 () = &mut stopping => break,
                 accepted = self.listener.accept() => accepted,
-                Some(_) = open.join_next() => continue,
+                Some(_) = tasks.join_next() => continue,
             };
             let Ok((stream, peer)) = accepted else {
                 self.faults.count("accept", None);
                 sleep(ACCEPT_PAUSE).await;
                 continue;
             };
-            let Ok(place) = places.clone().try_acquire_owned() else {
+            let Some(open) = self.lines.enter(peer) else {
                 self.faults.count("too-many-connections", Some(peer));
                 continue;
             };
@@ -157,16 +163,16 @@
             let connection = Connection {
                 builder: builder.clone(),
                 peer,
-                place,
+                open,
                 header_time: Duration::from_millis(bounds.header_time),
                 stall_time: Duration::from_millis(bounds.stall_time),
                 faults: self.faults.clone(),
                 stop: stopped.clone(),
             };
-            open.spawn(connection.run(stream, make(peer)));
+            tasks.spawn(connection.run(stream, make(peer)));
         }
         drop(self.listener);
-        while open.join_next().await.is_some() {}
+        while tasks.join_next().await.is_some() {}
     }
 }
 
@@ -196,7 +202,7 @@
 struct Connection {
     builder: Arc<auto::Builder<TokioExecutor>>,
     peer: SocketAddr,
-    place: OwnedSemaphorePermit,
+    open: Open,
     header_time: Duration,
     stall_time: Duration,
     faults: Arc<Faults>,
@@ -215,10 +221,21 @@
         // Answers are written whole; waiting for more bytes only adds latency.
         let _ = stream.set_nodelay(true);
         let line = Line::default();
-        let service = Heard {
-            inner: service,
-            line: line.clone(),
-        };
+        let open = Arc::new(self.open);
+        let service = service_fn({
+            let (line, open) = (line.clone(), open.clone());
+            move |mut request: Request<Incoming>| {
+                let busy = open.begin();
+                line.0.heard.store(true, Ordering::Relaxed);
+                request.extensions_mut().insert(line.clone());
+                let answer = service.clone().oneshot(request);
+                async move {
+                    let answer = answer.await;
+                    drop(busy);
+                    answer
+                }
+            }
+        });
         let io = TokioIo::new(Stall::new(stream, self.stall_time));
         let serving = self
             .builder
@@ -261,7 +278,7 @@
                 }
             }
         }
-        drop(self.place);
+        drop(open);
     }
 }
 
@@ -315,32 +332,3 @@
         }
     }
 }
-
-/// Tells each request of its connection, and notes that a first one arrived.
-#[derive(Clone)]
-struct Heard<S> {
-    inner: S,
-    line: Line,
-}
-
-impl<S> tower::Service<Request<Incoming>> for Heard<S>
-where
-    S: tower::Service<Request<Incoming>>,
-{
-    type Response = S::Response;
-    type Error = S::Error;
-    type Future = S::Future;
-
-    fn poll_ready(
-        &mut self,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Result<(), S::Error>> {
-        self.inner.poll_ready(cx)
-    }
-
-    fn call(&mut self, mut request: Request<Incoming>) -> S::Future {
-        self.line.0.heard.store(true, Ordering::Relaxed);
-        request.extensions_mut().insert(self.line.clone());
-        self.inner.call(request)
-    }
-}
