A test that fails: idle connections shut out every new caller

Cause: a node closes new connections unread while idle ones of refused callers hold its 1,024 places for up to 60 s. No logic changed.

--- a/crates/node/tests/caller_faults.rs
+++ b/crates/node/tests/caller_faults.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use axum::body::Body;
 use common::{
     ATTEMPTS_MAX, DOCUMENT, Fake, answer, cluster, cluster_of, cluster_with, raw, request, send,
@@ -251,6 +253,45 @@
     cluster.close().await;
 }
 
+// Under overload a caller is refused and tries again on a new connection, while the old ones stay open and idle. When
+// they filled the node's places, every new connection was closed unread: of callers that open one for each request,
+// and of the upstream beside the node, whose runs failed for want of their own calls. Seen as upstreams that idle while
+// nothing is served; the log told 1,015 of 1,024 connections idle. A caller that connects then is served all the same.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "known red"]
+async fn idle_callers_shut_nobody_out() {
+    let fake = Fake::start(|_| answer("draft")).await;
+    let bounds = Bounds {
+        connections: 8,
+        header_time: 3_600_000,
+        ..Bounds::default()
+    };
+    let cluster = cluster_with(&[&fake], |it| it.callers = bounds.clone()).await;
+    let ask = b"GET /drafts/1 HTTP/1.1\r\nhost: desk\r\n\r\n";
+    let mut idle = Vec::new();
+    let mut byte = [0];
+    for _ in 0..bounds.connections {
+        let mut stream = TcpStream::connect(cluster.caller())
+            .await
+            .expect("a connection");
+        stream.write_all(ask).await.expect("written");
+        stream.read_exact(&mut byte).await.expect("an answer");
+        idle.push(stream);
+    }
+    let last = b"GET /drafts/1 HTTP/1.1\r\nhost: desk\r\nconnection: close\r\n\r\n";
+    let mut served = false;
+    for _ in 0..500 {
+        served = raw(cluster.caller(), last).await.contains("200 OK");
+        if served {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(served, "every connection was closed unread");
+    drop(idle);
+    cluster.close().await;
+}
+
 // One caller asks far more often than the document allows. It is refused at once, as not run and with the time
 // to come back, and the upstream sees no more than the burst that the document allows.
 #[tokio::test(flavor = "multi_thread")]
