New kinds learn their hold time quickly, whole ranks as before

Change: only kinds start so; the mean of a rank is learned as before, and what became late stays late.

--- a/crates/kernel/src/admission/kinds.rs
+++ b/crates/kernel/src/admission/kinds.rs
@@ -30,7 +30,8 @@
     rank: usize,
     /// Mean time that a request holds a slot, in ms.
     service: f64,
-    samples: u32,
+    /// Smallest share of the next sample in it.
+    gain: f64,
     running: usize,
     /// Mean number of slots held of late.
     held: f64,
@@ -40,7 +41,8 @@
 /// Most kinds told apart besides whole ranks: an upstream serves a few routes and is called by a few more.
 const KINDS_MAX: usize = 32;
 /// Share of a new sample in the mean time that a request holds a slot: some thirty samples, half a second of a busy
-/// upstream, so a slowed upstream is noticed within a second. The first samples count for more.
+/// upstream, so a slowed upstream is noticed within a second.
+/// A new kind's first samples count for more, so that it is not held against the mean of its rank for long.
 const SERVICE_GAIN: f64 = 0.03;
 /// Hold time assumed before the first sample, in ms.
 pub(super) const SERVICE_FIRST: f64 = 50.0;
@@ -48,7 +50,10 @@
 impl Kinds {
     /// None but the ranks.
     pub(super) fn new() -> Kinds {
-        let known = (0..RANKS).map(|rank| State::new(Kind(0), rank, SERVICE_FIRST));
+        let known = (0..RANKS).map(|rank| State {
+            gain: SERVICE_GAIN,
+            ..State::new(Kind(0), rank, SERVICE_FIRST)
+        });
         Kinds {
             known: known.collect(),
         }
@@ -156,7 +161,7 @@
             kind,
             rank,
             service,
-            samples: 0,
+            gain: 1.0,
             running: 0,
             held: 0.0,
             used: Ms(0),
@@ -164,8 +169,7 @@
     }
 
     fn sample(&mut self, took: f64) {
-        self.samples = self.samples.saturating_add(1);
-        let gain = SERVICE_GAIN.max(1.0 / (1.0 + f64::from(self.samples)));
-        self.service += gain * (took - self.service);
+        self.gain = (self.gain / (1.0 + self.gain)).max(SERVICE_GAIN);
+        self.service += self.gain * (took - self.service);
     }
 }
--- a/crates/kernel/src/admission/ranks.rs
+++ b/crates/kernel/src/admission/ranks.rs
@@ -385,7 +385,9 @@
         let waiting = std::mem::take(&mut self.waiting);
         for mut entry in waiting {
             let service = self.kinds.service(entry.kind);
-            self.line_up(now, &mut entry);
+            if entry.lane == Lane::Timely {
+                self.line_up(now, &mut entry);
+            }
             // Half the mean: a run may be shorter than most, but less time than that is hardly ever enough.
             let hopeless = entry.deadline.since(now) <= (service / 2.0) as u64;
             if hopeless {
