A refusal of one kind keeps no other kind away

Change: entries remember refusals by kind where there are kinds, else by class; not ready or leaving still holds for all. Test: refusal_of_one_kind_keeps_no_other_away.

--- a/crates/kernel/src/pick.rs
+++ b/crates/kernel/src/pick.rs
@@ -21,6 +21,8 @@
     view::Endpoint,
 };
 
+pub use experience::Lane;
+
 use experience::{Experience, may_eject};
 
 /// Penalties on the expected time for an endpoint in the own zone, in the own region, beyond, and for one
@@ -147,8 +149,9 @@
 
     /// Chooses an endpoint for a request of `class` that already failed at `tried`.
     pub fn pick(&self, now: Ms, rng: &mut impl Rng, class: Class, tried: &[NodeId]) -> Choice {
-        let usable =
-            |it: &Member| !tried.contains(&it.endpoint.node) && it.experience.takes(now, class);
+        let usable = |it: &Member| {
+            !tried.contains(&it.endpoint.node) && it.experience.takes(now, class.into())
+        };
         let candidates = (0..TIERS).flat_map(|tier| self.draw(rng, tier, &usable));
         let costs = candidates.map(|it| (self.cost(now, it), it));
         let best = costs.reduce(|best, it| if it.0 < best.0 * CLEARLY { it } else { best });
@@ -160,7 +163,7 @@
             .iter()
             .filter(|it| !tried.contains(&it.endpoint.node))
             .map(|it| (&it.endpoint, &it.experience));
-        last_resort(now, class, BUSY, left)
+        last_resort(now, class.into(), BUSY, left)
             .unwrap_or_else(|| Choice::Refuse(Refusal::after(Reason::NoEndpoint, NO_ENDPOINT)))
     }
 
@@ -186,7 +189,7 @@
         let Some(it) = self.member(node) else {
             return;
         };
-        it.experience.finished(now, class, outcome, load);
+        it.experience.finished(now, class.into(), outcome, load);
         if let Some(pace) = pace {
             it.experience.measure(now, pace);
         }
@@ -269,7 +272,7 @@
 /// the first will take work again, after `least` ms or more. An ejected one is tried rather than nobody.
 fn last_resort<'a>(
     now: Ms,
-    class: Class,
+    lane: Lane,
     least: u64,
     left: impl Iterator<Item = (&'a Endpoint, &'a Experience)>,
 ) -> Option<Choice> {
@@ -277,7 +280,7 @@
     let held = left
         .iter()
         .filter(|(_, it)| !it.ejected(now))
-        .map(|(_, it)| it.held(now, class).max(least))
+        .map(|(_, it)| it.held(now, lane).max(least))
         .min();
     if let Some(after) = held {
         return Some(Choice::Refuse(Refusal::after(Reason::Overloaded, after)));
--- a/crates/kernel/src/pick/experience.rs
+++ b/crates/kernel/src/pick/experience.rs
@@ -1,7 +1,7 @@
 //! What an entry has itself seen of one endpoint.
 
 use crate::{
-    admission::{CLASSES, Load, class_index},
+    admission::{Load, kinds::Kind},
     clock::Ms,
     document::Class,
     pick::Outcome,
@@ -51,6 +51,32 @@
     Ejected,
 }
 
+/// Requests that refusals keep away together: what an endpoint has no room for says little about room for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lane {
+    /// Those of one class.
+    Class(Class),
+    /// Those of one kind, where entries tell kinds. A refused petition of 110 ms would otherwise keep away calls of
+    /// 22 ms, which have room, and fail the runs that make them.
+    Kind(Kind),
+}
+
+impl Lane {
+    /// The lane of requests of `class` and `kind`.
+    pub fn of(class: Class, kind: Kind) -> Lane {
+        match kind {
+            Kind(0) => Lane::Class(class),
+            it => Lane::Kind(it),
+        }
+    }
+}
+
+impl From<Class> for Lane {
+    fn from(class: Class) -> Lane {
+        Lane::Class(class)
+    }
+}
+
 /// What an entry has itself seen of one endpoint.
 #[derive(Debug, Default)]
 pub struct Experience {
@@ -59,7 +85,10 @@
     failures: u32,
     ejections: u32,
     ejected: Option<Ms>,
-    held: [Ms; CLASSES],
+    /// Until when it wants no work at all.
+    closed: Ms,
+    /// Until when it wants no work of a lane; few at a time.
+    held: Vec<(Lane, Ms)>,
     pace: Option<(Ms, f64)>,
     load: Option<(Ms, Load)>,
     born: Option<Ms>,
@@ -84,7 +113,7 @@
         self.inflight += 1;
     }
 
-    pub fn finished(&mut self, now: Ms, class: Class, outcome: Outcome, load: Option<Load>) {
+    pub fn finished(&mut self, now: Ms, lane: Lane, outcome: Outcome, load: Option<Load>) {
         self.inflight = self.inflight.saturating_sub(1);
         if let Some(load) = load {
             self.load = Some((now, load));
@@ -95,10 +124,10 @@
                 self.recover();
                 match refusal.reason {
                     Reason::NotReady | Reason::Draining => {
-                        self.held = [now + HOLD_PHASE.max(refusal.after.min(HOLD_MAX)); CLASSES];
+                        self.closed = now + HOLD_PHASE.max(refusal.after.min(HOLD_MAX));
                     }
                     Reason::Overloaded | Reason::QueueFull | Reason::Shed => {
-                        self.held[class_index(class)] = now + refusal.after.min(HOLD_MAX);
+                        self.hold(now, lane, now + refusal.after.min(HOLD_MAX));
                     }
                     _ => {}
                 }
@@ -127,23 +156,25 @@
         }
     }
 
-    /// Whether a request of `class` may be sent there now.
-    pub fn takes(&self, now: Ms, class: Class) -> bool {
+    /// Whether a request of `lane` may be sent there now.
+    pub fn takes(&self, now: Ms, lane: Lane) -> bool {
         let open = match self.state(now) {
             State::Open => true,
             State::Probing => !self.awaited(now),
             State::Ejected => false,
         };
-        open && self.held(now, class) == 0
+        open && self.held(now, lane) == 0
     }
 
     pub fn ejected(&self, now: Ms) -> bool {
         self.state(now) == State::Ejected
     }
 
-    /// Time for which the endpoint wants no work of `class`, in ms.
-    pub fn held(&self, now: Ms, class: Class) -> u64 {
-        self.held[class_index(class)].since(now)
+    /// Time for which the endpoint wants no work of `lane`, in ms.
+    pub fn held(&self, now: Ms, lane: Lane) -> u64 {
+        let held = self.held.iter().find(|it| it.0 == lane);
+        held.map_or(self.closed, |it| it.1.max(self.closed))
+            .since(now)
     }
 
     /// Whether an answer is still expected. A request whose end was never told must not stop all probes.
@@ -190,6 +221,11 @@
         }
     }
 
+    fn hold(&mut self, now: Ms, lane: Lane, until: Ms) {
+        self.held.retain(|it| it.0 != lane && it.1 > now);
+        self.held.push((lane, until));
+    }
+
     fn recover(&mut self) {
         self.failures = 0;
         self.ejections = 0;
--- a/crates/kernel/src/pick/placement.rs
+++ b/crates/kernel/src/pick/placement.rs
@@ -14,13 +14,12 @@
 
 use super::{
     Choice, Outcome, Place,
-    experience::{Experience, may_eject},
+    experience::{Experience, Lane, may_eject},
     last_resort,
 };
 use crate::{
     admission::ranks::{Order, Outlook, RANKS, rank_of},
     clock::Ms,
-    document::Class,
     id::NodeId,
     members::{Phase, Reach},
     refusal::{Reason, Refusal},
@@ -134,21 +133,21 @@
     /// Chooses an endpoint for a request that already failed at `tried`.
     pub fn place(&self, now: Ms, rng: &mut impl Rng, order: Order, tried: &[NodeId]) -> Choice {
         let rank = rank_of(order.priority);
-        let class = routing::class_of(order.priority);
+        let lane = Lane::of(routing::class_of(order.priority), order.kind);
         let untried = || {
             self.members
                 .iter()
                 .filter(|it| !tried.contains(&it.endpoint.node))
         };
         let mut best: [Option<(f64, &Member)>; 2] = [None, None];
-        for member in untried().filter(|it| it.usable(now, class)) {
+        for member in untried().filter(|it| it.usable(now, lane)) {
             let cost = member.expected(now, rank) * rng.random_range(1.0 - JITTER..1.0 + JITTER);
             let slot = &mut best[usize::from(member.distance != Distance::Zone)];
             if slot.is_none_or(|(least, _)| cost < least) {
                 *slot = Some((cost, member));
             }
         }
-        let near = untried().filter(|it| it.distance == Distance::Zone && it.usable(now, class));
+        let near = untried().filter(|it| it.distance == Distance::Zone && it.usable(now, lane));
         let probes = tried.len() < PROBES_MAX && near.count() > PROBES_MAX;
         let left = order.goal.since(now);
         let within = |cost: f64, share: u64| cost <= (left * share / 100) as f64;
@@ -163,7 +162,7 @@
                 Choice::Probe(it.endpoint.clone())
             }
             Some(it) => Choice::Send(it.endpoint.clone()),
-            None => self.nobody(now, class, untried()),
+            None => self.nobody(now, lane, untried()),
         }
     }
 
@@ -180,7 +179,7 @@
         &mut self,
         now: Ms,
         node: NodeId,
-        class: Class,
+        lane: impl Into<Lane>,
         outcome: Outcome,
         outlook: Option<Outlook>,
     ) {
@@ -189,7 +188,7 @@
         let Some(it) = self.member(node) else {
             return;
         };
-        it.experience.finished(now, class, outcome, None);
+        it.experience.finished(now, lane.into(), outcome, None);
         if let Some(outlook) = outlook {
             it.told = Some((now, outlook));
             it.since = 0;
@@ -226,20 +225,20 @@
     }
 
     /// Nobody takes work: when to come back, or an ejected endpoint rather than nobody.
-    fn nobody<'a>(&self, now: Ms, class: Class, left: impl Iterator<Item = &'a Member>) -> Choice {
+    fn nobody<'a>(&self, now: Ms, lane: Lane, left: impl Iterator<Item = &'a Member>) -> Choice {
         let left = left.map(|it| (&it.endpoint, &it.experience));
         let (reason, after) = match self.is_empty() {
             true => (Reason::NoEndpoint, NO_ENDPOINT_MS),
             false => (Reason::Overloaded, BUSY_MS),
         };
-        last_resort(now, class, BUSY_MS, left)
+        last_resort(now, lane, BUSY_MS, left)
             .unwrap_or_else(|| Choice::Refuse(Refusal::after(reason, after)))
     }
 }
 
 impl Member {
-    fn usable(&self, now: Ms, class: Class) -> bool {
-        self.endpoint.reach != Reach::Unreachable && self.experience.takes(now, class)
+    fn usable(&self, now: Ms, lane: Lane) -> bool {
+        self.endpoint.reach != Reach::Unreachable && self.experience.takes(now, lane)
     }
 
     /// Whether what its owner told is recent enough to queue on.
--- a/crates/kernel/tests/placement.rs
+++ b/crates/kernel/tests/placement.rs
@@ -10,7 +10,7 @@
     },
     document::Class,
     members::{Phase, Reach},
-    pick::{Choice, Outcome, Place, placement::Placement},
+    pick::{Choice, Lane, Outcome, Place, placement::Placement},
     refusal::{Reason, Refusal},
     view::Endpoint,
 };
@@ -94,6 +94,31 @@
     counts
 }
 
+/// An owner refuses a petition of 110 ms for which it has no room within its goal. Calls of 22 ms of the same priority,
+/// which it would serve, must be sent there all the same: kept away with the petition they failed the runs that made
+/// them, unasked. Petitions are kept away for the time that the owner told.
+#[test]
+fn refusal_of_one_kind_keeps_no_other_away() {
+    let (petition, call) = (Kind(7), Kind(8));
+    let order = |kind| Order { kind, ..order(NOW) };
+    let mut placement = placement();
+    let refusal = Refusal::after(Reason::Overloaded, 300);
+    for number in 1..=3 {
+        placement.started(NOW, id(number));
+        let outcome = Outcome::Refused(refusal);
+        let lane = Lane::of(Class::Background, petition);
+        placement.finished(NOW, id(number), lane, outcome, None);
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let mut choose = |now, kind| placement.place(now, &mut rng, order(kind), &[]);
+    assert!(matches!(choose(NOW + 1, call), Choice::Send(_)));
+    let Choice::Refuse(refused) = choose(NOW + 1, petition) else {
+        panic!("the owners have no room for it");
+    };
+    assert_eq!(refused.after, 299);
+    assert!(matches!(choose(NOW + 301, petition), Choice::Send(_)));
+}
+
 /// A request that crosses zones costs its caller nothing and its operator money for each byte. While somebody at home
 /// reaches the goal, none crosses, however idle the other zone is.
 #[test]
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -324,7 +324,8 @@
     ) -> Attempt {
         let number = request.headers().get(REQUEST).cloned();
         let service = plan.service.clone();
-        let mut flight = Flight::start(&self.0.clock, service, endpoint.node, plan.class);
+        let mut flight =
+            Flight::start(&self.0.clock, service, endpoint.node, plan.class, plan.kind);
         let deadline = self.instant(plan.deadline);
         let response = match endpoint.node == self.0.node {
             true => self.own(request).await,
--- a/crates/node/src/traffic/services.rs
+++ b/crates/node/src/traffic/services.rs
@@ -10,10 +10,11 @@
     Ms, Name, NodeId, View,
     admission::{
         Load,
+        kinds::Kind,
         ranks::{Order, Outlook},
     },
     document::Class,
-    pick::{Choice, Outcome, Picker, Place, placement::Placement},
+    pick::{Choice, Lane, Outcome, Picker, Place, placement::Placement},
     retry::Budget,
     settings::Origin,
     view::ServiceView,
@@ -96,16 +97,24 @@
         }
     }
 
-    fn finished(&mut self, now: Ms, node: NodeId, class: Class, outcome: Outcome, told: Told) {
+    fn finished(&mut self, now: Ms, flight: &Flight) {
+        let Flight {
+            node,
+            class,
+            lane,
+            outcome,
+            told,
+            ..
+        } = *flight;
         match (self, told) {
             (Chooser::Picker(it), Told::Load(load)) => {
                 it.finished(now, node, class, outcome, Some(load));
             }
             (Chooser::Picker(it), _) => it.finished(now, node, class, outcome, None),
             (Chooser::Placement(it), Told::Outlook(outlook)) => {
-                it.finished(now, node, class, outcome, Some(outlook));
+                it.finished(now, node, lane, outcome, Some(outlook));
             }
-            (Chooser::Placement(it), _) => it.finished(now, node, class, outcome, None),
+            (Chooser::Placement(it), _) => it.finished(now, node, lane, outcome, None),
         }
     }
 }
@@ -208,6 +217,7 @@
     clock: laburnum_edge::Clock,
     node: NodeId,
     class: Class,
+    lane: Lane,
     started: Ms,
     outcome: Outcome,
     told: Told,
@@ -220,6 +230,7 @@
         service: Arc<Service>,
         node: NodeId,
         class: Class,
+        kind: Kind,
     ) -> Flight {
         let started = clock.now();
         service.lock().chooser.started(started, node);
@@ -228,6 +239,7 @@
             clock: clock.clone(),
             node,
             class,
+            lane: Lane::of(class, kind),
             started,
             outcome: Outcome::Cancelled,
             told: Told::Nothing,
@@ -256,8 +268,6 @@
     fn drop(&mut self) {
         let now = self.clock.now();
         let mut state = self.service.lock();
-        state
-            .chooser
-            .finished(now, self.node, self.class, self.outcome, self.told);
+        state.chooser.finished(now, self);
     }
 }
