--- a/crates/kernel/src/drain.rs
+++ b/crates/kernel/src/drain.rs
@@ -19,7 +19,7 @@
 
 inventory::submit! { Plugin { name: "drain", order: 80, scope: Scope::Any, handle } }
 
-/// Shortest time from the stop to the exit: entries that have not heard of the drain yet are answered
+/// Usual shortest time from the stop to the exit: entries that have not heard of the drain yet are answered
 /// with a refusal rather than a closed port.
 pub const NOTICE_MS: u64 = 2_000;
 
@@ -145,7 +145,7 @@
             gone(cx, state, senders);
         }
         Drain::Idle { since, senders, .. } => {
-            let noticed = cx.now.since(since) >= notice(state, senders);
+            let noticed = cx.now.since(since) >= notice(cx, state, senders);
             if noticed && state.once.unsettled() == 0 {
                 gone(cx, state, senders);
             }
@@ -158,9 +158,9 @@
     }
 }
 
-fn notice(state: &State, senders: Senders) -> u64 {
+fn notice(cx: &Context<'_>, state: &State, senders: Senders) -> u64 {
     match senders {
-        Senders::Some if !alone(state) => NOTICE_MS,
+        Senders::Some if !alone(state) => cx.settings.notice,
         _ => 0,
     }
 }
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use crate::{
+    drain::NOTICE_MS,
     id::{Name, NodeId},
     import::Watch,
     once::OnceSettings,
@@ -33,6 +34,8 @@
     pub spread: SpreadSettings,
     /// How claims are kept. Default: [`OnceSettings::default`].
     pub once: OnceSettings,
+    /// Shortest time from a stop to the exit, in ms. Default: [`NOTICE_MS`].
+    pub notice: u64,
 }
 
 /// Where the configuration comes from.
@@ -148,6 +151,7 @@
             accept: AcceptSettings::default(),
             spread: SpreadSettings::default(),
             once: OnceSettings::default(),
+            notice: NOTICE_MS,
         }
     }
 }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -5,6 +5,7 @@
 use laburnum_edge::{Token, link::Keys};
 use laburnum_kernel::{
     Name,
+    drain::NOTICE_MS,
     import::Watch,
     once::OnceSettings,
     settings::{Origin, SpreadSettings},
@@ -56,6 +57,9 @@
     ///
     /// Callers that learn of a stop by asking for readiness go on sending for as long as they take to ask.
     pub linger: u64,
+    /// How long before it leaves a node that stops takes no more work for its upstream and tells the others, in ms.
+    /// Default: [`NOTICE_MS`].
+    pub notice: u64,
     /// Where the configuration comes from. Default: submitted.
     pub origin: Origin,
     /// Whether the node watches an external source. Default: always.
@@ -96,6 +100,7 @@
             pool: PoolSettings::default(),
             grace: 30_000,
             linger: 0,
+            notice: NOTICE_MS,
             origin: Origin::default(),
             watch: Watch::default(),
             link: 1_000.0,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -75,6 +75,7 @@
     faults: Arc<Faults>,
     grace: Duration,
     linger: Duration,
+    notice: Duration,
     /// Ends the sockets of callers and operators.
     callers: Servers,
     /// Ends the socket of other nodes.
@@ -116,6 +117,7 @@
             once: OnceSettings {
                 retention: config.retention,
             },
+            notice: config.notice,
         };
         let node = settings.node;
         let place = Place {
@@ -210,6 +212,7 @@
             faults,
             grace: Duration::from_millis(config.grace),
             linger: Duration::from_millis(config.linger),
+            notice: Duration::from_millis(config.notice),
             callers,
             nodes,
         })
@@ -252,11 +255,14 @@
     pub async fn close(self) {
         let end = Instant::now() + self.grace;
         let last = end - self.grace / LAST_SHARE;
+        // Callers that have not noticed yet are served like any other, and so is the upstream, which may live on: were
+        // its slots left idle for all that time, nodes that stop in turn would leave many upstreams idle at once.
+        let notice = self.notice.min(self.linger);
+        sleep(self.linger - notice).await;
         // A closed control thread has nobody left to tell.
         let _ = self.control.control().tell(Event::Stop);
         self.traffic.drain();
-        // Callers that have not noticed yet are served like any other.
-        sleep(self.linger).await;
+        sleep(notice).await;
         // The upstream's requests in progress may call other services through this node: callers are
         // served until the last of them is done.
         let _ = timeout_at(last, owned(&self.traffic)).await;
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -6,6 +6,9 @@
 
 use common::{Fake, Step, answer, cluster, cluster_with, raw, request, send, spawn, until};
 
+/// Longer than any test takes.
+const HOUR_MS: u64 = 3_600_000;
+
 fn held() -> Vec<Step> {
     let mut steps = vec![Step::Hold];
     steps.extend(answer("done"));
@@ -108,3 +111,27 @@
     closing.await.expect("the node closes");
     cluster.close().await;
 }
+
+// Nodes are stopped in turn, each beside an upstream that goes on living. A node took no work for it from the moment it
+// was told, though it stayed for three seconds more until callers had noticed: of twelve upstreams three were idle all
+// the while, and reads were refused for want of slots. Until shortly before it leaves, work for its upstream is taken.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_of_a_stopping_node_works_on_while_callers_notice() {
+    let fake = Fake::start(|_| answer("draft")).await;
+    let mut cluster = cluster_with(&[&fake], |it| {
+        it.linger = HOUR_MS;
+        it.notice = 200;
+    })
+    .await;
+    let owner = cluster.nodes.remove(1);
+    let closing = spawn(owner.node.close());
+    for _ in 0..200 {
+        let got = send(request("GET", cluster.caller(), "/drafts/1"), "").await;
+        assert_eq!(got.field("laburnum-outcome"), "ran", "{got:?}");
+    }
+    // Nobody waits for the hour to pass.
+    closing.abort();
+    for it in cluster.nodes {
+        it.node.kill().await;
+    }
+}
