--- a/crates/kernel/src/admission/kinds.rs
+++ b/crates/kernel/src/admission/kinds.rs
@@ -41,8 +41,8 @@
 /// Most kinds told apart besides whole ranks: an upstream serves a few routes and is called by a few more.
 const KINDS_MAX: usize = 32;
 /// Share of a new sample in the mean time that a request holds a slot: some thirty samples, half a second of a busy
-/// upstream, so a slowed upstream is noticed within a second.
-/// A new kind's first samples count for more, so that it is not held against the mean of its rank for long.
+/// upstream, so a slowed upstream is noticed within a second. A new kind's first samples count for more, so that it is
+/// not held against the mean of its rank for long.
 const SERVICE_GAIN: f64 = 0.03;
 /// Hold time assumed before the first sample, in ms.
 pub(super) const SERVICE_FIRST: f64 = 50.0;
--- a/crates/node/src/traffic/lines.rs
+++ b/crates/node/src/traffic/lines.rs
@@ -45,7 +45,8 @@
     end: Arc<Notify>,
 }
 
-/// A request in progress on a connection. Dropping it says that it has its answer or was given up.
+/// A request in progress on a connection. Dropping it says that the head of its answer is ready or that it was given up;
+/// a connection that gives way sends the rest of an answer before it ends.
 #[derive(Debug)]
 pub struct Busy {
     lines: Lines,
