An admission decides once on a request's place, and a waiting request keeps one due time

Cause: read again, offer asked a second time whether a slot is free and nobody goes first, what judge had just found out (a sum over all kinds since kinds came in), and an entry kept its goal beside its due time, which is the goal while it is timely. Change: judge returns the place, Slot or Queue; age moves an entry to the late lane; one constant is private again. No behaviour changes.

--- a/crates/kernel/src/admission/kinds.rs
+++ b/crates/kernel/src/admission/kinds.rs
@@ -45,7 +45,7 @@
 /// not held against the mean of its rank for long.
 const SERVICE_GAIN: f64 = 0.03;
 /// Hold time assumed before the first sample, in ms.
-pub(super) const SERVICE_FIRST: f64 = 50.0;
+const SERVICE_FIRST: f64 = 50.0;
 
 impl Kinds {
     /// None but the ranks.
--- a/crates/kernel/src/admission/ranks.rs
+++ b/crates/kernel/src/admission/ranks.rs
@@ -110,11 +110,19 @@
     lane: Lane,
     due: Ms,
     ticket: Ticket,
-    goal: Ms,
     deadline: Ms,
     kind: Key,
 }
 
+/// Where a request that is not refused goes.
+#[derive(Clone, Copy, Debug)]
+enum Place {
+    /// To a free slot: nobody goes first.
+    Slot(Entry),
+    /// Behind others.
+    Queue(Entry),
+}
+
 /// Whether a request can still reach its goal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Lane {
@@ -141,13 +149,11 @@
     /// Offers a request.
     pub fn offer(&mut self, now: Ms, order: Order) -> Offer {
         let entry = match self.judge(now, order) {
-            Ok(it) => it,
+            Ok(Place::Slot(it)) => return Offer::Run(self.start(now, it)),
+            Ok(Place::Queue(it)) => it,
             Err(refusal) => return Offer::Refuse(refusal),
         };
         let rank = entry.rank;
-        if self.startable(&entry) {
-            return Offer::Run(self.start(now, entry));
-        }
         if !self.waiting.iter().any(|it| it.rank == rank) {
             self.progress[rank] = now;
         }
@@ -257,30 +263,26 @@
         let mut entry = Entry {
             rank,
             lane: Lane::Timely,
-            due: Ms(0),
+            due: order.goal,
             ticket: Ticket(self.tickets),
-            goal: order.goal,
             deadline: order.deadline,
             kind,
         };
-        self.line_up(now, &mut entry);
+        self.age(now, &mut entry);
         entry
     }
 
-    /// Where the request stands within its rank.
-    fn line_up(&self, now: Ms, entry: &mut Entry) {
-        let service = self.kinds.service(entry.kind);
-        let timely = entry.goal.since(now) >= needed(service);
-        let (lane, due) = match timely {
-            true => (Lane::Timely, entry.goal),
-            false => (Lane::Late, entry.deadline),
-        };
-        entry.lane = lane;
-        entry.due = due;
+    /// Moves what can no longer reach its goal behind what can.
+    fn age(&self, now: Ms, entry: &mut Entry) {
+        let needed = needed(self.kinds.service(entry.kind));
+        if entry.lane == Lane::Timely && entry.due.since(now) < needed {
+            entry.lane = Lane::Late;
+            entry.due = entry.deadline;
+        }
     }
 
     /// A request's place, or why it has none.
-    fn judge(&mut self, now: Ms, order: Order) -> Result<Entry, Refusal> {
+    fn judge(&mut self, now: Ms, order: Order) -> Result<Place, Refusal> {
         if let Some(reason) = closed(self.phase) {
             return Err(Refusal::new(reason));
         }
@@ -290,14 +292,14 @@
         self.observe(now);
         let entry = self.entry(now, order);
         if self.startable(&entry) {
-            return Ok(entry);
+            return Ok(Place::Slot(entry));
         }
         let service = self.kinds.service(entry.kind);
         let wait = self.wait(entry.rank, service, self.waiting.range(..&entry));
         let longest = self.longest(now, order, service);
         match wait > longest {
             true => Err(Refusal::after(Reason::Overloaded, wait - longest)),
-            false => Ok(entry),
+            false => Ok(Place::Queue(entry)),
         }
     }
 
@@ -380,14 +382,12 @@
         Some(*starved.unwrap_or(first))
     }
 
-    /// Moves what can no longer reach its goal behind what can, and refuses what waits in vain.
+    /// Looks at what waits again, and refuses what waits in vain.
     fn review(&mut self, now: Ms, out: &mut Vec<Wake>) {
         let waiting = std::mem::take(&mut self.waiting);
         for mut entry in waiting {
             let service = self.kinds.service(entry.kind);
-            if entry.lane == Lane::Timely {
-                self.line_up(now, &mut entry);
-            }
+            self.age(now, &mut entry);
             // Half the mean: a run may be shorter than most, but less time than that is hardly ever enough.
             let hopeless = entry.deadline.since(now) <= (service / 2.0) as u64;
             if hopeless {
