--- a/crates/node/src/metrics/table.rs
+++ b/crates/node/src/metrics/table.rs
@@ -7,6 +7,7 @@
 };
 
 use super::{Kind, LATENCY, Point, Row, Source};
+use crate::traffic::lines::Lines;
 
 /// Every metric.
 pub const TABLE: [Row; 37] = [
@@ -178,8 +179,10 @@
         "laburnum_connections_replaced_total",
         "Idle connections that were closed in favour of new ones.",
         |it| {
-            let sockets = [("callers", &it.callers), ("nodes", &it.nodes)];
-            labelled("socket", sockets.map(|it| (it.0, it.1.replaced())).to_vec())
+            labelled(
+                "socket",
+                sockets(it).map(|(name, it)| (name, it.replaced())).to_vec(),
+            )
         },
     ),
     Row {
@@ -263,9 +266,12 @@
     one(endpoints.sum())
 }
 
+fn sockets(source: &Source) -> [(&'static str, &Lines); 2] {
+    [("callers", &source.callers), ("nodes", &source.nodes)]
+}
+
 fn connections(source: &Source) -> Vec<Point> {
-    let sockets = [("callers", &source.callers), ("nodes", &source.nodes)];
-    let points = sockets.into_iter().flat_map(|(socket, lines)| {
+    let points = sockets(source).into_iter().flat_map(|(socket, lines)| {
         let gauges = lines.gauges();
         let states = [("busy", gauges.busy), ("idle", gauges.idle)];
         states.map(|(state, value)| Point {
--- a/crates/node/src/traffic/faults.rs
+++ b/crates/node/src/traffic/faults.rs
@@ -23,14 +23,32 @@
 
 #[derive(Debug, Default)]
 struct Kind {
+    lines: Sparse,
+    total: u64,
+}
+
+/// Bounds the log lines of something that may happen often.
+#[derive(Debug, Default)]
+pub struct Sparse {
     logged: Option<Ms>,
     unlogged: u64,
-    total: u64,
 }
 
-/// Shortest time between two log lines of one kind, in ms.
+/// Shortest time between two such lines, in ms.
 const LOG_INTERVAL: u64 = 10_000;
 
+impl Sparse {
+    /// Counts that it happened; tells how often since the last line if one is due.
+    pub fn count(&mut self, now: Ms) -> Option<u64> {
+        self.unlogged += 1;
+        if self.logged.is_some_and(|it| now.since(it) < LOG_INTERVAL) {
+            return None;
+        }
+        self.logged = Some(now);
+        Some(std::mem::take(&mut self.unlogged))
+    }
+}
+
 impl Faults {
     /// Counts by `clock`.
     pub fn new(clock: Clock) -> Faults {
@@ -46,13 +64,9 @@
         let mut kinds = self.kinds.lock().unwrap_or_else(PoisonError::into_inner);
         let entry = kinds.entry(kind).or_default();
         entry.total += 1;
-        entry.unlogged += 1;
-        let due = entry.logged.is_none_or(|it| now.since(it) >= LOG_INTERVAL);
-        if !due {
+        let Some(count) = entry.lines.count(now) else {
             return;
-        }
-        entry.logged = Some(now);
-        let count = std::mem::take(&mut entry.unlogged);
+        };
         drop(kinds);
         let peer = peer.map_or_else(|| "none".to_owned(), |it| it.to_string());
         let pairs = [
--- a/crates/node/src/traffic/lines.rs
+++ b/crates/node/src/traffic/lines.rs
@@ -11,9 +11,9 @@
     Ms,
     connections::{Connections, Entry, Gauges, Key},
 };
-
 use tokio::sync::Notify;
 
+use super::faults::Sparse;
 use crate::logs;
 
 /// The open connections of one socket; cheap to clone.
@@ -33,8 +33,7 @@
     ends: HashMap<Key, Arc<Notify>>,
     /// Idle connections that gave way to new ones.
     replaced: u64,
-    logged: Option<Ms>,
-    unlogged: u64,
+    log: Sparse,
 }
 
 /// An open connection. Dropping it frees its place.
@@ -53,9 +52,6 @@
     key: Key,
 }
 
-/// Shortest time between two log lines on connections for which no place was free, in ms.
-const LOG_INTERVAL: u64 = 10_000;
-
 impl Lines {
     /// Room for `places` connections.
     pub fn new(clock: Clock, places: usize) -> Lines {
@@ -63,8 +59,7 @@
             connections: Connections::new(places),
             ends: HashMap::new(),
             replaced: 0,
-            logged: None,
-            unlogged: 0,
+            log: Sparse::default(),
         });
         Lines(Arc::new(Shared { clock, state }))
     }
@@ -119,14 +114,12 @@
 
     /// Logs who holds the places while none is free.
     fn tell(&mut self, now: Ms, peer: SocketAddr) {
-        self.unlogged += 1;
-        if self.logged.is_some_and(|it| now.since(it) < LOG_INTERVAL) {
+        let Some(count) = self.log.count(now) else {
             return;
-        }
-        self.logged = Some(now);
+        };
         let gauges = self.connections.gauges(now);
         let pairs = [
-            ("count", std::mem::take(&mut self.unlogged).to_string()),
+            ("count", count.to_string()),
             ("peer", peer.to_string()),
             ("busy", gauges.busy.to_string()),
             ("idle", gauges.idle.to_string()),
