--- a/crates/kernel/src/import.rs
+++ b/crates/kernel/src/import.rs
@@ -113,6 +113,11 @@
         self.source
     }
 
+    /// Time since the source last answered this process, in ms; since the start if it never did.
+    pub fn silence(&self, now: Ms) -> u64 {
+        now.since(self.answered.max(self.started))
+    }
+
     /// How often the source stopped answering since the process started.
     pub fn losses(&self) -> u64 {
         self.losses
@@ -199,7 +204,7 @@
 
 fn follow(cx: &mut Context<'_>, state: &mut State, source: Source) {
     let import = &mut state.import;
-    let silent = cx.now.since(import.answered.max(import.started));
+    let silent = import.silence(cx.now);
     if source == Source::Held {
         import.answered = cx.now;
     }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -55,6 +55,8 @@
     pub source: import::Source,
     /// How often it stopped answering.
     pub losses: u64,
+    /// Time since it last answered, in ms.
+    pub silence: u64,
     /// How often the platform's store was put back to an older copy.
     pub restores: u64,
 }
@@ -241,6 +243,7 @@
             unsettled: state.once.unsettled(),
             source: state.import.source(),
             losses: state.import.losses(),
+            silence: state.import.silence(self.clock.now()),
             restores: state.restore.restores(),
         };
         self.control.stats.store(Arc::new(stats));
--- a/crates/node/src/metrics/table.rs
+++ b/crates/node/src/metrics/table.rs
@@ -10,7 +10,7 @@
 use crate::traffic::lines::Lines;
 
 /// Every metric.
-pub const TABLE: [Row; 38] = [
+pub const TABLE: [Row; 39] = [
     gauge(
         "laburnum_seq",
         "Position in the log of changes that this node is at.",
@@ -36,6 +36,11 @@
         "Times that the external source stopped answering this node.",
         |it| one(it.control.stats().losses),
     ),
+    gauge(
+        "laburnum_source_silent_ms",
+        "Time since the external source last answered this node.",
+        |it| one(it.control.stats().silence),
+    ),
     counter(
         "laburnum_store_restores_total",
         "Times that the platform's store was put back to an older copy.",
