A node goes by the age of a confirmation, not by who says that it is told

What callers saw: 404 for routes accepted 2.6 s before, and requests carried by an old version, at 48 of 78 hosts. Cause: four of six watchers were turned away in silence while their feeds were open. A feed is checked after a second and then every five, so for up to six seconds they took themselves, and were taken, for nodes that the source answers; those who relied on them asked nobody else. It is the fifth failure of one class: whoever is charged with learning has lost the way to, and nothing but a belief says so. Change: statements that a version is the newest travel with their age (import/confirmation.rs). A relay is relied on only where no watcher is known. Why this works: nothing that has died can make a statement younger.

--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -41,6 +41,8 @@
     Imported(Arc<Table>),
     /// The external source answers, or no longer does.
     Source(import::Source),
+    /// To [`Action::CheckSource`]: the source held nothing newer than `version` when it was asked, `age` ms ago or less.
+    Confirmed { version: u64, age: u64 },
     /// The platform's store answered in this era.
     Era(Era),
     /// The process was told to stop: begin draining.
@@ -125,6 +127,10 @@
     Table { call: CallId, op: TableOp },
     /// Ask the object store; answered by [`Event::Object`].
     Object { call: CallId, op: ObjectOp },
+    /// Ask the external source whether it holds a newer version, beside the feed that is open.
+    ///
+    /// Answered by [`Event::Confirmed`] or [`Event::Imported`], or by [`Event::Source`] if it does not answer.
+    CheckSource,
     /// Answer a call.
     Reply { token: Token, reply: Reply },
     /// Make this view the one that traffic threads read.
--- a/crates/kernel/src/import.rs
+++ b/crates/kernel/src/import.rs
@@ -18,17 +18,20 @@
     routing::{Difference, Table},
 };
 
+mod confirmation;
 mod parts;
 mod subscription;
 
-pub use self::{
-    parts::PART_MAX,
-    subscription::{ANSWER_MS, ASK_MS, ASK_UNINFORMED_MS, Access, Status, WATCH_FIRST_MS},
-};
 use self::{
+    confirmation::Confirmation,
     parts::{Arriving, PARTS_MAX, pack, unpack},
     subscription::Subscriptions,
 };
+pub use self::{
+    confirmation::Statement,
+    parts::PART_MAX,
+    subscription::{ANSWER_MS, ASK_MS, ASK_UNINFORMED_MS, Access, Status, WATCH_FIRST_MS},
+};
 
 inventory::submit! { Plugin { name: "import", order: 16, scope: Scope::Imported, handle } }
 
@@ -63,7 +66,8 @@
 pub enum Message {
     /// I hold `version`: send me a newer one if you have it, and those that follow for a while.
     Ask { version: u64, status: Status },
-    /// How the sender learns of versions; answers each question.
+    /// How the sender learns of versions and what it knows of the newest; answers each question, and is sent to those that
+    /// asked of late when there is news of it.
     Status(Status),
     /// What changed, compressed; sent to those that asked of late.
     Changed { version: u64, bytes: Vec<u8> },
@@ -99,6 +103,7 @@
     ready: bool,
     turn: Turn,
     subscriptions: Subscriptions,
+    confirmation: Confirmation,
     arriving: Arriving,
 }
 
@@ -118,6 +123,11 @@
         now.since(self.answered.max(self.started))
     }
 
+    /// Time since the version in force was known to be the newest, in ms.
+    pub fn age(&self, now: Ms) -> u64 {
+        self.confirmation.age(now)
+    }
+
     /// How often the source stopped answering since the process started.
     pub fn losses(&self) -> u64 {
         self.losses
@@ -144,6 +154,7 @@
         }
         Event::Imported(table) => adopt(cx, state, table, "source"),
         Event::Source(source) => follow(cx, state, *source),
+        Event::Confirmed { version, age } => confirmation::confirmed(cx, state, *version, *age),
         Event::Message {
             from,
             message: event::Message::Import(message),
@@ -191,6 +202,10 @@
     let before = std::mem::replace(&mut state.import.table, table.clone());
     state.import.arriving = Arriving::default();
     state.import.subscriptions.informed(cx.now);
+    let import = &mut state.import;
+    import
+        .confirmation
+        .adopted(cx.now, table.version(), held == 0);
     let pairs = vec![
         ("version", table.version().to_string()),
         ("before", held.to_string()),
@@ -239,6 +254,7 @@
         Message::Status(status) => {
             state.import.subscriptions.answered_by(cx.now, from);
             subscription::told(cx, state, from, *status);
+            confirmation::heard(cx, state, from, status.newest);
         }
         Message::Changed { version, bytes } => changed(cx, state, from, *version, bytes),
         Message::Part {
--- a/crates/kernel/src/import/subscription.rs
+++ b/crates/kernel/src/import/subscription.rs
@@ -14,7 +14,10 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{Message, Source, Turn, Watch};
+use super::{
+    Message, Source, Statement, Turn, Watch,
+    confirmation::{self, LOOK_MS, Need},
+};
 use crate::{
     clock::Ms,
     event::{self, Notice},
@@ -55,8 +58,12 @@
 const ALONE_MS: u64 = 1_000;
 /// One question in this many goes to a peer abroad, since a zone may be behind as a whole.
 const ABROAD: u32 = 8;
-/// The same for a node that nobody tells.
-const ABROAD_UNINFORMED: u32 = 2;
+/// The same for a node that watches the source.
+const ABROAD_WATCHING: u32 = 2;
+/// A watcher that the source answers asks another node than the first of them once in this many times.
+const EXPLORE: u32 = 4;
+/// Share of the time without a confirmation between two rounds of questions.
+const LOOK_SHARE: u64 = 8;
 /// Peers that a node asks without knowing how they learn of versions, in its own zone and abroad. They are the same few each time: a
 /// first message to a node opens a connection, which takes ten times the bytes.
 const PARTNERS: usize = 2;
@@ -80,8 +87,10 @@
     pub access: Access,
     /// Whether it watches the source for good.
     pub watch: Watch,
-    /// A node that the source answers, if it knows one.
+    /// A node that the source answers, if it knows one: the first in the order in which watchers ask the source.
     pub source: Option<NodeId>,
+    /// What it knows of the newest version.
+    pub newest: Statement,
 }
 
 /// A node that tells this one, by its own last word.
@@ -90,6 +99,15 @@
     access: Access,
     watch: Watch,
     heard: Ms,
+    /// When the version it knows of was the newest.
+    newest: Ms,
+}
+
+impl Publisher {
+    /// Whether it has not heard that its version is the newest for longer than it should.
+    fn stale(&self, now: Ms) -> bool {
+        now.since(self.newest) > LOOK_MS + ASK_MS
+    }
 }
 
 /// Who tells this node, and whom it tells.
@@ -117,6 +135,11 @@
         self.answered.is_some()
     }
 
+    /// All that asked of late.
+    fn askers(&self) -> Vec<NodeId> {
+        self.subscribers.keys().copied().collect()
+    }
+
     /// Those to be told of a change: they asked of late, and the source does not answer them.
     pub(super) fn subscribers(&self) -> Vec<NodeId> {
         let held = |id: &NodeId| {
@@ -131,6 +154,11 @@
             .collect()
     }
 
+    /// Whether `peer`, which `own` is not, answered what it was asked.
+    fn answers(&self, peer: NodeId, own: NodeId) -> bool {
+        peer != own && !self.open.contains_key(&peer) && !self.silent.contains_key(&peer)
+    }
+
     /// Notes that somebody told this node something new.
     pub(super) fn informed(&mut self, now: Ms) {
         self.informed = now;
@@ -165,16 +193,25 @@
             .retain(|id, since| now.since(*since) < SUBSCRIBED_MS && there(*id));
     }
 
-    /// A node that the source answers, for those who ask.
+    /// A node that the source answers.
     fn source(&self) -> Option<NodeId> {
-        let sources = self
-            .publishers
-            .iter()
-            .filter(|(_, it)| it.access == Access::Direct);
-        // One that watches for good stays, while a standby rests again soon.
-        sources
-            .min_by_key(|(id, it)| (it.watch, **id))
-            .map(|(id, _)| *id)
+        self.sources().min().map(|(_, id)| id)
+    }
+
+    /// One that has vouched for its version of late.
+    fn vouching(&self, now: Ms) -> Option<NodeId> {
+        let ids = self.sources().map(|(_, id)| id);
+        ids.filter(|id| !self.publishers[id].stale(now)).min()
+    }
+
+    /// The nodes that the source answers, in the order in which they ask it. One that watches for good goes first, for a
+    /// standby rests again soon.
+    fn sources(&self) -> impl Iterator<Item = (Watch, NodeId)> {
+        let direct = |it: &&Publisher| it.access == Access::Direct;
+        let publishers = self.publishers.iter();
+        publishers
+            .filter(move |(_, it)| direct(it))
+            .map(|(id, it)| (it.watch, *id))
     }
 }
 
@@ -193,13 +230,36 @@
 /// What this node says of itself.
 pub(super) fn status(cx: &Context<'_>, state: &State) -> Status {
     let access = access(state);
+    let import = &state.import;
+    let first = match access {
+        Access::Direct => before(cx, state).min().map(|(_, id)| id),
+        Access::Relayed | Access::None => import.subscriptions.vouching(cx.now),
+    };
     Status {
         access,
         watch: cx.settings.watch,
         source: match access {
-            Access::Direct => Some(cx.settings.node),
-            Access::Relayed | Access::None => state.import.subscriptions.source(),
+            Access::Direct => Some(first.unwrap_or(cx.settings.node)),
+            Access::Relayed | Access::None => first.or(import.subscriptions.source()),
         },
+        newest: import.confirmation.statement(cx.now),
+    }
+}
+
+/// The nodes that ask the source before this one.
+fn before(cx: &Context<'_>, state: &State) -> impl Iterator<Item = (Watch, NodeId)> {
+    let own = (cx.settings.watch, cx.settings.node);
+    let sources = state.import.subscriptions.sources();
+    sources.filter(move |it| *it < own)
+}
+
+/// Tells all that asked of late how this node learns of versions, but for the one that it has it from.
+pub(super) fn tell_status(cx: &mut Context<'_>, state: &State, from: NodeId) {
+    let status = Message::Status(status(cx, state));
+    for to in state.import.subscriptions.askers() {
+        if to != from {
+            cx.send(to, event::Message::Import(status.clone()));
+        }
     }
 }
 
@@ -227,8 +287,15 @@
     let near = is_near(cx, state, from);
     let useful = match status.access {
         Access::None => false,
-        // A relay abroad is one step further from the source than a node that it names.
-        Access::Relayed => near,
+        // A relay abroad is one step further from the source than a node that it names; so is one nearby where this node knows
+        // such a one, and it would hide for seconds that all of those are gone.
+        Access::Relayed => {
+            near && state
+                .import
+                .subscriptions
+                .source()
+                .is_none_or(|it| it == from)
+        }
         Access::Direct => near || watches,
     };
     let hinted = status.source.filter(|it| {
@@ -241,13 +308,19 @@
             access: status.access,
             watch: status.watch,
             heard: cx.now,
+            newest: Ms(cx.now.0.saturating_sub(status.newest.age)),
         };
         subscriptions.publishers.insert(from, publisher);
     } else {
         subscriptions.publishers.remove(&from);
     }
-    if hinted.is_some() && subscriptions.source().is_none() {
-        subscriptions.hinted = hinted;
+    let known = match watches {
+        // Watchers find the first of them all.
+        true => subscriptions.source(),
+        false => subscriptions.vouching(cx.now),
+    };
+    if known.is_none_or(|it| watches && hinted.is_some_and(|hinted| hinted < it)) {
+        subscriptions.hinted = hinted.or(subscriptions.hinted);
     }
 }
 
@@ -256,6 +329,8 @@
     let reach = |id| state.members.reach(id);
     state.import.subscriptions.expire(cx.now, reach);
     take_turn(cx, state);
+    let before = before(cx, state).count();
+    confirmation::tick(cx, state, before);
     ask_somebody(cx, state);
 }
 
@@ -293,6 +368,16 @@
     place.unwrap_or(standbys.len())
 }
 
+/// Whether this node looks abroad for its zone while nobody in it knows the newest version: a standby does, and whoever
+/// comes after those that do not answer.
+fn is_scout(cx: &Context<'_>, state: &State) -> bool {
+    let own = cx.settings.node;
+    let subscriptions = &state.import.subscriptions;
+    let there = |it: &NodeId| *it == own || subscriptions.answers(*it, own);
+    let mut standbys = standbys(cx, state).into_iter().filter(there);
+    standbys.by_ref().take(STANDBYS).any(|it| it == own)
+}
+
 /// Decides whether this node watches the source.
 fn take_turn(cx: &mut Context<'_>, state: &mut State) {
     if cx.settings.watch == Watch::Always {
@@ -340,16 +425,23 @@
 }
 
 fn ask_somebody(cx: &mut Context<'_>, state: &mut State) {
-    let gap = match access(state) {
-        Access::Direct => ASK_HELD_MS,
-        Access::Relayed => ASK_MS,
-        Access::None
+    let held = state.import.table.version();
+    let need = state.import.confirmation.need(cx.now, held);
+    let gap = match (need, access(state)) {
+        // Where a whole fleet is without the source, each of them asks the less often the longer it lasts.
+        (Need::Statement | Need::Version(_), _) => {
+            let age = state.import.confirmation.age(cx.now);
+            (age / LOOK_SHARE).clamp(ASK_UNINFORMED_MS, ASK_MS)
+        }
+        (_, Access::Direct) => ASK_HELD_MS,
+        (_, Access::Relayed) => ASK_MS,
+        (_, Access::None)
             if !state.import.subscriptions.publishers.is_empty()
                 && state.import.turn == Turn::Rest =>
         {
             ASK_MS
         }
-        Access::None => ASK_UNINFORMED_MS,
+        (_, Access::None) => ASK_UNINFORMED_MS,
     };
     if cx.now.since(state.import.subscriptions.asked) < gap {
         return;
@@ -357,10 +449,16 @@
     // Jitter, so that a herd that started together does not ask in step.
     state.import.subscriptions.asked =
         Ms(cx.now.0.saturating_sub(cx.rng.random_range(0..=gap / 4)));
-    let Some(peer) = whom_to_ask(cx, state) else {
-        return;
+    let peers = match need {
+        Need::Nothing => whom_to_ask_in_calm(cx, state),
+        // Several would all send the whole version.
+        Need::Version(from) if from != cx.settings.node => vec![from],
+        Need::Statement | Need::Version(_) => whom_to_ask_besides(cx, state),
     };
-    ask(cx, state, peer);
+    for peer in peers {
+        state.import.confirmation.tried(peer);
+        ask(cx, state, peer);
+    }
 }
 
 /// Asks `peer` for a newer version.
@@ -391,9 +489,10 @@
     let (near, abroad): (Vec<&Record>, Vec<&Record>) =
         heard.partition(|it| it.zone == cx.settings.zone);
     let uninformed = subscriptions.publishers.is_empty() && access != Access::Direct;
-    let every = match uninformed && state.import.turn == Turn::Follow {
-        true => ABROAD_UNINFORMED,
-        false => ABROAD,
+    // Those who watch meet across zones, so that only one of them all asks the source.
+    let every = match state.import.turn {
+        Turn::Follow => ABROAD_WATCHING,
+        Turn::Rest => ABROAD,
     };
     if !uninformed && access != Access::Direct {
         return best(cx, subscriptions, &near);
@@ -416,11 +515,51 @@
     near.choose(cx.rng).copied()
 }
 
+/// Whom to ask if the version held is the newest as far as is known. A watcher that the source answers stays with the first of
+/// them all, which vouches for its version, and looks now and then whether there is another one before it.
+fn whom_to_ask_in_calm(cx: &mut Context<'_>, state: &mut State) -> Vec<NodeId> {
+    let first = match access(state) {
+        Access::Direct => before(cx, state).min().map(|(_, id)| id),
+        Access::Relayed | Access::None => None,
+    };
+    let mut whom = Vec::from_iter(first);
+    if first.is_none() || cx.rng.random_ratio(1, EXPLORE) {
+        whom.extend(whom_to_ask(cx, state));
+    }
+    whom
+}
+
+/// Whom to ask if nobody vouches for the version held, however those that tell this node see themselves: whom it relies on, one
+/// more nearby, and one abroad if it is among those that look there for their zone.
+fn whom_to_ask_besides(cx: &mut Context<'_>, state: &mut State) -> Vec<NodeId> {
+    let hinted = state.import.subscriptions.hinted.take();
+    let own = cx.settings.node;
+    let zone = &cx.settings.zone;
+    let looks_abroad = state.import.turn == Turn::Follow || is_scout(cx, state);
+    let subscriptions = &state.import.subscriptions;
+    let peers = state.members.ready();
+    // While one that was asked may still answer, another one is of more use.
+    let peers = peers.filter(|it| subscriptions.answers(it.id, own));
+    let (near, abroad): (Vec<&Record>, Vec<&Record>) = peers.partition(|it| it.zone == *zone);
+    let mut whom = Vec::from_iter(hinted);
+    // Those that it relies on should have vouched by now: whether they are still there tells whether others are to watch.
+    let sources = subscriptions.sources().map(|(_, id)| id);
+    whom.extend(sources.filter(|it| subscriptions.answers(*it, own)));
+    whom.extend(near.choose(cx.rng).map(|it| it.id));
+    if looks_abroad || near.is_empty() {
+        whom.extend(abroad.choose(cx.rng).map(|it| it.id));
+    }
+    whom.sort_unstable();
+    whom.dedup();
+    whom
+}
+
 /// One of those that tell this node: near ones before others, and nodes that the source answers before those that are told.
 fn best(cx: &mut Context<'_>, subscriptions: &Subscriptions, near: &[&Record]) -> Option<NodeId> {
+    let now = cx.now;
     let rank = |id: &NodeId, it: &Publisher| {
         let abroad = !near.iter().any(|it| it.id == *id);
-        (it.access != Access::Direct, abroad)
+        (it.stale(now), it.access != Access::Direct, abroad)
     };
     let least = subscriptions
         .publishers
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -104,6 +104,11 @@
         self.out.push(action);
     }
 
+    /// Asks the external source whether it holds a newer version.
+    pub fn check_source(&mut self) {
+        self.act(Action::CheckSource);
+    }
+
     /// Sends `message` over the link.
     pub fn send(&mut self, to: NodeId, message: Message) {
         self.act(Action::Send { to, message });
--- a/crates/kernel/tests/common/driver.rs
+++ b/crates/kernel/tests/common/driver.rs
@@ -74,6 +74,8 @@
     pub dead: BTreeSet<usize>,
     /// See [`Tap`]; none at first.
     pub tap: Option<Tap>,
+    /// Kernels that want the source to be asked whether it holds a newer version, if the test answers them itself.
+    pub checks: Option<Vec<usize>>,
     pub replies: BTreeMap<Token, Vec<Reply>>,
     pub logs: Vec<(usize, &'static str, String)>,
     /// Operations on the log, as a golden session shows them.
@@ -116,6 +118,7 @@
             deaf: BTreeSet::new(),
             dead: BTreeSet::new(),
             tap: None,
+            checks: None,
             replies: BTreeMap::new(),
             logs: Vec::new(),
             session: Vec::new(),
@@ -299,6 +302,7 @@
                     Due::Event(index, Event::Object { call, answer }),
                 );
             }
+            Action::CheckSource => self.check(index),
             Action::Reply { token, reply } => self.replies.entry(token).or_default().push(reply),
             Action::Log { event, pairs } => {
                 let pairs = pairs.iter().map(|(key, value)| format!("{key}={value:?}"));
@@ -309,6 +313,19 @@
         }
     }
 
+    /// A source that answers has nothing newer than the kernel holds, unless the test says otherwise.
+    fn check(&mut self, index: usize) {
+        if let Some(checks) = &mut self.checks {
+            return checks.push(index);
+        }
+        let version = self.kernels[index].state().import.table().version();
+        let confirmed = Event::Confirmed {
+            version,
+            age: DELAY,
+        };
+        self.after(DELAY, Due::Event(index, confirmed));
+    }
+
     fn send(&mut self, index: usize, to: NodeId, mut message: Message) {
         let receiver = (0..self.kernels.len()).find(|it| node(*it) == to);
         let fate = match (&mut self.tap, receiver) {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -22,7 +22,10 @@
     members::{Phase, Reach},
     spread,
 };
-use tokio::{runtime::Handle, sync::oneshot};
+use tokio::{
+    runtime::Handle,
+    sync::{Notify, oneshot},
+};
 
 use crate::logs;
 
@@ -34,6 +37,8 @@
     view: Arc<ArcSwap<View>>,
     stats: Arc<ArcSwap<Stats>>,
     tokens: Arc<AtomicU64>,
+    /// Told when the external source is to be asked for a newer version.
+    checks: Arc<Notify>,
 }
 
 /// What the control thread counted since it started.
@@ -57,6 +62,8 @@
     pub losses: u64,
     /// Time since it last answered, in ms.
     pub silence: u64,
+    /// Time since the version in force was known to be the newest, in ms.
+    pub age: u64,
     /// How often the platform's store was put back to an older copy.
     pub restores: u64,
 }
@@ -92,6 +99,11 @@
         self.push(Command::Event(event))
     }
 
+    /// Waits until the external source is to be asked for a newer version.
+    pub async fn check_wanted(&self) {
+        self.checks.notified().await;
+    }
+
     /// The newest view.
     pub fn view(&self) -> Arc<View> {
         self.view.load_full()
@@ -133,6 +145,7 @@
             view: Arc::default(),
             stats: Arc::default(),
             tokens: Arc::default(),
+            checks: Arc::default(),
         };
         let seed = settings.incarnation ^ u64::from(settings.node.0.port());
         let driver = Driver {
@@ -244,6 +257,7 @@
             source: state.import.source(),
             losses: state.import.losses(),
             silence: state.import.silence(self.clock.now()),
+            age: state.import.age(self.clock.now()),
             restores: state.restore.restores(),
         };
         self.control.stats.store(Arc::new(stats));
@@ -324,6 +338,7 @@
                     let _ = sender.send(reply);
                 }
             }
+            Action::CheckSource => self.control.checks.notify_one(),
             Action::Exit => self.next = Next::Close,
             Action::Publish(view) => self.control.view.store(view),
             Action::Log { event, pairs } => logs::event(event, &pairs),
--- a/crates/node/src/metrics/table.rs
+++ b/crates/node/src/metrics/table.rs
@@ -10,7 +10,7 @@
 use crate::traffic::lines::Lines;
 
 /// Every metric.
-pub const TABLE: [Row; 39] = [
+pub const TABLE: [Row; 40] = [
     gauge(
         "laburnum_seq",
         "Position in the log of changes that this node is at.",
@@ -41,6 +41,11 @@
         "Time since the external source last answered this node.",
         |it| one(it.control.stats().silence),
     ),
+    gauge(
+        "laburnum_config_age_ms",
+        "Time since the configuration in force was known to be the newest.",
+        |it| one(it.control.stats().age),
+    ),
     counter(
         "laburnum_store_restores_total",
         "Times that the platform's store was put back to an older copy.",
