A node that started before its peers is ready soon after it finds one

A node is ready only once it has compared versions with a peer; one that reads the source first asked before it knew anybody and then, as one that the source answers, again after two seconds. And one that others joined was told by nobody whom they know until a comparison found a difference. Change: until somebody has answered it asks four times a second; a comparison that finds no difference counts as being told. Test: node_that_read_the_source_first_is_ready_soon_after_it_finds_a_peer fails without either half.

--- a/crates/kernel/src/import/subscription.rs
+++ b/crates/kernel/src/import/subscription.rs
@@ -433,6 +433,8 @@
             let age = state.import.confirmation.age(cx.now);
             (age / LOOK_SHARE).clamp(ASK_UNINFORMED_MS, ASK_MS)
         }
+        // Nobody has compared versions with it yet, and it is not ready before.
+        _ if !state.import.subscriptions.answered() => ASK_UNINFORMED_MS,
         (_, Access::Direct) => ASK_HELD_MS,
         (_, Access::Relayed) => ASK_MS,
         (_, Access::None)
--- a/crates/kernel/src/members/sync.rs
+++ b/crates/kernel/src/members/sync.rs
@@ -116,7 +116,11 @@
             }
         }
         Message::Compare { root } => compare(cx, members, from, *root),
-        Message::Same => suspect::refreshed(members),
+        // A peer that knows just what this node knows has told it as much as one that sent its view.
+        Message::Same => {
+            members.joined = true;
+            suspect::refreshed(members);
+        }
         Message::Buckets { digests } => buckets(cx, members, from, digests),
         Message::Heads {
             buckets,
@@ -157,8 +161,10 @@
     }
 }
 
-fn compare(cx: &mut Context<'_>, members: &Members, from: NodeId, root: u64) {
-    let message = match root == members.digest.root() {
+fn compare(cx: &mut Context<'_>, members: &mut Members, from: NodeId, root: u64) {
+    let same = root == members.digest.root();
+    members.joined |= same;
+    let message = match same {
         true => Message::Same,
         false => Message::Buckets {
             digests: members.digest.buckets().to_vec(),
--- a/crates/kernel/tests/import.rs
+++ b/crates/kernel/tests/import.rs
@@ -187,6 +187,28 @@
     assert_eq!(view.services[&name("desk")].endpoints.len(), 1);
 }
 
+/// All hosts restart at once, and a node reads the source before any peer is up. Its question to a peer, without which it is not
+/// ready, was due again two seconds later, and its callers were refused all the while.
+#[test]
+fn node_that_read_the_source_first_is_ready_soon_after_it_finds_a_peer() {
+    let mut driver = fleet(1);
+    driver.event(0, Event::Source(Source::Held));
+    driver.event(0, Event::Imported(table(5, 10)));
+    driver.run(500);
+    assert!(!ready(&driver, 0), "nobody has answered yet");
+    let late = driver.add_with(Settings {
+        node: node(1),
+        incarnation: driver.now.0,
+        peers: vec![node(0)],
+        origin: Origin::Imported,
+        ..Settings::default()
+    });
+    announce(&mut driver, late);
+    // The newcomer compares its view within a second.
+    driver.run(1_100);
+    assert!(ready(&driver, 0));
+}
+
 /// A service of the configuration has no endpoint at all, or a node is alone: it must not wait for ever.
 #[test]
 fn node_serves_what_it_can_after_a_while() {
