Hosts of a small zone ask abroad when they start, as many as of a large one

What callers saw: after a restart of all hosts, refusals for want of an endpoint or of a ready host for a second and more (parish votes). Cause: a node that found a contact nearby asked abroad one time in eight, whatever the size of its zone. In a zone of four that is nobody, and comparisons reach abroad after a second or two. Change: some four of a zone ask, once they were told whom others know, and only contacts that nobody told of; so a node that joins a running fleet asks nobody abroad at all.

--- a/crates/kernel/src/members/contact.rs
+++ b/crates/kernel/src/members/contact.rs
@@ -28,8 +28,8 @@
 /// Longest time until a node that found nobody keeps a row, in ms; joins are tried again after about half of that.
 const LONE_MS: u64 = 600;
 
-/// One in this many nodes that find a contact in their own zone asks others abroad as well.
-const ABROAD: u32 = 8;
+/// Nodes of a zone that ask contacts abroad, on average, although they found one in their own zone.
+const SCOUTS: u32 = 4;
 
 /// Ms after which a row is written again though nothing changed.
 const REFRESH_MS: u64 = 60_000;
@@ -57,6 +57,8 @@
     scan: Option<CallId>,
     checked: Ms,
     written: Option<Written>,
+    /// Contacts of other zones, kept until somebody has told this process whom it knows.
+    abroad: Vec<NodeId>,
 }
 
 /// The row that this node keeps.
@@ -105,12 +107,12 @@
             .filter(|it| alone || !members.others.contains_key(it))
             .collect()
     };
-    // Those nearby know the others, and each answer is the whole view, whose bytes cost most between zones. A lone zone
-    // must find the rest all the same, so some ask abroad as well.
-    let near = found(true);
+    // Those nearby mostly know the others, and each answer is the whole view, whose bytes cost most between zones.
+    let (near, abroad) = (found(true), found(false));
     join::ask(cx, members, &near);
-    if near.is_empty() || cx.rng.random_ratio(1, ABROAD) {
-        join::ask(cx, members, &found(false));
+    match near.is_empty() {
+        true => join::ask(cx, members, &abroad),
+        false => members.contacts.abroad = abroad,
     }
     // Whoever finds nobody must be found and keeps a row of its own soon, but not in step with all others that start now:
     // each would overwrite the row of the one before, and be found by nobody in turn. The others know too few yet to
@@ -124,6 +126,18 @@
     members.contacts.checked = members.contacts.checked.max(first);
 }
 
+/// Asks contacts abroad that nobody has told of, once somebody has told this process whom it knows. Where a whole fleet starts,
+/// those nearby know as little, and a host whose zone lacks a service would refuse its callers until comparisons get there.
+pub(super) fn look_abroad(cx: &mut Context<'_>, members: &mut Members) {
+    let mut unknown = std::mem::take(&mut members.contacts.abroad);
+    unknown.retain(|it| !members.others.contains_key(it));
+    let zone = &members.own.zone;
+    let near = members.ready().filter(|it| it.zone == *zone).count() as u32;
+    if cx.rng.random_ratio(SCOUTS.min(near.max(1)), near.max(1)) {
+        join::ask(cx, members, &unknown);
+    }
+}
+
 /// The table was put back to an older copy: this node's row may be gone, and it is written again if it falls to this node.
 pub(super) fn restored(cx: &mut Context<'_>, members: &mut Members) {
     let contacts = &mut members.contacts;
--- a/crates/kernel/src/members/sync.rs
+++ b/crates/kernel/src/members/sync.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, seq::SliceRandom};
 
 use super::{
-    Learned, Members, Message, Relay, digest, join, probe,
+    Learned, Members, Message, Relay, contact, digest, join, probe,
     record::{Head, Update},
     suspect,
 };
@@ -155,6 +155,7 @@
         learned |= members.learn(cx.now, it, relay) == Learned::New;
     }
     members.joined = true;
+    contact::look_abroad(cx, members);
     suspect::refreshed(members);
     if alone && learned {
         members.change_own(cx.now, |_| {}, super::Pace::Origin);
--- a/crates/kernel/tests/members_start.rs
+++ b/crates/kernel/tests/members_start.rs
@@ -3,7 +3,9 @@
 #[path = "common/driver.rs"]
 mod driver;
 
-use laburnum_kernel::{Settings, members::CONTACT_PREFIX, settings::Origin};
+use std::collections::BTreeSet;
+
+use laburnum_kernel::{Event, Kernel, Name, Settings, members::CONTACT_PREFIX, settings::Origin};
 use test_case::test_case;
 
 use driver::{Driver, name, node};
@@ -72,6 +74,42 @@
     }
 }
 
+/// All hosts of a small fleet restart within a fifth of a second. A zone there may lack a service, and its hosts refused each
+/// request for it for seconds, as those who found a contact nearby asked nobody abroad.
+#[test]
+fn small_fleet_that_restarts_knows_its_other_zones_soon() {
+    for seed in 0..16 {
+        let mut driver = Driver::new(&[]);
+        driver.now = driver.now + seed;
+        let (count, zones) = (12, 3);
+        let settings = |index: usize, now: u64| Settings {
+            node: node(index),
+            incarnation: now,
+            zone: name(ZONES[index % zones]),
+            origin: Origin::Imported,
+            ..Settings::default()
+        };
+        for index in 0..count {
+            driver.add_with(settings(index, driver.now.0));
+        }
+        driver.run(20_000);
+        driver.dead.extend(0..count);
+        for index in 0..count {
+            driver.dead.remove(&index);
+            let settings = settings(index, driver.now.0);
+            driver.kernels[index] = Kernel::new(settings, seed * 100 + index as u64);
+            driver.event(index, Event::Start);
+            driver.run(16);
+        }
+        driver.run(1_000);
+        for (index, kernel) in driver.kernels.iter().enumerate() {
+            let alive = kernel.state().members.alive();
+            let known: BTreeSet<&Name> = alive.map(|it| &it.zone).collect();
+            assert_eq!(known.len(), zones, "seed {seed}, node {index}");
+        }
+    }
+}
+
 /// A fleet of one node, or one whose peers are all gone, has nobody to be found by. It must not write its row and read all of
 /// them every two seconds for as long as that lasts.
 #[test]
