--- a/crates/kernel/src/import.rs
+++ b/crates/kernel/src/import.rs
@@ -20,7 +20,9 @@
 
 mod confirmation;
 mod parts;
+mod question;
 mod subscription;
+mod turn;
 
 use self::{
     confirmation::Confirmation,
@@ -30,7 +32,8 @@
 pub use self::{
     confirmation::Statement,
     parts::PART_MAX,
-    subscription::{ANSWER_MS, ASK_MS, ASK_UNINFORMED_MS, Access, Status, WATCH_FIRST_MS},
+    subscription::{Access, Status},
+    turn::WATCH_FIRST_MS,
 };
 
 inventory::submit! { Plugin { name: "import", order: 16, scope: Scope::Imported, handle } }
@@ -287,7 +290,7 @@
         Err(why) => return refuse(cx, from, version, why),
     };
     let Some(spec) = difference.apply(state.import.table.spec()) else {
-        return subscription::ask(cx, state, from);
+        return question::ask(cx, state, from);
     };
     match Table::new(spec) {
         Ok(table) => adopt(cx, state, &Arc::new(table), "peer"),
