--- a/crates/kernel/tests/in_force.rs
+++ b/crates/kernel/tests/in_force.rs
@@ -33,6 +33,28 @@
     assert!(late.is_empty(), "{} hosts: {late:?}", late.len());
 }
 
+/// The store goes silent towards every watcher of the fleet and still serves the others: a standby has to take over in time.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+#[test_case(4)]
+#[test_case(5)]
+#[test_case(6)]
+#[test_case(7)]
+#[test_case(8)]
+#[ignore = "known red"]
+fn standbys_are_in_time_where_every_watcher_dies_in_silence(seed: u64) {
+    let mut fleet = Fleet::new(seed, 30, 6, &ZONES);
+    fleet.publish();
+    fleet.run(12_000);
+    (0..6).for_each(|it| fleet.treat(it, Way::Silent));
+    fleet.run(100);
+    fleet.publish();
+    fleet.run(IN_FORCE_MS + 4_000);
+    let late = fleet.late();
+    assert!(late.is_empty(), "{} hosts: {late:?}", late.len());
+}
+
 /// The store's price and rates bear one host that asks for all, not each watcher of a large fleet every second.
 #[test]
 fn few_watchers_check_the_source_in_calm() {
