--- a/crates/kernel/src/members/contact.rs
+++ b/crates/kernel/src/members/contact.rs
@@ -131,6 +131,9 @@
 pub(super) fn look_abroad(cx: &mut Context<'_>, members: &mut Members) {
     let mut unknown = std::mem::take(&mut members.contacts.abroad);
     unknown.retain(|it| !members.others.contains_key(it));
+    if unknown.is_empty() {
+        return;
+    }
     let zone = &members.own.zone;
     let near = members.ready().filter(|it| it.zone == *zone).count() as u32;
     if cx.rng.random_ratio(SCOUTS.min(near.max(1)), near.max(1)) {
