Tests of imported versions share their versions and their fleet

Cause: the fleet that plays the source built its nodes and its versions by lines that stood in the tests of import as well. Change: both take them from tests/common/imported.rs; versions of the played source differ in their number, no longer in every route's timeout too.

--- a/crates/kernel/tests/common/source.rs
+++ b/crates/kernel/tests/common/source.rs
@@ -8,23 +8,24 @@
     cell::RefCell,
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
-    sync::Arc,
 };
 
 use laburnum_kernel::{
-    Event, Message, Ms, Settings,
-    document::Repeat,
-    import::{Source, Turn, Watch},
-    routing::{RouteSpec, ServiceSpec, Spec, Table, Target},
-    settings::Origin,
+    Event, Message, Ms,
+    import::{Source, Turn},
 };
 
-use super::driver::{Driver, Fate, name, node};
+use super::{
+    driver::{Driver, Fate},
+    imported::{table, watched_from},
+};
 
 /// Time from a version's acknowledgement until it is in force at each host, in ms; the shortest that a deployment asks for.
 pub const IN_FORCE_MS: u64 = 2_000;
 /// Time for which a host and the way to it must be undisturbed before it is held to that, in ms.
 pub const CONTACT_MS: u64 = 3_000;
+/// Routes of a version.
+const ROUTES: usize = 20;
 /// Time of a step, in ms.
 const STEP_MS: u64 = 10;
 /// Time of a read of the whole configuration, in ms.
@@ -80,22 +81,7 @@
 impl Fleet {
     /// `count` hosts dealt out over `zones`; the first `watchers` have fast links.
     pub fn new(seed: u64, count: usize, watchers: usize, zones: &[&str]) -> Fleet {
-        let mut driver = Driver::new(&[]);
-        driver.now = driver.now + seed;
-        for index in 0..count {
-            driver.add_with(Settings {
-                node: node(index),
-                incarnation: driver.now.0,
-                peers: (0..index).map(node).collect(),
-                zone: name(zones[index % zones.len()]),
-                origin: Origin::Imported,
-                watch: match index < watchers {
-                    true => Watch::Always,
-                    false => Watch::Fallback,
-                },
-                ..Settings::default()
-            });
-        }
+        let mut driver = watched_from(seed, count, watchers, zones);
         driver.checks = Some(Vec::new());
         let cut: Rc<RefCell<BTreeSet<usize>>> = Rc::default();
         let lost = cut.clone();
@@ -246,7 +232,7 @@
 
     fn give(&mut self, index: usize) {
         self.driver
-            .event(index, Event::Imported(table(self.newest)));
+            .event(index, Event::Imported(table(self.newest, ROUTES)));
     }
 
     fn confirm(&mut self, index: usize) {
@@ -295,27 +281,3 @@
         late
     }
 }
-
-fn table(version: u64) -> Arc<Table> {
-    let routes = (0..20).map(|it| RouteSpec {
-        name: format!("r-{it}").into(),
-        host: format!("h{it}.example").into(),
-        prefix: "/".into(),
-        repeat: Repeat::Never,
-        timeout: 1_000 + version,
-        goal: 200,
-        priority: 0,
-        attempts: 2,
-        targets: vec![Target {
-            service: name("desk"),
-            weight: 1,
-        }],
-    });
-    let spec = Spec {
-        version,
-        routes: routes.collect(),
-        services: vec![ServiceSpec { name: name("desk") }],
-        ..Spec::default()
-    };
-    Arc::new(Table::new(spec).expect("a valid version"))
-}
--- a/crates/kernel/tests/import.rs
+++ b/crates/kernel/tests/import.rs
@@ -2,46 +2,22 @@
 
 #[path = "common/driver.rs"]
 mod driver;
+#[path = "common/imported.rs"]
+mod imported;
 
-use std::{cell::RefCell, collections::BTreeSet, rc::Rc, sync::Arc};
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc};
 
 use laburnum_kernel::{
     Event, Message, Settings,
-    document::Repeat,
     event::UpstreamEvent,
-    import::{Message as Import, PART_MAX, SETTLE_MS, Source, Turn, WATCH_FIRST_MS, Watch},
-    routing::{RouteSpec, ServiceSpec, Spec, Table, Target},
+    import::{Message as Import, PART_MAX, SETTLE_MS, Source, Turn, WATCH_FIRST_MS},
     settings::Origin,
     view,
 };
 use test_case::test_case;
 
 use driver::{Driver, Fate, name, node};
-
-fn table(version: u64, routes: usize) -> Arc<Table> {
-    let routes = (0..routes).map(|it| RouteSpec {
-        // Digits that do not compress away, as names of real routes do not.
-        name: format!("r-{}", it * 2_654_435_761 % 1_000_003).into(),
-        host: format!("h{}.example", it * 40_503 % 65_537).into(),
-        prefix: format!("/p{}/", it * 69_069 % 1_000_033).into(),
-        repeat: Repeat::Never,
-        timeout: 1_000,
-        goal: 200,
-        priority: 0,
-        attempts: 2,
-        targets: vec![Target {
-            service: name("desk"),
-            weight: 1,
-        }],
-    });
-    let spec = Spec {
-        version,
-        routes: routes.collect(),
-        services: vec![ServiceSpec { name: name("desk") }],
-        ..Spec::default()
-    };
-    Arc::new(Table::new(spec).expect("a valid version"))
-}
+use imported::{table, watched_from};
 
 const ZONES: [&str; 3] = ["nasr", "maadi", "giza"];
 const FIVE_ZONES: [&str; 5] = ["nasr", "maadi", "giza", "heliopolis", "shubra"];
@@ -56,27 +32,6 @@
     watched_from(0, count, watchers, zones)
 }
 
-/// The same with other random choices for each `seed`.
-fn watched_from(seed: u64, count: usize, watchers: usize, zones: &[&str]) -> Driver {
-    let mut driver = Driver::new(&[]);
-    driver.now = driver.now + seed;
-    for index in 0..count {
-        driver.add_with(Settings {
-            node: node(index),
-            incarnation: driver.now.0,
-            peers: (0..index).map(node).collect(),
-            zone: name(zones[index % zones.len()]),
-            origin: Origin::Imported,
-            watch: match index < watchers {
-                true => Watch::Always,
-                false => Watch::Fallback,
-            },
-            ..Settings::default()
-        });
-    }
-    driver
-}
-
 fn version(driver: &Driver, index: usize) -> u64 {
     driver.kernels[index].state().import.table().version()
 }
--- a/crates/kernel/tests/in_force.rs
+++ b/crates/kernel/tests/in_force.rs
@@ -2,6 +2,8 @@
 
 #[path = "common/driver.rs"]
 mod driver;
+#[path = "common/imported.rs"]
+mod imported;
 #[path = "common/source.rs"]
 mod source;
 
