One piece each for time before a point, members of a zone and peers of both kinds; no state that is only asked for

Cause, read once more: a point in time less some ms was written by hand in six places, two of them older; the ready members of a zone in five; the question for versions split its peers twice; the confirmation kept since when it was overdue and only ever asked whether, and compared versions that the comparison of pairs had compared. Change: Ms - ms, Members::ready_in, one split, a flag. A name that said besides says around; two constants have a doc each.

--- a/crates/kernel/src/admission.rs
+++ b/crates/kernel/src/admission.rs
@@ -219,7 +219,7 @@
         let review = (self.waiting() > 0).then_some(self.observed + REVIEW);
         let expiry = CLASS_ORDER.into_iter().filter_map(|class| {
             let deadline = self.queue(class).first()?.deadline;
-            Some(Ms(deadline.0.saturating_sub(self.limit.service(class))))
+            Some(deadline - self.limit.service(class))
         });
         expiry.chain(review).min()
     }
--- a/crates/kernel/src/admission/limit.rs
+++ b/crates/kernel/src/admission/limit.rs
@@ -151,7 +151,7 @@
     fn probe_due(&mut self, now: Ms) -> bool {
         let Some(last) = self.probed else {
             // The first window starts the clock, so that the first probe comes soon.
-            self.probed = Some(Ms((now + PROBE_SOON).0.saturating_sub(PROBE_GAP)));
+            self.probed = Some(now + PROBE_SOON - PROBE_GAP);
             return false;
         };
         let gap = if self.cuts >= DOUBT {
--- a/crates/kernel/src/clock.rs
+++ b/crates/kernel/src/clock.rs
@@ -1,6 +1,6 @@
 //! Milliseconds, the only unit of time in the system.
 
-use std::ops::Add;
+use std::ops::{Add, Sub};
 
 use serde::{Deserialize, Serialize};
 
@@ -17,6 +17,14 @@
     }
 }
 
+impl Sub<u64> for Ms {
+    type Output = Ms;
+
+    fn sub(self, millis: u64) -> Ms {
+        Ms(self.0.saturating_sub(millis))
+    }
+}
+
 impl Add<u64> for Ms {
     type Output = Ms;
 
--- a/crates/kernel/src/import.rs
+++ b/crates/kernel/src/import.rs
@@ -205,10 +205,8 @@
     let before = std::mem::replace(&mut state.import.table, table.clone());
     state.import.arriving = Arriving::default();
     state.import.subscriptions.informed(cx.now);
-    let import = &mut state.import;
-    import
-        .confirmation
-        .adopted(cx.now, table.version(), held == 0);
+    let confirmation = &mut state.import.confirmation;
+    confirmation.adopted(cx.now, table.version(), held == 0);
     let pairs = vec![
         ("version", table.version().to_string()),
         ("before", held.to_string()),
--- a/crates/kernel/src/import/confirmation.rs
+++ b/crates/kernel/src/import/confirmation.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Source, Turn};
+use super::{Source, Turn, subscription};
 use crate::{
     clock::Ms,
     id::NodeId,
@@ -16,8 +16,9 @@
 
 /// Age at which the first watcher asks the source, in ms: over a third of the time in which a version is due.
 const CHECK_MS: u64 = 700;
-/// What each watcher before it adds for a watcher, in ms, and how many count. One answer of the source takes less.
+/// How much later than the one before it each further watcher asks, in ms: an answer of the source takes less.
 const CHECK_STEP_MS: u64 = 150;
+/// Watchers after which the others ask at the same age as the last of them.
 const CHECK_STEPS: u64 = 4;
 /// Time after which a watcher checks its own feed even if others vouch for its version, in ms.
 const VERIFY_MS: u64 = 5_000;
@@ -83,9 +84,9 @@
     verified: Ms,
     /// When this node last asked the source.
     checked: Ms,
-    /// Since when the version held may be out of force.
-    overdue: Option<Ms>,
-    /// Nodes asked since then.
+    /// Whether it was logged that the version held may be out of force.
+    overdue: bool,
+    /// Nodes asked since the last young statement.
     tried: u64,
 }
 
@@ -140,10 +141,10 @@
     }
 
     fn hear(&mut self, now: Ms, held: u64, from: NodeId, statement: Statement) -> Heard {
-        let at = Ms(now.0.saturating_sub(statement.age));
-        let newer = (statement.version, at) > (self.version, self.at);
+        let at = now - statement.age;
         // What a source that was put back to an older copy, or a node that is behind, says is of no use here.
-        if !newer || statement.version < self.version || statement.version == 0 {
+        let newer = (statement.version, at) > (self.version, self.at);
+        if !newer || statement.version == 0 {
             return Heard::Known;
         }
         self.version = statement.version;
@@ -174,10 +175,10 @@
 /// Takes in what `from` says of the newest version, and tells those that rely on this node.
 pub(super) fn heard(cx: &mut Context<'_>, state: &mut State, from: NodeId, statement: Statement) {
     let held = state.import.table.version();
-    let import = &mut state.import;
-    match import.confirmation.hear(cx.now, held, from, statement) {
+    let confirmation = &mut state.import.confirmation;
+    match confirmation.hear(cx.now, held, from, statement) {
         Heard::Known => {}
-        Heard::News => super::subscription::tell_status(cx, state, from),
+        Heard::News => subscription::tell_status(cx, state, from),
     }
 }
 
@@ -196,18 +197,17 @@
             ("tried", tried.to_string()),
         ]
     };
-    match confirmation.overdue {
-        None if held > 0 && age >= OVERDUE_MS => {
-            confirmation.overdue = Some(cx.now);
-            cx.log("config-unconfirmed", pairs(confirmation.tried));
-        }
-        Some(_) if age < LOOK_MS => {
-            confirmation.overdue = None;
+    let overdue = std::mem::take(&mut confirmation.overdue);
+    if age < LOOK_MS {
+        if overdue {
             cx.log("config-confirmed", pairs(confirmation.tried));
-            confirmation.tried = 0;
         }
-        None if age < LOOK_MS => confirmation.tried = 0,
-        _ => {}
+        confirmation.tried = 0;
+        return;
+    }
+    confirmation.overdue = overdue || held > 0 && age >= OVERDUE_MS;
+    if confirmation.overdue && !overdue {
+        cx.log("config-unconfirmed", pairs(confirmation.tried));
     }
 }
 
--- a/crates/kernel/src/import/question.rs
+++ b/crates/kernel/src/import/question.rs
@@ -14,7 +14,6 @@
     turn::{STANDBYS, is_scout, standbys},
 };
 use crate::{
-    clock::Ms,
     event,
     id::NodeId,
     kernel::{Context, State},
@@ -64,13 +63,12 @@
         return;
     }
     // Jitter, so that a herd that started together does not ask in step.
-    state.import.subscriptions.asked =
-        Ms(cx.now.0.saturating_sub(cx.rng.random_range(0..=gap / 4)));
+    state.import.subscriptions.asked = cx.now - cx.rng.random_range(0..=gap / 4);
     let peers = match need {
         Need::Nothing => whom_to_ask_in_calm(cx, state),
         // Several would all send the whole version.
         Need::Version(from) if from != cx.settings.node => vec![from],
-        Need::Statement | Need::Version(_) => whom_to_ask_besides(cx, state),
+        Need::Statement | Need::Version(_) => whom_to_ask_around(cx, state),
     };
     for peer in peers {
         state.import.confirmation.tried(peer);
@@ -101,10 +99,8 @@
     }
     let access = access(state);
     let subscriptions = &state.import.subscriptions;
-    let peers = state.members.ready().filter(|it| it.id != own);
-    let heard = peers.filter(|it| !subscriptions.silent.contains_key(&it.id));
-    let (near, abroad): (Vec<&Record>, Vec<&Record>) =
-        heard.partition(|it| it.zone == cx.settings.zone);
+    let heard = |id| !subscriptions.silent.contains_key(&id);
+    let (near, abroad) = peers(cx, state, heard);
     let uninformed = subscriptions.publishers.is_empty() && access != Access::Direct;
     // Those who watch meet across zones, so that only one of them all asks the source.
     let every = match state.import.turn {
@@ -148,16 +144,13 @@
 
 /// Whom to ask if nobody vouches for the version held, however those that tell this node see themselves: whom it relies on, one
 /// more nearby, and one abroad if it is among those that look there for their zone.
-fn whom_to_ask_besides(cx: &mut Context<'_>, state: &mut State) -> Vec<NodeId> {
+fn whom_to_ask_around(cx: &mut Context<'_>, state: &mut State) -> Vec<NodeId> {
     let hinted = state.import.subscriptions.hinted.take();
     let own = cx.settings.node;
-    let zone = &cx.settings.zone;
     let looks_abroad = state.import.turn == Turn::Follow || is_scout(cx, state);
     let subscriptions = &state.import.subscriptions;
-    let peers = state.members.ready();
     // While one that was asked may still answer, another one is of more use.
-    let peers = peers.filter(|it| subscriptions.answers(it.id, own));
-    let (near, abroad): (Vec<&Record>, Vec<&Record>) = peers.partition(|it| it.zone == *zone);
+    let (near, abroad) = peers(cx, state, |id| subscriptions.answers(id, own));
     let mut whom = Vec::from_iter(hinted);
     // Those that it relies on should have vouched by now: whether they are still there tells whether others are to watch.
     let sources = subscriptions.sources().map(|(_, id)| id);
@@ -190,6 +183,18 @@
     best.map(|(id, _)| *id).choose(cx.rng)
 }
 
+/// The peers that `wanted` holds for, in the own zone and abroad.
+fn peers<'a>(
+    cx: &Context<'_>,
+    state: &'a State,
+    wanted: impl Fn(NodeId) -> bool,
+) -> (Vec<&'a Record>, Vec<&'a Record>) {
+    let own = cx.settings.node;
+    let peers = state.members.ready();
+    let peers = peers.filter(|it| it.id != own && wanted(it.id));
+    peers.partition(|it| it.zone == cx.settings.zone)
+}
+
 /// The peers that `own` asks, among those given, without knowing more of them.
 fn partners(own: NodeId, peers: &[&Record]) -> Vec<NodeId> {
     let mut ranked = rendezvous(&format!("import/{own}"), peers.iter().map(|it| it.id));
--- a/crates/kernel/src/import/subscription.rs
+++ b/crates/kernel/src/import/subscription.rs
@@ -26,9 +26,9 @@
 /// Mean time between two questions of a node that somebody tells, in ms.
 ///
 /// It bounds how long a node stays behind whose access has ended unnoticed; a question takes about 100 bytes.
-pub const ASK_MS: u64 = 1_000;
+pub(super) const ASK_MS: u64 = 1_000;
 /// Time in which a question is answered, in ms: several round trips and the ticks of a busy node.
-pub const ANSWER_MS: u64 = 700;
+const ANSWER_MS: u64 = 700;
 /// Age at which the word of a node counts for nothing, in ms: it was asked for a newer one several times since.
 const STALE_MS: u64 = 4_500;
 /// How long a node that asked is told of changes, in ms: one of its questions may be lost.
@@ -241,11 +241,8 @@
 }
 
 fn is_near(cx: &Context<'_>, state: &State, id: NodeId) -> bool {
-    let zone = &cx.settings.zone;
-    state
-        .members
-        .ready()
-        .any(|it| it.id == id && it.zone == *zone)
+    let mut near = state.members.ready_in(&cx.settings.zone);
+    near.any(|it| it.id == id)
 }
 
 /// Takes in what `from` says of itself.
@@ -276,7 +273,7 @@
             access: status.access,
             watch: status.watch,
             heard: cx.now,
-            newest: Ms(cx.now.0.saturating_sub(status.newest.age)),
+            newest: cx.now - status.newest.age,
         };
         subscriptions.publishers.insert(from, publisher);
     } else {
--- a/crates/kernel/src/import/turn.rs
+++ b/crates/kernel/src/import/turn.rs
@@ -42,10 +42,7 @@
 
 /// The nodes of the own zone in the order in which they take the place of watchers; every node knows the same.
 pub(super) fn standbys(cx: &Context<'_>, state: &State) -> Vec<NodeId> {
-    let near = state
-        .members
-        .ready()
-        .filter(|it| it.zone == cx.settings.zone);
+    let near = state.members.ready_in(&cx.settings.zone);
     rendezvous("import/standbys", near.map(|it| it.id))
 }
 
@@ -62,8 +59,8 @@
     let own = cx.settings.node;
     let subscriptions = &state.import.subscriptions;
     let there = |it: &NodeId| *it == own || subscriptions.answers(*it, own);
-    let mut standbys = standbys(cx, state).into_iter().filter(there);
-    standbys.by_ref().take(STANDBYS).any(|it| it == own)
+    let standbys = standbys(cx, state).into_iter().filter(there);
+    standbys.take(STANDBYS).any(|it| it == own)
 }
 
 /// Decides whether this node watches the source.
--- a/crates/kernel/src/members.rs
+++ b/crates/kernel/src/members.rs
@@ -165,6 +165,11 @@
             .map(|(it, _)| it)
     }
 
+    /// Those of one availability zone.
+    pub fn ready_in(&self, zone: &Name) -> impl Iterator<Item = &Record> {
+        self.ready().filter(move |it| it.zone == *zone)
+    }
+
     /// Whether `id` can be reached; `None` if it is no member.
     pub fn reach(&self, id: NodeId) -> Option<Reach> {
         if id == self.own.id {
--- a/crates/kernel/src/members/contact.rs
+++ b/crates/kernel/src/members/contact.rs
@@ -134,8 +134,7 @@
     if unknown.is_empty() {
         return;
     }
-    let zone = &members.own.zone;
-    let near = members.ready().filter(|it| it.zone == *zone).count() as u32;
+    let near = members.ready_in(&members.own.zone).count() as u32;
     if cx.rng.random_ratio(SCOUTS.min(near.max(1)), near.max(1)) {
         join::ask(cx, members, &unknown);
     }
@@ -152,7 +151,7 @@
 
 /// What stands for the last look, so that the next one comes after `pause` ms.
 fn check_after(now: Ms, pause: u64) -> Ms {
-    Ms((now.0 + pause).saturating_sub(CHECK_MS))
+    now + pause - CHECK_MS
 }
 
 /// Keeps this node's row, if one falls to it.
@@ -200,8 +199,7 @@
 
 /// The row of its zone that falls to this node, if one does.
 fn place(members: &Members) -> Option<usize> {
-    let zone = &members.own.zone;
-    let near = members.ready().filter(|it| it.zone == *zone);
+    let near = members.ready_in(&members.own.zone);
     let ranked = rendezvous(CONTACT_PREFIX, near.map(|it| it.id));
     let mut first = ranked.iter().take(CONTACT_SLOTS);
     first.position(|it| *it == members.own.id)
--- a/crates/kernel/src/spread/tree.rs
+++ b/crates/kernel/src/spread/tree.rs
@@ -47,8 +47,8 @@
     } = state;
     let relays = &mut spread.trees.relays;
     if !relays.contains_key(zone) {
-        let nodes = members.ready().filter(|it| it.zone == *zone);
-        let mut nodes = rendezvous(&format!("relay/{zone}"), nodes.map(|it| it.id));
+        let near = members.ready_in(zone).map(|it| it.id);
+        let mut nodes = rendezvous(&format!("relay/{zone}"), near);
         nodes.truncate(settings.spread.relays.max(1));
         nodes.shrink_to_fit();
         relays.insert(zone.clone(), nodes);
