Customers and their keys: who is let in, what upstreams see, and a bound on revocation

Customers are part of the imported configuration: the adapter decodes them, keys are held as BLAKE3 digests only, differences carry one customer at a time. The entry takes one field of exact form, removes it and any claimed name after the hop-by-hop fields (a name in `connection` would else remove what the entry sets), and sets the customer's name. A key is checked again before each retry.

Knowledge is kept apart: times are of the own clock, when the source was asked or when a query was sent that a peer's reading of its clock answers. A version that cannot be read confirms nothing.

--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -5,7 +5,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    accept, guard,
+    accept,
+    clock::Ms,
+    guard,
     id::{Build, CallId, Name, NodeId, Seq, Token},
     import, members, once,
     platform::{Era, ObjectAnswer, ObjectOp, TableAnswer, TableOp},
@@ -41,9 +43,9 @@
     Imported(Arc<Table>),
     /// The external source started or stopped answering.
     Source(import::Source),
-    /// Answers [`Action::CheckSource`]: the source held nothing newer than `version` at most `age`
-    /// ms ago.
-    Confirmed { version: u64, age: u64 },
+    /// Answers [`Action::CheckSource`], or came with a read: the source held nothing newer than
+    /// `version` at some time after `asked`.
+    Confirmed { version: u64, asked: Ms },
     /// The external source holds an order to move a service to another build.
     Ordered(rollout::Order),
     /// The platform's store answered in this era.
--- a/crates/kernel/src/import.rs
+++ b/crates/kernel/src/import.rs
@@ -18,6 +18,7 @@
 };
 
 mod confirmation;
+mod knowledge;
 mod parts;
 mod query;
 mod subscription;
@@ -25,12 +26,14 @@
 
 pub use self::{
     confirmation::Confirmation,
+    knowledge::Dated,
     parts::PART_MAX,
     subscription::{Access, Status},
     turn::WATCH_FIRST_MS,
 };
 use self::{
     confirmation::Freshness,
+    knowledge::Knowledge,
     parts::{PARTS_MAX, PartialVersion, pack, unpack},
     subscription::Subscriptions,
 };
@@ -67,11 +70,18 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// Asks for a version newer than `version`, which the sender holds, and subscribes the sender
-    /// to later changes for a while.
-    Ask { version: u64, status: Status },
+    /// to later changes for a while. With customers, `sent` is the sender's clock, to be returned.
+    Ask {
+        version: u64,
+        status: Status,
+        sent: Option<Ms>,
+    },
     /// How the sender receives versions and its latest confirmation. Answers each `Ask`, and is
-    /// also sent to recent subscribers when a newer confirmation arrives.
-    Status(Status),
+    /// also sent to recent subscribers when a newer confirmation arrives. With customers, it is dated.
+    Status {
+        status: Status,
+        dated: Option<Dated>,
+    },
     /// A compressed [`Difference`] that leads to `version`; sent to recent subscribers.
     Changed { version: u64, bytes: Vec<u8> },
     /// One of the `parts` parts of the compressed `version`.
@@ -107,6 +117,7 @@
     turn: Turn,
     subscriptions: Subscriptions,
     freshness: Freshness,
+    knowledge: Knowledge,
     partial: PartialVersion,
 }
 
@@ -133,6 +144,13 @@
         self.freshness.age(now)
     }
 
+    /// Returns the latest time at which the version in force was surely the newest; zero if never.
+    ///
+    /// Unlike [`Import::age`], neither late messages nor a pause of this process can make it too late.
+    pub fn known_since(&self) -> Ms {
+        self.knowledge.since()
+    }
+
     /// Returns how often the source stopped answering since the process started.
     pub fn losses(&self) -> u64 {
         self.losses
@@ -160,8 +178,8 @@
         }
         Event::Imported(table) => apply_version(cx, state, table, "source"),
         Event::Source(source) => record_source_state(cx, state, *source),
-        Event::Confirmed { version, age } => {
-            confirmation::handle_confirmed(cx, state, *version, *age)
+        Event::Confirmed { version, asked } => {
+            confirmation::handle_confirmed(cx, state, *version, *asked)
         }
         Event::Message {
             from,
@@ -213,6 +231,7 @@
     state.import.subscriptions.record_informed(cx.now);
     let freshness = &mut state.import.freshness;
     freshness.record_applied(cx.now, table.version(), held == 0);
+    state.import.knowledge.record_applied(table.version());
     let pairs = vec![
         ("version", table.version().to_string()),
         ("before", held.to_string()),
@@ -249,18 +268,25 @@
 
 fn handle_message(cx: &mut Context<'_>, state: &mut State, from: NodeId, message: &Message) {
     match message {
-        Message::Ask { version, status } => {
+        Message::Ask {
+            version,
+            status,
+            sent,
+        } => {
             subscription::add_subscriber(cx, state, from);
             subscription::handle_status(cx, state, from, *status);
             if *version < state.import.table.version() {
                 send_version(cx, state, from);
             }
-            let status = Message::Status(subscription::own_status(cx, state));
+            let status = subscription::status_message(cx, state, *sent);
             cx.send(from, event::Message::Import(status));
         }
-        Message::Status(status) => {
+        Message::Status { status, dated } => {
             state.import.subscriptions.record_answer(cx.now, from);
             subscription::handle_status(cx, state, from, *status);
+            if let Some(dated) = dated {
+                state.import.knowledge.record_peer(from, dated);
+            }
             confirmation::handle_confirmation(cx, state, from, status.newest);
         }
         Message::Changed { version, bytes } => apply_difference(cx, state, from, *version, bytes),
--- a/crates/kernel/src/import/confirmation.rs
+++ b/crates/kernel/src/import/confirmation.rs
@@ -171,8 +171,10 @@
     }
 }
 
-/// Handles the source's answer that it held nothing newer than `version` `age` ms ago.
-pub(super) fn handle_confirmed(cx: &mut Context<'_>, state: &mut State, version: u64, age: u64) {
+/// Handles the source's answer, to a question asked at `asked`, that it held nothing newer than `version`.
+pub(super) fn handle_confirmed(cx: &mut Context<'_>, state: &mut State, version: u64, asked: Ms) {
+    let age = cx.now.since(asked);
+    state.import.knowledge.record_confirmed(asked, version);
     state.import.answered_at = cx.now;
     state.import.freshness.verified_at = cx.now;
     let own = cx.settings.node;
--- a/crates/kernel/src/import/query.rs
+++ b/crates/kernel/src/import/query.rs
@@ -92,6 +92,7 @@
     let message = Message::Ask {
         version: state.import.table.version(),
         status: own_status(cx, state),
+        sent: state.import.table.has_customers().then_some(cx.now),
     };
     cx.send(peer, event::Message::Import(message));
 }
--- a/crates/kernel/src/import/subscription.rs
+++ b/crates/kernel/src/import/subscription.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Confirmation, Message, Source, Turn, Watch,
+    Confirmation, Dated, Message, Source, Turn, Watch,
     confirmation::{self, QUERY_AGE_MS},
     query, turn,
 };
@@ -216,6 +216,22 @@
     }
 }
 
+/// Returns the message with this node's status, in answer to a query that was sent at `query` if it is one. It is dated
+/// if requests carry keys.
+pub(super) fn status_message(cx: &Context<'_>, state: &State, query: Option<Ms>) -> Message {
+    let import = &state.import;
+    let dated = import.table.has_customers().then(|| Dated {
+        clock: cx.now,
+        process: cx.settings.incarnation,
+        query,
+        known: import.knowledge.latest(cx.now),
+    });
+    Message::Status {
+        status: own_status(cx, state),
+        dated,
+    }
+}
+
 /// Returns the watchers that ask the source before this one.
 pub(super) fn earlier_watchers(
     cx: &Context<'_>,
@@ -228,7 +244,7 @@
 
 /// Sends this node's status to all subscribers except `from`, which it comes from.
 pub(super) fn send_status(cx: &mut Context<'_>, state: &State, from: NodeId) {
-    let status = Message::Status(own_status(cx, state));
+    let status = status_message(cx, state, None);
     for to in state.import.subscriptions.all_subscribers() {
         if to != from {
             cx.send(to, event::Message::Import(status.clone()));
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod admission;
 pub mod clock;
 pub mod connections;
+pub mod customer;
 pub mod document;
 pub mod drain;
 pub mod event;
--- a/crates/kernel/src/refusal.rs
+++ b/crates/kernel/src/refusal.rs
@@ -29,10 +29,12 @@
     Shed,
     /// The link of the endpoint's host has no capacity for the body.
     LinkFull,
+    /// The node cannot know whether the customer's key is still valid.
+    Unconfirmed,
 }
 
 /// All reasons.
-pub const REASONS: [Reason; 12] = [
+pub const REASONS: [Reason; 13] = [
     Reason::NotReady,
     Reason::Draining,
     Reason::Overloaded,
@@ -45,6 +47,7 @@
     Reason::NoEndpoint,
     Reason::Shed,
     Reason::LinkFull,
+    Reason::Unconfirmed,
 ];
 
 /// Answer to a request that was not run.
@@ -88,6 +91,7 @@
             Reason::NoEndpoint => "no-endpoint",
             Reason::Shed => "shed",
             Reason::LinkFull => "link-full",
+            Reason::Unconfirmed => "config-unconfirmed",
         }
     }
 
@@ -99,7 +103,8 @@
             | Reason::Overloaded
             | Reason::QueueFull
             | Reason::Shed
-            | Reason::LinkFull => Remedy::Elsewhere,
+            | Reason::LinkFull
+            | Reason::Unconfirmed => Remedy::Elsewhere,
             Reason::Limited | Reason::Quarantined | Reason::NoClaim | Reason::NoEndpoint => {
                 Remedy::Later
             }
--- a/crates/kernel/src/routing.rs
+++ b/crates/kernel/src/routing.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    customer::{BadCustomer, CustomerIndex, CustomerSpec, KeyDigest},
     document::{self, Class, Document, Drain, Repeat, Warmup},
     id::Name,
 };
@@ -25,6 +26,8 @@
     pub routes: Vec<RouteSpec>,
     /// Every service.
     pub services: Vec<ServiceSpec>,
+    /// All customers; if there are none, requests carry no keys.
+    pub customers: Vec<CustomerSpec>,
     /// Limits of callers' requests and connections.
     pub limits: Limits,
 }
@@ -48,6 +51,8 @@
     pub priority: u8,
     /// Maximum number of endpoints that a request is sent to.
     pub attempts: u32,
+    /// Whether requests need no key.
+    pub public: bool,
     /// Services that share the route's requests by weight.
     pub targets: Vec<Target>,
 }
@@ -102,6 +107,10 @@
     pub routes: Vec<RouteSpec>,
     /// All services, if any changed.
     pub services: Option<Vec<ServiceSpec>>,
+    /// Names of removed customers.
+    pub customers_dropped: Vec<Arc<str>>,
+    /// Added and changed customers.
+    pub customers: Vec<CustomerSpec>,
     /// The limits of the newer version.
     pub limits: Limits,
 }
@@ -109,17 +118,16 @@
 impl Difference {
     /// Returns the difference that leads from `base` to `spec`.
     pub fn between(base: &Spec, spec: &Spec) -> Difference {
-        let before: HashMap<&str, &RouteSpec> =
-            base.routes.iter().map(|it| (&*it.name, it)).collect();
-        let after: HashSet<&str> = spec.routes.iter().map(|it| &*it.name).collect();
-        let changed = |it: &&RouteSpec| before.get(&*it.name) != Some(it);
-        let dropped = base.routes.iter().filter(|it| !after.contains(&*it.name));
+        let (dropped, routes) = changes(&base.routes, &spec.routes);
+        let (customers_dropped, customers) = changes(&base.customers, &spec.customers);
         Difference {
             base: base.version,
             version: spec.version,
-            dropped: dropped.map(|it| it.name.clone()).collect(),
-            routes: spec.routes.iter().filter(changed).cloned().collect(),
+            dropped,
+            routes,
             services: (base.services != spec.services).then(|| spec.services.clone()),
+            customers_dropped,
+            customers,
             limits: spec.limits,
         }
     }
@@ -130,24 +138,55 @@
         if base.version != self.base {
             return None;
         }
-        let replaced: HashSet<&str> = self.routes.iter().map(|it| &*it.name).collect();
-        let dropped: HashSet<&str> = self.dropped.iter().map(|it| &**it).collect();
-        let kept = base
-            .routes
-            .iter()
-            .filter(|it| !replaced.contains(&*it.name) && !dropped.contains(&*it.name));
         Some(Spec {
             version: self.version,
-            routes: kept.chain(&self.routes).cloned().collect(),
+            routes: merge(&base.routes, &self.dropped, &self.routes),
             services: self
                 .services
                 .clone()
                 .unwrap_or_else(|| base.services.clone()),
+            customers: merge(&base.customers, &self.customers_dropped, &self.customers),
             limits: self.limits,
         })
     }
 }
 
+/// A part of a version that is identified by its name.
+trait Named {
+    fn name(&self) -> &Arc<str>;
+}
+
+impl Named for RouteSpec {
+    fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+}
+
+impl Named for CustomerSpec {
+    fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+}
+
+/// Returns the names that only `base` holds, and the parts of `spec` that `base` lacks or holds otherwise.
+fn changes<T: Named + Clone + PartialEq>(base: &[T], spec: &[T]) -> (Vec<Arc<str>>, Vec<T>) {
+    let before: HashMap<&Arc<str>, &T> = base.iter().map(|it| (it.name(), it)).collect();
+    let after: HashSet<&Arc<str>> = spec.iter().map(Named::name).collect();
+    let dropped = base.iter().filter(|it| !after.contains(it.name()));
+    let changed = spec.iter().filter(|it| before.get(it.name()) != Some(it));
+    (
+        dropped.map(|it| it.name().clone()).collect(),
+        changed.cloned().collect(),
+    )
+}
+
+/// Returns `base` without the parts `dropped`, and with `changed` in place of parts of the same names.
+fn merge<T: Named + Clone>(base: &[T], dropped: &[Arc<str>], changed: &[T]) -> Vec<T> {
+    let replaced: HashSet<&Arc<str>> = changed.iter().map(Named::name).chain(dropped).collect();
+    let kept = base.iter().filter(|it| !replaced.contains(it.name()));
+    kept.chain(changed).cloned().collect()
+}
+
 /// Why a version is invalid.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum BadSpec {
@@ -165,6 +204,9 @@
     /// Two routes have the same host and prefix.
     #[error("routes {route} and {other} have the same host and prefix: keep one of them")]
     Ambiguous { route: Arc<str>, other: Arc<str> },
+    /// The list of customers is invalid.
+    #[error(transparent)]
+    Customer(#[from] BadCustomer),
 }
 
 /// A checked version with an index over its routes.
@@ -175,6 +217,7 @@
     hosts: HashMap<Arc<str>, HashMap<Arc<str>, usize>>,
     /// The services as documents, built once because views are rebuilt often.
     documents: Vec<Arc<Document>>,
+    customers: CustomerIndex,
 }
 
 impl Table {
@@ -194,6 +237,7 @@
         let documents = spec.services.iter().map(|it| Arc::new(document(&spec, it)));
         Ok(Table {
             documents: documents.collect(),
+            customers: CustomerIndex::new(&spec.customers)?,
             spec,
             hosts,
         })
@@ -219,6 +263,21 @@
         self.spec.routes.get(*at)
     }
 
+    /// Returns whether requests carry keys, unless their route is public.
+    pub fn has_customers(&self) -> bool {
+        !self.spec.customers.is_empty()
+    }
+
+    /// Returns the customer that holds `key`.
+    pub fn customer(&self, key: &KeyDigest) -> Option<&CustomerSpec> {
+        self.spec.customers.get(self.customers.find(key)?)
+    }
+
+    /// Returns the customer `name`.
+    pub fn customer_named(&self, name: &str) -> Option<&CustomerSpec> {
+        self.spec.customers.get(self.customers.find_name(name)?)
+    }
+
     /// Returns the services as documents without routes, with the default settings except for the
     /// limit of request bodies and the warm-up.
     pub fn documents(&self) -> &[Arc<Document>] {
--- a/crates/kernel/tests/common/driver.rs
+++ b/crates/kernel/tests/common/driver.rs
@@ -322,7 +322,7 @@
         let version = self.kernels[index].state().import.table().version();
         let confirmed = Event::Confirmed {
             version,
-            age: DELAY,
+            asked: self.now,
         };
         self.schedule(DELAY, Due::Event(index, confirmed));
     }
--- a/crates/kernel/tests/common/imported.rs
+++ b/crates/kernel/tests/common/imported.rs
@@ -6,6 +6,7 @@
 
 use laburnum_kernel::{
     Settings,
+    customer::CustomerSpec,
     document::Repeat,
     import::Watch,
     routing::{RouteSpec, ServiceSpec, Spec, Table, Target},
@@ -16,6 +17,11 @@
 
 /// Returns a version with `routes` routes.
 pub fn table(version: u64, routes: usize) -> Arc<Table> {
+    table_with(version, routes, Vec::new())
+}
+
+/// Returns a version with `routes` routes and these customers.
+pub fn table_with(version: u64, routes: usize, customers: Vec<CustomerSpec>) -> Arc<Table> {
     let routes = (0..routes).map(|it| RouteSpec {
         // Pseudo-random digits, so that names compress no better than real ones.
         name: format!("r-{}", it * 2_654_435_761 % 1_000_003).into(),
@@ -26,6 +32,7 @@
         goal: 200,
         priority: 0,
         attempts: 2,
+        public: false,
         targets: vec![Target {
             service: name("desk"),
             weight: 1,
@@ -35,6 +42,7 @@
         version,
         routes: routes.collect(),
         services: vec![ServiceSpec { name: name("desk") }],
+        customers,
         ..Spec::default()
     };
     Arc::new(Table::new(spec).expect("a valid version"))
--- a/crates/kernel/tests/common/source.rs
+++ b/crates/kernel/tests/common/source.rs
@@ -13,12 +13,13 @@
 
 use laburnum_kernel::{
     Event, Message, Ms,
+    customer::CustomerSpec,
     import::{Source, Turn},
 };
 
 use super::{
     driver::{Delivery, Driver},
-    imported::{imported_fleet, table},
+    imported::{imported_fleet, table_with},
 };
 
 /// Longest time from a version's acknowledgement until it is in force on each host, in ms.
@@ -70,9 +71,11 @@
     watches: Vec<WatchState>,
     /// Hosts exempt from the time limit, and until when.
     exempt_until: BTreeMap<usize, Ms>,
-    newest: u64,
+    pub newest: u64,
+    /// Customers of each version.
+    pub customers: Vec<CustomerSpec>,
     /// Versions and the time of their acknowledgement.
-    acked: Vec<(u64, Ms)>,
+    pub acked: Vec<(u64, Ms)>,
     /// Time, host, version held and version due of each violation of the time limit.
     pub violations: Vec<(Ms, usize, u64, u64)>,
     /// Number of calls to the source.
@@ -105,6 +108,7 @@
             watches: vec![WatchState::Idle; count],
             exempt_until: BTreeMap::new(),
             newest: 1,
+            customers: Vec::new(),
             acked: Vec::new(),
             violations: Vec::new(),
             calls: 0,
@@ -232,14 +236,14 @@
     }
 
     fn deliver_version(&mut self, index: usize) {
-        self.driver
-            .event(index, Event::Imported(table(self.newest, ROUTES)));
+        let table = table_with(self.newest, ROUTES, self.customers.clone());
+        self.driver.event(index, Event::Imported(table));
     }
 
     fn confirm(&mut self, index: usize) {
         let confirmed = Event::Confirmed {
             version: self.newest,
-            age: STEP_MS,
+            asked: self.driver.now - STEP_MS,
         };
         self.driver.event(index, confirmed);
     }
--- a/crates/kernel/tests/routing.rs
+++ b/crates/kernel/tests/routing.rs
@@ -1,6 +1,7 @@
 //! Route tables: look-up, weights, invalid versions and differences.
 
 use laburnum_kernel::{
+    customer::{CustomerSpec, KeyDigest, Quota},
     document::Repeat,
     routing::{BadSpec, Difference, RouteSpec, ServiceSpec, Spec, Table, Target},
 };
@@ -22,6 +23,7 @@
         goal: 200,
         priority: 2,
         attempts: 2,
+        public: false,
         targets: targets.collect(),
     }
 }
@@ -113,3 +115,69 @@
         "it applies to another version"
     );
 }
+
+fn customer(name: &str, keys: &[&str]) -> CustomerSpec {
+    CustomerSpec {
+        name: name.into(),
+        keys: keys.iter().map(|it| KeyDigest::of(it.as_bytes())).collect(),
+        quota: Quota {
+            rate: 2_500,
+            burst: 10,
+        },
+        priority: Some(1),
+    }
+}
+
+fn spec_with_customers(version: u64, customers: Vec<CustomerSpec>) -> Spec {
+    Spec {
+        version,
+        customers,
+        ..spec(vec![route("drafts", "desk.example", "/", &[("desk", 1)])])
+    }
+}
+
+#[test]
+fn customers_are_found_by_key_and_name() {
+    let customers = vec![customer("acme", &["k1", "k2"]), customer("best", &["k3"])];
+    let table = Table::new(spec_with_customers(7, customers)).expect("a valid version");
+    let found = |key: &str| {
+        let customer = table.customer(&KeyDigest::of(key.as_bytes()));
+        customer.map(|it| &*it.name)
+    };
+    let by_key = ["k1", "k2", "k3", "k4", ""].map(found);
+    let expected = [Some("acme"), Some("acme"), Some("best"), None, None];
+    assert_eq!(by_key, expected);
+    assert!(table.customer_named("best").is_some());
+    assert!(table.customer_named("k3").is_none());
+}
+
+#[test_case(vec![customer("acme", &["k1"]), customer("best", &["k1"])], "customers best and acme hold the same key: give each its own keys"; "shared key")]
+#[test_case(vec![customer("acme", &["k1"]), customer("acme", &["k2"])], "customer acme is listed twice: keep one entry with all of its keys"; "listed twice")]
+#[test_case(vec![customer("a b", &[])], "customer name \"a b\" is not valid: use 1 to 200 printable ASCII characters"; "space in the name")]
+#[test_case(vec![customer("", &[])], "customer name \"\" is not valid: use 1 to 200 printable ASCII characters"; "no name")]
+fn invalid_customers_are_refused(customers: Vec<CustomerSpec>, expected: &str) {
+    let refused = Table::new(spec_with_customers(7, customers)).expect_err("an invalid version");
+    assert_eq!(refused.to_string(), expected);
+}
+
+/// A change of one customer among many costs the bytes of that one.
+#[test]
+fn difference_of_customers_is_small() {
+    let names: Vec<String> = (0..2_000).map(|it| format!("customer-{it}")).collect();
+    let customers: Vec<_> = names.iter().map(|it| customer(it, &[it])).collect();
+    let base = spec_with_customers(7, customers.clone());
+    let mut changed = customers;
+    changed[1_000].keys.clear();
+    changed.remove(3);
+    changed.push(customer("new", &["k-new"]));
+    let next = spec_with_customers(8, changed);
+    let difference = Difference::between(&base, &next);
+    let bytes = postcard::to_stdvec(&difference).expect("encodes").len();
+    assert!(bytes < 200, "{bytes}");
+    let applied = difference.apply(&base).expect("the same base");
+    let table = Table::new(applied).expect("a valid version");
+    assert!(table.customer_named("customer-3").is_none());
+    assert!(table.customer(&KeyDigest::of(b"customer-1000")).is_none());
+    assert!(table.customer(&KeyDigest::of(b"k-new")).is_some());
+    assert_eq!(table.spec().customers.len(), 2_000);
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -65,6 +65,10 @@
     pub origin: Origin,
     /// Whether the node watches the external configuration source. Default: always.
     pub watch: Watch,
+    /// Longest time for which a key works after it was taken away, in ms. Default: none.
+    ///
+    /// A node whose configuration was not confirmed as the newest for so long refuses requests with keys.
+    pub revoke: Option<u64>,
     /// Bandwidth of the host's link, in Mbit/s. Default: 1000.
     pub link: f64,
     /// Service of the upstream beside the node, sent as the caller's service to other upstreams. Default:
@@ -105,6 +109,7 @@
             notice: NOTICE_MS,
             origin: Origin::default(),
             watch: Watch::default(),
+            revoke: None,
             link: 1_000.0,
             service: None,
             dialect: Dialect::default(),
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -37,6 +37,8 @@
     view: Arc<ArcSwap<View>>,
     stats: Arc<ArcSwap<Stats>>,
     tokens: Arc<AtomicU64>,
+    /// See [`Control::known_since`].
+    known_since: Arc<AtomicU64>,
     /// Notified when the external source is to be checked for a newer version.
     checks: Arc<Notify>,
     /// Notified when this node starts or stops being a watcher of the external source.
@@ -116,6 +118,13 @@
         self.view.load_full()
     }
 
+    /// Returns the latest time at which the configuration in force was surely the newest; zero if never.
+    ///
+    /// It may belong to a newer version than a view that was read before: read it first.
+    pub fn known_since(&self) -> Ms {
+        Ms(self.known_since.load(Ordering::Acquire))
+    }
+
     /// Returns the statistics, at most about [`STATS_MS`] old.
     pub fn stats(&self) -> Arc<Stats> {
         self.stats.load_full()
@@ -152,6 +161,7 @@
             view: Arc::default(),
             stats: Arc::default(),
             tokens: Arc::default(),
+            known_since: Arc::default(),
             checks: Arc::default(),
             watcher_changes: Arc::default(),
         };
@@ -324,6 +334,10 @@
         for action in actions {
             self.execute(action);
         }
+        // After the view, so that a reader of both never takes an old view for a confirmed one.
+        let known_since = self.kernel.state().import.known_since();
+        let published = &self.control.known_since;
+        published.store(known_since.0, Ordering::Release);
     }
 
     fn execute(&mut self, action: Action) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -157,6 +157,7 @@
             dialect: config.dialect,
             service: config.service,
             link: config.link,
+            revoke: config.revoke,
         });
         let entry_connections = OpenConnections::new(clock.clone(), config.callers.connections);
         let owner_connections = OpenConnections::new(clock.clone(), config.nodes.connections);
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -10,6 +10,7 @@
 pub mod body;
 pub mod connections;
 pub mod counts;
+mod customers;
 pub mod denial;
 pub mod dialect;
 mod entry;
@@ -96,6 +97,8 @@
     dialect: Dialect,
     /// Service of the upstream beside this node.
     service: Option<Name>,
+    /// Longest time for which a key works after it was taken away, in ms.
+    revoke: Option<u64>,
     draining: AtomicBool,
     /// Becomes true when pending requests must be answered at once because the node stops.
     stopping: watch::Sender<bool>,
@@ -142,6 +145,8 @@
     pub service: Option<Name>,
     /// Bandwidth of the host's link, in Mbit/s.
     pub link: f64,
+    /// Longest time for which a key works after it was taken away, in ms.
+    pub revoke: Option<u64>,
 }
 
 impl Traffic {
@@ -160,6 +165,7 @@
             dialect,
             service,
             link,
+            revoke,
         } = parts;
         let traffic = Traffic(Arc::new(Shared {
             node,
@@ -177,6 +183,7 @@
             origin,
             dialect,
             service,
+            revoke,
             limiter: Mutex::default(),
             request_log: RequestLog::default(),
             buffered: Budget::new(BUFFERED_TOTAL),
--- a/crates/node/src/traffic/dialect.rs
+++ b/crates/node/src/traffic/dialect.rs
@@ -16,7 +16,7 @@
     #[default]
     Own,
     /// Header fields of a deployment.
-    Foreign(Fields),
+    Foreign(Box<Fields>),
 }
 
 /// Names of a deployment's header fields.
@@ -31,6 +31,10 @@
     /// To upstreams: instance that the request is meant for; any other instance answers 421 and does not run
     /// it.
     pub expected: HeaderName,
+    /// To upstreams: name of the customer whose key the request carries.
+    pub customer: HeaderName,
+    /// Scheme of the callers' field `authorization`, before the key.
+    pub scheme: &'static str,
     /// From upstreams: present on the answer to a request that was not run.
     pub not_run: HeaderName,
 }
@@ -107,6 +111,11 @@
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
+        if response.status() == StatusCode::UNAUTHORIZED {
+            let scheme = HeaderValue::from_static(self.scheme);
+            let map = response.headers_mut();
+            map.entry(header::WWW_AUTHENTICATE).or_insert(scheme);
+        }
         let map = response.headers_mut();
         [OUTCOME, REASON, RETRY_AFTER_MS].iter().for_each(|it| {
             map.remove(it);
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -208,6 +208,9 @@
         let mut retry = Retry::counting(counted, policy, plan.repeat, plan.deadline, plan.tree);
         let mut tried: Vec<NodeId> = Vec::new();
         for number in 1_u32.. {
+            if let Some(customer) = plan.customer.as_ref().filter(|_| number > 1) {
+                self.check_key(customer)?;
+            }
             let now = self.now();
             let choice = {
                 let state = plan.service.lock();
--- a/crates/node/src/traffic/plan.rs
+++ b/crates/node/src/traffic/plan.rs
@@ -25,6 +25,7 @@
 
 use super::{
     Traffic,
+    customers::Customer,
     denial::Denial,
     dialect::Dialect,
     headers::{self, BUDGET},
@@ -57,6 +58,8 @@
     pub(super) path: PathAndQuery,
     pub(super) method: Method,
     pub(super) headers: HeaderMap,
+    /// Customer that the request belongs to, if it carries a key.
+    pub(super) customer: Option<Customer>,
     /// Decision to be written to the log, if routes have names.
     pub(super) decision: Option<RouteDecision>,
 }
@@ -64,6 +67,7 @@
 impl Traffic {
     /// Looks up the route of a request and the limits that it sets.
     pub(super) fn plan(&self, parts: Parts, peer: SocketAddr) -> Result<Plan, Denial> {
+        let known_since = self.0.control.known_since();
         let view = self.view();
         // After a restart the node may hold an older configuration than the one it served before.
         if !view.ready {
@@ -72,12 +76,17 @@
         }
         match self.0.origin {
             Origin::Submitted => self.plan_by_document(&view, parts, peer),
-            Origin::Imported => self.plan_by_table(&view, parts),
+            Origin::Imported => self.plan_by_table(&view, known_since, parts),
         }
     }
 
     /// Looks up the route in the table of an imported configuration.
-    fn plan_by_table(&self, view: &Arc<View>, parts: Parts) -> Result<Plan, Denial> {
+    fn plan_by_table(
+        &self,
+        view: &Arc<View>,
+        known_since: Ms,
+        parts: Parts,
+    ) -> Result<Plan, Denial> {
         let now = self.now();
         let authority: Arc<str> = Arc::from(authority(&parts)?);
         let path = path_of(&parts);
@@ -87,6 +96,14 @@
             return Err(Denial::bad(StatusCode::NOT_FOUND, "no-route", why));
         };
         let deadline = self.deadline(&parts.headers, now, route.timeout)?;
+        let mut headers = parts.headers;
+        // First, or a caller could have the fields below removed by naming them in `connection`.
+        headers::strip_hop(&mut headers);
+        headers::strip_internal(&mut headers);
+        headers.remove(header::HOST);
+        let customer = self.identify(view, known_since, route, &mut headers)?;
+        let priority = customer.as_ref().and_then(|it| it.priority);
+        let priority = priority.unwrap_or(route.priority);
         let name = route.target(&mut rand::rng()).clone();
         let Some(found) = view.services.get(&name) else {
             // Not expected: a valid table only names services that it holds, and so does the view.
@@ -97,16 +114,13 @@
         let decision = RouteDecision {
             route: route.name.clone(),
             service: name.clone(),
-            priority: route.priority,
+            priority,
+            customer: customer.as_ref().map(|it| it.name.clone()),
             version: view.table.version(),
             left: deadline.left(now),
             goal: goal.since(now),
             endpoints: found.endpoints.len(),
         };
-        let mut headers = parts.headers;
-        headers::strip_hop(&mut headers);
-        headers::strip_internal(&mut headers);
-        headers.remove(header::HOST);
         if let Dialect::Foreign(fields) = &self.0.dialect {
             headers.remove(&fields.deadline);
             headers.remove(&fields.expected);
@@ -117,8 +131,8 @@
         }
         Ok(Plan {
             service: self.0.services.get(now, view, &name, found),
-            class: routing::class_of(route.priority),
-            priority: Some(route.priority),
+            class: routing::class_of(priority),
+            priority: Some(priority),
             kind: Kind::of(&route.name),
             goal,
             repeat: route.repeat,
@@ -134,6 +148,7 @@
             path,
             method: parts.method,
             headers,
+            customer,
             decision: Some(decision),
         })
     }
@@ -197,6 +212,7 @@
             path,
             method: parts.method,
             headers,
+            customer: None,
             decision: None,
         })
     }
--- a/crates/node/src/traffic/report.rs
+++ b/crates/node/src/traffic/report.rs
@@ -32,8 +32,10 @@
     pub route: Arc<str>,
     /// Service chosen among the route's targets.
     pub service: Name,
-    /// Priority of the route.
+    /// Priority of the route or of the customer.
     pub priority: u8,
+    /// Customer that the request belongs to, if it carries a key.
+    pub customer: Option<Arc<str>>,
     /// Version of the configuration that the decision is based on.
     pub version: u64,
     /// Time until the deadline at the start, in ms.
@@ -114,6 +116,10 @@
                 ("route", decision.route.to_string()),
                 ("service", decision.service.to_string()),
                 ("priority", decision.priority.to_string()),
+                (
+                    "customer",
+                    decision.customer.as_deref().unwrap_or_default().to_owned(),
+                ),
                 ("version", decision.version.to_string()),
                 ("left", decision.left.to_string()),
                 ("goal", decision.goal.to_string()),
