Quotas of customers over the whole fleet, by tokens that one holder grants

A customer belongs to one of 32 buckets, a bucket to the first reachable node of a rendezvous order. The holder keeps a token bucket a customer; entries spend tokens, keep half a second's worth, and ask when they run out. Why no quota is passed: what all entries hold unspent stays within half of the tolerated excess, tokens end after 5 s counted from the ask, a node that becomes the holder claims the accounts from those that may have them and starts empty after 1 s without an answer, a holder that was paused or restarted starts so too, and the parts of a partitioned fleet grant their share of the members each. No holder in reach: refused as not run, with 503 and a time to come back; over the quota: 429 at once with the time at which there is room. What was not run is given back.

Tests: kernel/tests/quota.rs, entries over 20 simulated kernels: none refused below the quota wherever requests move, a hot customer gets 90% of it or more and no more, 24 seeds of cuts, restarts and pauses pass no quota, a lowered quota binds after a window.

--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -54,11 +54,13 @@
     Guard,
     /// Versions and roll-outs of an external source.
     Import,
+    /// Quotas of customers.
+    Quota,
 }
 
 impl Kind {
     /// Every kind, in the order of [`Traffic`]'s counters.
-    pub const ALL: [Kind; 7] = [
+    pub const ALL: [Kind; 8] = [
         Kind::Probe,
         Kind::Members,
         Kind::Accept,
@@ -66,6 +68,7 @@
         Kind::Once,
         Kind::Guard,
         Kind::Import,
+        Kind::Quota,
     ];
 
     /// Returns the kind that `message` is counted as.
@@ -77,6 +80,7 @@
             Message::Once(_) => Kind::Once,
             Message::Guard(_) => Kind::Guard,
             Message::Import(_) | Message::Rollout(_) => Kind::Import,
+            Message::Quota(_) => Kind::Quota,
         }
     }
 
@@ -90,6 +94,7 @@
             Kind::Once => "once",
             Kind::Guard => "guard",
             Kind::Import => "import",
+            Kind::Quota => "quota",
         }
     }
 }
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -11,7 +11,7 @@
     id::{Build, CallId, Name, NodeId, Seq, Token},
     import, members, once,
     platform::{Era, ObjectAnswer, ObjectOp, TableAnswer, TableOp},
-    restore, rollout,
+    quota, restore, rollout,
     routing::Table,
     spread,
     view::View,
@@ -104,6 +104,8 @@
     Restore(restore::Message),
     /// Roll-outs of builds.
     Rollout(rollout::Message),
+    /// Quotas of customers.
+    Quota(quota::Message),
 }
 
 /// A call of an operator or a traffic thread to the control thread.
@@ -117,6 +119,8 @@
     Guard(guard::Call),
     /// Queries which nodes lack the newest configuration.
     Status,
+    /// Asks for tokens of a customer's quota.
+    Quota(quota::Ask),
 }
 
 /// The answer to a [`Call`].
@@ -130,6 +134,8 @@
     Guard(guard::Reply),
     /// Answers [`Call::Status`].
     Status(spread::Status),
+    /// Answers [`Call::Quota`].
+    Quota(quota::Answer),
 }
 
 /// An output of the kernel, carried out by the driver.
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -17,6 +17,7 @@
     members::Members,
     once::Once,
     platform::{ObjectOp, TableOp},
+    quota::Quotas,
     restore::Restore,
     rollout::Rollouts,
     settings::{Origin, Settings},
@@ -77,6 +78,8 @@
     pub members: Members,
     /// Detection of a restored platform store.
     pub restore: Restore,
+    /// Quotas of customers.
+    pub quotas: Quotas,
     /// Roll-outs of builds.
     pub rollouts: Rollouts,
     /// Claims of requests that run at most once.
@@ -186,6 +189,7 @@
                 spread: Spread::new(&settings),
                 members: Members::new(&settings),
                 restore: Restore::default(),
+                quotas: Quotas::default(),
                 rollouts: Rollouts::default(),
                 once: Once::default(),
                 guard: Guard::default(),
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod once;
 pub mod pick;
 pub mod platform;
+pub mod quota;
 pub mod refusal;
 pub mod restore;
 pub mod retry;
--- a/crates/kernel/src/refusal.rs
+++ b/crates/kernel/src/refusal.rs
@@ -31,10 +31,12 @@
     LinkFull,
     /// The node cannot know whether the customer's key is still valid.
     Unconfirmed,
+    /// The node cannot know how much of the customer's quota is left.
+    NoQuota,
 }
 
 /// All reasons.
-pub const REASONS: [Reason; 13] = [
+pub const REASONS: [Reason; 14] = [
     Reason::NotReady,
     Reason::Draining,
     Reason::Overloaded,
@@ -48,6 +50,7 @@
     Reason::Shed,
     Reason::LinkFull,
     Reason::Unconfirmed,
+    Reason::NoQuota,
 ];
 
 /// Answer to a request that was not run.
@@ -92,6 +95,7 @@
             Reason::Shed => "shed",
             Reason::LinkFull => "link-full",
             Reason::Unconfirmed => "config-unconfirmed",
+            Reason::NoQuota => "quota-unknown",
         }
     }
 
@@ -104,7 +108,8 @@
             | Reason::QueueFull
             | Reason::Shed
             | Reason::LinkFull
-            | Reason::Unconfirmed => Remedy::Elsewhere,
+            | Reason::Unconfirmed
+            | Reason::NoQuota => Remedy::Elsewhere,
             Reason::Limited | Reason::Quarantined | Reason::NoClaim | Reason::NoEndpoint => {
                 Remedy::Later
             }
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -7,6 +7,7 @@
     id::{Name, NodeId},
     import::Watch,
     once::OnceSettings,
+    quota::QuotaSettings,
 };
 
 /// Settings of one kernel, already checked by the driver.
@@ -34,6 +35,8 @@
     pub spread: SpreadSettings,
     /// Claims. Default: [`OnceSettings::default`].
     pub once: OnceSettings,
+    /// Tolerance of customers' quotas. Default: [`QuotaSettings::default`].
+    pub quota: QuotaSettings,
     /// Minimum time from a stop until a node with an upstream leaves, in ms. Default: [`NOTICE_MS`].
     pub notice: u64,
 }
@@ -157,6 +160,7 @@
             accept: AcceptSettings::default(),
             spread: SpreadSettings::default(),
             once: OnceSettings::default(),
+            quota: QuotaSettings::default(),
             notice: NOTICE_MS,
         }
     }
--- a/crates/kernel/tests/common/driver.rs
+++ b/crates/kernel/tests/common/driver.rs
@@ -14,6 +14,7 @@
     accept::{self, Entry, Submission, Verdict, rows},
     log::Edit,
     platform::{ABSENT, Check, Fault, ObjectAnswer, ObjectOp, Row, TableAnswer, TableOp, Write},
+    quota,
 };
 
 /// Outcome of a commit of the log.
@@ -71,6 +72,8 @@
     pub objects_down: bool,
     /// Kernels that receive no messages.
     pub unreachable: BTreeSet<usize>,
+    /// Kernels that neither send nor receive anything.
+    pub isolated: BTreeSet<usize>,
     /// Kernels that have stopped.
     pub dead: BTreeSet<usize>,
     /// Hook for sent messages; none by default.
@@ -117,6 +120,7 @@
             down: false,
             objects_down: false,
             unreachable: BTreeSet::new(),
+            isolated: BTreeSet::new(),
             dead: BTreeSet::new(),
             tap: None,
             checks: None,
@@ -186,6 +190,15 @@
         token
     }
 
+    /// Makes a call about a quota to a kernel.
+    pub fn call_quota(&mut self, index: usize, ask: quota::Ask) -> Token {
+        self.count += 1;
+        let token = Token(self.count);
+        let call = Call::Quota(ask);
+        self.step(index, Event::Call { token, call });
+        token
+    }
+
     pub fn submit(&mut self, index: usize, submission: &Submission) -> Token {
         self.call(index, accept::Call::Submit(submission.clone()))
     }
@@ -287,7 +300,9 @@
 
     fn act(&mut self, index: usize, action: Action) {
         match action {
+            Action::Send { .. } if self.isolated.contains(&index) => {}
             Action::Send { to, message } => self.send(index, to, message),
+            Action::Probe { .. } if self.isolated.contains(&index) => {}
             Action::Probe { to, packet } => {
                 let from = node(index);
                 self.deliver(to, Event::Probe { from, packet });
@@ -350,7 +365,8 @@
 
     fn deliver(&mut self, to: NodeId, event: Event) {
         let index = (0..self.kernels.len()).find(|it| node(*it) == to);
-        if let Some(index) = index.filter(|it| !self.unreachable.contains(it)) {
+        let is_cut = |it: &usize| self.unreachable.contains(it) || self.isolated.contains(it);
+        if let Some(index) = index.filter(|it| !is_cut(it)) {
             self.schedule(DELAY, Due::Event(index, event));
         }
     }
--- /dev/null
+++ b/crates/kernel/tests/quota.rs
@@ -0,0 +1,139 @@
+//! Quotas of customers over a fleet of kernels: none is exceeded, and none is refused below it.
+
+#[path = "common/demand.rs"]
+mod demand;
+#[path = "common/driver.rs"]
+mod driver;
+#[path = "common/imported.rs"]
+mod imported;
+
+use demand::Demand;
+use laburnum_kernel::customer::Quota;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
+
+const HOSTS: usize = 20;
+
+fn quota(rate: u64, burst: u64) -> Quota {
+    Quota {
+        rate: rate * 1_000,
+        burst,
+    }
+}
+
+/// Below their quotas, customers of very unequal size are not refused, wherever their requests arrive.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn none_is_refused_below_its_quota(seed: u64) {
+    let mut demand = Demand::new(seed, HOSTS, &[(300, 60), (20, 10), (3, 3)]);
+    for (customer, rate) in [200.0, 12.0, 1.0].into_iter().enumerate() {
+        demand.spread(customer, rate);
+    }
+    demand.run(20_000);
+    for customer in 0..3 {
+        let (ran, refused, unknown) = demand.counts(customer);
+        assert_eq!((refused, unknown), (0, 0), "customer {customer} of {ran}");
+    }
+    // All of a customer's requests move to one host.
+    demand.customers[0].rates = vec![0.0; HOSTS];
+    demand.customers[0].rates[7] = 200.0;
+    demand.reset_counts();
+    demand.run(10_000);
+    let (ran, refused, unknown) = demand.counts(0);
+    assert!(refused * 200 <= ran, "{refused} of {ran} refused");
+    assert_eq!(unknown, 0);
+}
+
+/// A customer that sends many times its quota gets about all of it and no more.
+#[test_case(300, 60)]
+#[test_case(20, 10)]
+#[test_case(3, 3)]
+fn hot_customer_gets_its_quota_and_no_more(rate: u64, burst: u64) {
+    let mut demand = Demand::new(rate, HOSTS, &[(rate, burst)]);
+    demand.spread(0, rate as f64 * 0.6);
+    demand.run(5_000);
+    demand.spread(0, rate as f64 * 5.0);
+    demand.run(20_000);
+    assert!(demand.excess(0, quota(rate, burst)) <= 0);
+    demand.reset_counts();
+    demand.run(20_000);
+    let (ran, _, unknown) = demand.counts(0);
+    let owed = rate as usize * 20;
+    assert!(ran * 100 >= owed * 90, "{ran} of {owed}");
+    assert_eq!(unknown, 0);
+}
+
+/// Guards against a quota that is granted twice after holders were cut off, restarted or paused, in random combinations.
+#[test]
+fn faults_exceed_no_quota() {
+    let mut failed = Vec::new();
+    for seed in 0..SEEDS {
+        let excess = run_faults(seed);
+        if excess.iter().any(|it| *it > 0) {
+            failed.push((seed, excess));
+        }
+    }
+    assert!(failed.is_empty(), "{} seeds: {failed:?}", failed.len());
+}
+
+const SEEDS: u64 = 24;
+
+/// Returns the excess of each customer over its quota.
+fn run_faults(seed: u64) -> Vec<i64> {
+    const QUOTAS: [(u64, u64); 3] = [(300, 60), (20, 10), (3, 3)];
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut demand = Demand::new(seed, HOSTS, &QUOTAS);
+    for (customer, (rate, _)) in QUOTAS.into_iter().enumerate() {
+        demand.spread(customer, rate as f64 * rng.random_range(0.5..6.0));
+    }
+    demand.run(3_000);
+    for _ in 0..6 {
+        let share = rng.random_range(1..=HOSTS / 3);
+        let hosts: Vec<usize> = (0..share).map(|_| rng.random_range(0..HOSTS)).collect();
+        let millis = rng.random_range(300..7_000);
+        match rng.random_range(0..3) {
+            0 => {
+                demand.driver.isolated.extend(&hosts);
+                demand.run(millis);
+                demand.driver.isolated.clear();
+            }
+            1 => {
+                for host in &hosts {
+                    demand.restart(*host);
+                }
+                demand.run(millis);
+            }
+            _ => {
+                demand.driver.dead.extend(&hosts);
+                demand.run(millis);
+                demand.driver.dead.clear();
+            }
+        }
+        demand.run(rng.random_range(0..3_000));
+    }
+    let excess = QUOTAS.into_iter().enumerate();
+    let excess =
+        excess.map(|(customer, (rate, burst))| demand.excess(customer, quota(rate, burst)));
+    excess.collect()
+}
+
+/// A lowered quota binds one window after it is in force, and a raised one is usable at once.
+#[test]
+fn changed_quota_is_in_force() {
+    let mut demand = Demand::new(5, HOSTS, &[(300, 60)]);
+    demand.spread(0, 1_000.0);
+    demand.run(6_000);
+    demand.set_quota(0, (50, 10));
+    demand.run(5_500);
+    demand.reset_counts();
+    demand.run(10_000);
+    assert!(demand.excess(0, quota(50, 10)) <= 0);
+    demand.set_quota(0, (300, 60));
+    demand.run(1_000);
+    demand.reset_counts();
+    demand.run(10_000);
+    let (ran, ..) = demand.counts(0);
+    assert!(ran >= 2_700, "{ran}");
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -8,6 +8,7 @@
     drain::NOTICE_MS,
     import::Watch,
     once::OnceSettings,
+    quota::QuotaSettings,
     settings::{Origin, SpreadSettings},
 };
 
@@ -69,6 +70,8 @@
     ///
     /// A node whose configuration was not confirmed as the newest for so long refuses requests with keys.
     pub revoke: Option<u64>,
+    /// Tolerance of customers' quotas. Default: [`QuotaSettings::default`].
+    pub quota: QuotaSettings,
     /// Bandwidth of the host's link, in Mbit/s. Default: 1000.
     pub link: f64,
     /// Service of the upstream beside the node, sent as the caller's service to other upstreams. Default:
@@ -110,6 +113,7 @@
             origin: Origin::default(),
             watch: Watch::default(),
             revoke: None,
+            quota: QuotaSettings::default(),
             link: 1_000.0,
             service: None,
             dialect: Dialect::default(),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -117,6 +117,7 @@
             once: OnceSettings {
                 retention: config.retention,
             },
+            quota: config.quota,
             notice: config.notice,
         };
         let node = settings.node;
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -24,6 +24,7 @@
 mod plan;
 pub mod pool;
 pub mod proof;
+mod quota;
 pub mod report;
 pub mod serve;
 pub mod services;
@@ -66,6 +67,7 @@
 use link_budget::LinkBudget;
 use peers::Peers;
 use proof::{Proofs, Unproven};
+use quota::Purses;
 use report::RequestLog;
 use serve::ConnectionPeer;
 use services::Services;
@@ -87,6 +89,7 @@
     proofs: Proofs,
     services: Services,
     trial: Trial,
+    purses: Purses,
     faults: Arc<Faults>,
     counts: Counts,
     limiter: Mutex<Limiter>,
@@ -178,6 +181,7 @@
             proofs,
             services: Services::new(node, place, origin),
             trial: Trial::default(),
+            purses: Purses::default(),
             faults,
             counts,
             origin,
--- a/crates/node/src/traffic/denial.rs
+++ b/crates/node/src/traffic/denial.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Returns whether no endpoint ran the request.
+    pub fn is_not_run(&self) -> bool {
+        self.outcome() == NOT_RUN
+    }
+
     /// Returns the stable name used in headers, logs and metrics.
     pub fn reason(&self) -> &'static str {
         match self {
--- a/crates/node/src/traffic/dialect.rs
+++ b/crates/node/src/traffic/dialect.rs
@@ -6,6 +6,7 @@
 
 use axum::body::Body;
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
+use laburnum_kernel::refusal::Reason;
 
 use super::headers::{self, DEADLINE, NOT_RUN, OUTCOME, PREFIX, REASON, RETRY_AFTER_MS};
 
@@ -102,8 +103,11 @@
         let refusal = headers::refusal(response.headers());
         let not_run = response.headers().get(OUTCOME) == Some(&NOT_RUN);
         if let (true, Some(refusal)) = (not_run, refusal) {
-            // For these callers only a 503 guarantees that the request was not run.
-            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            // For these callers only a 503, or a 429 for a quota, guarantees that the request was not run.
+            *response.status_mut() = match refusal.reason {
+                Reason::Limited => StatusCode::TOO_MANY_REQUESTS,
+                _ => StatusCode::SERVICE_UNAVAILABLE,
+            };
             let seconds = format!("{:.3}", refusal.after as f64 / 1000.0);
             headers::insert_text(response.headers_mut(), header::RETRY_AFTER, &seconds);
             // These callers retry on a new connection; under overload the idle old ones would use most of the
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -161,6 +161,9 @@
     ) -> Result<Response<Body>, Denial> {
         let mut prior = PriorOutcome::NotRun;
         let mut stopping = self.0.stopping.subscribe();
+        if let Some(customer) = &plan.customer {
+            self.charge(customer).await?;
+        }
         let result = tokio::select! {
             biased;
             it = self.forward(&plan, incoming, &mut prior, trace) => it,
@@ -168,7 +171,7 @@
             // the caller unsure whether the request ran.
             _ = stopping.wait_for(|it| *it) => Err(shutdown_denial(&prior)),
         };
-        match (prior, result) {
+        let result = match (prior, result) {
             (PriorOutcome::NotRun, result) => result,
             (PriorOutcome::Unknown, Err(denial)) => Err(denial.after_unknown_attempt()),
             (PriorOutcome::Unknown, Ok(response))
@@ -177,7 +180,11 @@
                 Err(Denial::Refused(Refusal::new(Reason::Expired)).after_unknown_attempt())
             }
             (PriorOutcome::Unknown, Ok(response)) => Ok(response),
+        };
+        if let Some(customer) = plan.customer.as_ref().filter(|_| was_not_run(&result)) {
+            self.give_back(customer);
         }
+        result
     }
 
     async fn forward(
@@ -525,6 +532,14 @@
     }
 }
 
+/// Returns whether no endpoint ran the request.
+fn was_not_run(result: &Result<Response<Body>, Denial>) -> bool {
+    match result {
+        Ok(response) => response.headers().get(OUTCOME) == Some(&NOT_RUN),
+        Err(denial) => denial.is_not_run(),
+    }
+}
+
 /// Returns the denial for a request that is pending when the node stops.
 fn shutdown_denial(prior: &PriorOutcome) -> Denial {
     match prior {
