A host that gets its first version knows at once that it is the newest

Cause: a query was dated only by hosts that know of customers, and the first query of a process is sent before it holds a version, so the answer that brought the version proved nothing; the next query came a second later. Queries without a version are dated too.

--- a/crates/kernel/src/import/query.rs
+++ b/crates/kernel/src/import/query.rs
@@ -89,10 +89,12 @@
         .pending
         .entry(peer)
         .or_insert(cx.now);
+    let version = state.import.table.version();
     let message = Message::Ask {
-        version: state.import.table.version(),
+        version,
         status: own_status(cx, state),
-        sent: state.import.table.has_customers().then_some(cx.now),
+        // A node without a version does not know whether there are customers.
+        sent: (version == 0 || state.import.table.has_customers()).then_some(cx.now),
     };
     cx.send(peer, event::Message::Import(message));
 }
--- a/crates/kernel/tests/knowledge.rs
+++ b/crates/kernel/tests/knowledge.rs
@@ -92,3 +92,32 @@
         }
     }
 }
+
+/// Guards against hosts that refuse keys for a second after their start although the version came with its confirmation.
+#[test]
+fn restarted_hosts_know_the_version_as_it_arrives() {
+    let mut fleet = fleet(3, 30, 6);
+    let slow: Vec<usize> = (10..20).collect();
+    for index in &slow {
+        fleet.restart(*index);
+    }
+    let mut delays = Vec::new();
+    let mut held = vec![None; 30];
+    for _ in 0..500 {
+        fleet.run(10);
+        let now = fleet.driver.now;
+        for index in &slow {
+            if fleet.version(*index) > 0 {
+                let since = *held[*index].get_or_insert(now);
+                if known_since(&fleet, *index) > Ms(0) && delays.len() < slow.len() {
+                    let known = delays.iter().any(|(it, _)| it == index);
+                    if !known {
+                        delays.push((*index, now.since(since)));
+                    }
+                }
+            }
+        }
+    }
+    assert_eq!(delays.len(), slow.len());
+    assert!(delays.iter().all(|(_, delay)| *delay <= 20), "{delays:?}");
+}
