--- a/crates/kernel/src/import.rs
+++ b/crates/kernel/src/import.rs
@@ -151,6 +151,12 @@
         self.knowledge.since()
     }
 
+    /// Returns the time for which the version in force was not surely the newest, or since the start if it never
+    /// was, in ms.
+    pub fn unknown(&self, now: Ms) -> u64 {
+        now.since(self.known_since().max(self.started))
+    }
+
     /// Returns how often the source stopped answering since the process started.
     pub fn losses(&self) -> u64 {
         self.losses
--- a/crates/kernel/src/quota/holders.rs
+++ b/crates/kernel/src/quota/holders.rs
@@ -256,7 +256,7 @@
 fn update_order(cx: &mut Context<'_>, state: &mut State) {
     let (order, share) = rank(state);
     let holders = &mut state.quotas.holders;
-    holders.share = share;
+    let former_share = std::mem::replace(&mut holders.share, share);
     let before = std::mem::replace(&mut holders.order, order);
     for (bucket, before) in before.iter().enumerate() {
         match holders.next_step(cx.now, bucket, cx.settings.node, before.first()) {
@@ -279,6 +279,14 @@
             }
         }
     }
+    if former_share != share && holders.held() > 0 {
+        let pairs = vec![
+            ("held", holders.held().to_string()),
+            ("reachable", share.reachable.to_string()),
+            ("known", share.known.to_string()),
+        ];
+        cx.log("quota-holder", pairs);
+    }
 }
 
 /// Returns the first nodes of each bucket, and the part of the fleet that can be reached.
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -68,6 +68,10 @@
     pub silence: u64,
     /// Age of the configuration: time since the version in force was last confirmed as the newest, in ms.
     pub age: u64,
+    /// Time for which the version in force was not surely the newest, or since the start if it never was, in ms.
+    pub unknown: u64,
+    /// Buckets of customers whose quotas this node counts.
+    pub buckets: usize,
     /// Number of times that the platform's store was restored to an older copy.
     pub restores: u64,
 }
@@ -276,6 +280,8 @@
             losses: state.import.losses(),
             silence: state.import.silence(self.clock.now()),
             age: state.import.age(self.clock.now()),
+            unknown: state.import.unknown(self.clock.now()),
+            buckets: state.quotas.held(),
             restores: state.restore.restores(),
         };
         self.control.stats.store(Arc::new(stats));
--- a/crates/node/src/metrics/table.rs
+++ b/crates/node/src/metrics/table.rs
@@ -10,7 +10,7 @@
 use crate::traffic::connections::OpenConnections;
 
 /// Every metric.
-pub const TABLE: [Row; 40] = [
+pub const TABLE: [Row; 42] = [
     gauge(
         "laburnum_seq",
         "Position in the log of changes that this node is at.",
@@ -46,6 +46,16 @@
         "Time since the configuration in force was known to be the newest.",
         |it| one(it.control.stats().age),
     ),
+    gauge(
+        "laburnum_config_unknown_ms",
+        "Time for which the configuration in force was not surely the newest.",
+        |it| one(it.control.stats().unknown),
+    ),
+    gauge(
+        "laburnum_quota_buckets",
+        "Buckets of customers whose quotas this node counts, of 32.",
+        |it| one(it.control.stats().buckets as u64),
+    ),
     counter(
         "laburnum_store_restores_total",
         "Times that the platform's store was put back to an older copy.",
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -102,6 +102,8 @@
     service: Option<Name>,
     /// Longest time for which a key works after it was taken away, in ms.
     revoke: Option<u64>,
+    /// Whether requests with keys are refused because the configuration is unconfirmed.
+    keys_refused: AtomicBool,
     draining: AtomicBool,
     /// Becomes true when pending requests must be answered at once because the node stops.
     stopping: watch::Sender<bool>,
@@ -188,6 +190,7 @@
             dialect,
             service,
             revoke,
+            keys_refused: AtomicBool::new(false),
             limiter: Mutex::default(),
             request_log: RequestLog::default(),
             buffered: Budget::new(BUFFERED_TOTAL),
--- a/crates/node/src/traffic/customers.rs
+++ b/crates/node/src/traffic/customers.rs
@@ -1,6 +1,6 @@
 //! Keys of customers at the entry.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use http::{HeaderMap, StatusCode, header};
 use laburnum_kernel::{
@@ -10,6 +10,8 @@
     routing::RouteSpec,
 };
 
+use crate::logs;
+
 use super::{
     Traffic,
     denial::Denial,
@@ -96,9 +98,14 @@
         let Some(bound) = self.0.revoke else {
             return Ok(());
         };
-        match self.now().since(known_since) < bound {
-            true => Ok(()),
-            false => Err(Denial::Refused(Refusal::after(
+        let age = self.now().since(known_since);
+        let is_refusing = age >= bound;
+        if self.0.keys_refused.swap(is_refusing, Ordering::Relaxed) != is_refusing {
+            log_key_gate(is_refusing, known_since, age);
+        }
+        match is_refusing {
+            false => Ok(()),
+            true => Err(Denial::Refused(Refusal::after(
                 Reason::Unconfirmed,
                 UNCONFIRMED_MS,
             ))),
@@ -133,6 +140,20 @@
     Ok(KeyDigest::of(key))
 }
 
+fn log_key_gate(is_refusing: bool, known_since: Ms, age: u64) {
+    let state = match is_refusing {
+        true => "refused",
+        false => "accepted",
+    };
+    // A process that has not heard of the source has no age.
+    let age = match known_since {
+        Ms(0) => String::new(),
+        _ => age.to_string(),
+    };
+    let pairs = [("state", state.to_owned()), ("age_ms", age)];
+    logs::event("customer-keys", &pairs);
+}
+
 fn unauthorized(fault: KeyFault) -> Denial {
     let reason = match fault {
         KeyFault::Missing => "no-key",
