No retry is sent with less time left than an answer takes on its way

What callers saw: of requests whose upstream held them to the deadline, some got 502 (earlier attempt unknown) in place of 504, and each cost a second attempt that could not be answered. Cause: an entry gives owners up to 10 ms less than it has, so a missed deadline comes back with 10 ms left, and an idempotent request was sent again at once. Case in kernel/tests/retry.rs, which failed before.

--- a/crates/kernel/src/retry.rs
+++ b/crates/kernel/src/retry.rs
@@ -20,6 +20,9 @@
 const BUDGET_CAP: u64 = 10 * RETRY_COST;
 /// Interval at which a budget is refilled to at least one retry, in ms.
 const BUDGET_REFILL_MS: u64 = 2_000;
+/// Least time left with which a retry is sent, in ms. An entry gives owners a few ms less than it has itself, so that one
+/// that missed the deadline would else be followed by another attempt that cannot be answered.
+pub const LEAST_LEFT_MS: u64 = 20;
 /// First and longest back-off, in ms.
 const BACKOFF_MS: (u64, u64) = (5, 200);
 
@@ -289,7 +292,7 @@
                 after.max(self.backoff(rng))
             }
         };
-        if after >= self.deadline.left(now) {
+        if after + LEAST_LEFT_MS > self.deadline.left(now) {
             return Next::GiveUp(GiveUp::Deadline);
         }
         if !budget.spend(now) {
--- a/crates/kernel/tests/retry.rs
+++ b/crates/kernel/tests/retry.rs
@@ -54,6 +54,8 @@
 #[test_case(Repeat::Idempotent, not_run(Reason::Expired, 0), Untried::Some, 500, FINAL; "expired")]
 #[test_case(Repeat::Idempotent, not_run(Reason::Cancelled, 0), Untried::Some, 500, FINAL; "cancelled")]
 #[test_case(Repeat::Idempotent, Failure::Unknown, Untried::Some, 0, LATE; "no time left")]
+#[test_case(Repeat::Idempotent, Failure::Unknown, Untried::Some, 10, LATE; "the owner missed the deadline")]
+#[test_case(Repeat::Idempotent, Failure::Unknown, Untried::Some, 20, AT_ONCE; "just enough time left")]
 fn only_safe_failures_are_retried(
     repeat: Repeat,
     failure: Failure,
