--- a/crates/kernel/src/admission.rs
+++ b/crates/kernel/src/admission.rs
@@ -374,6 +374,9 @@
 
     /// Raises the consumption of a class that begins to wait to the virtual time, so that an idle class gains no
     /// credit.
+    ///
+    /// That is the level at which the last request started, not the consumption of the other classes: a background
+    /// request counts six times as much as an interactive one, and a class that waits behind it must not pay for that.
     fn activate(&mut self, now: Ms, class: Class) {
         let consumed = &mut self.consumed[index(class)];
         *consumed = consumed.max(self.virtual_time);
--- a/crates/kernel/src/admission/kinds.rs
+++ b/crates/kernel/src/admission/kinds.rs
@@ -40,8 +40,9 @@
 
 /// Maximum number of kinds besides whole ranks.
 const KINDS_MAX: usize = 32;
-/// Weight of a new sample in the mean service time. The first samples of a new kind weigh more, so that it soon departs
-/// from the mean of its rank.
+/// Weight of a new sample in the mean service time: some thirty samples count, half a second of a busy upstream, so that a
+/// slowed upstream is noticed within a second. The first samples of a new kind weigh more, so that it soon departs from
+/// the mean of its rank.
 const SERVICE_GAIN: f64 = 0.03;
 /// Service time assumed before the first sample, in ms.
 const INITIAL_SERVICE_MS: f64 = 50.0;
--- a/crates/kernel/src/admission/limit.rs
+++ b/crates/kernel/src/admission/limit.rs
@@ -2,7 +2,8 @@
 //!
 //! The limit grows while the latency of a window stays near the baseline of its class, and shrinks when it does not or
 //! when the upstream sheds load. A probe, one window at a quarter of the slots, measures the baseline, so that it
-//! follows a slower upstream but not queueing caused by the limit itself.
+//! follows a slower upstream but not queueing caused by the limit itself. A baseline that only followed the latency would
+//! slowly accept any queueing as normal; one that never rose would starve an upstream that has become slower for good.
 
 use crate::{
     admission::queue::{CLASSES, index},
--- a/crates/kernel/src/admission/link.rs
+++ b/crates/kernel/src/admission/link.rs
@@ -1,17 +1,19 @@
 //! Admission of large request bodies by the bandwidth of the host's link.
 //!
-//! On a slow link, bodies that arrive faster than it carries queue up in the network, delay short requests and answers
-//! by seconds and make connections time out. So a body that exceeds the backlog is refused before it is read.
+//! On a slow link, bodies that arrive faster than it carries queue up in the network, where no order, deadline or refusal
+//! reaches them. They delay short requests and answers by seconds, and acknowledgements for so long that live connections
+//! time out. So a body that exceeds the backlog is refused before it is read.
 
 use crate::refusal::{Reason, Refusal};
 
-/// Maximum length of bodies that bypass the gate, in bytes.
+/// Maximum length of bodies that bypass the gate, in bytes: a few packets, like the header of any request.
 pub const UNGATED_MAX_BYTES: u64 = 8 * 1024;
 /// Length assumed for a body of unknown length, in bytes: the longest that is buffered whole.
 pub const UNKNOWN_LENGTH_BYTES: u64 = 64 * 1024;
 /// Share of the link for bodies. The rest carries short requests, answers and control traffic.
 const SHARE: f64 = 0.7;
-/// Maximum time in which all admitted bodies must be able to arrive, in ms.
+/// Maximum time in which all admitted bodies must be able to arrive, in ms: about five bodies of 60 KB at 7 Mbit/s. Twice
+/// as much serves less under load, and half refuses more uploads on a calm day.
 const BACKLOG_MS: u64 = 500;
 
 /// Limits the admitted bodies of one link.
--- a/crates/kernel/src/admission/ranks.rs
+++ b/crates/kernel/src/admission/ranks.rs
@@ -1,8 +1,12 @@
 //! Admission control by priority and latency goal, for routes that set both.
 //!
 //! Waiting requests run by priority; within one, first those that can still reach their goal, earliest goal first, then
-//! the late ones, earliest deadline first. Service times are averaged per kind of request. A request that would wait
-//! too long is refused at once, and a lower priority gets at least one start every [`STARVATION_MS`] while it waits.
+//! the late ones, earliest deadline first. A request that starts too late for its goal takes as long as one in time but is
+//! worth less to its caller: first come, first served would answer everything late once more arrives than fits.
+//!
+//! Service times are averaged per kind of request: with one mean for all, long requests queue up to their goals and shut
+//! out the short ones. A request that would wait too long is refused at once, and a lower priority gets at least one start
+//! every [`STARVATION_MS`] while it waits.
 
 use std::{collections::BTreeSet, fmt, str::FromStr};
 
@@ -19,20 +23,24 @@
 
 /// Number of ranks; higher priority numbers belong to the last rank.
 pub const RANKS: usize = 4;
-/// Maximum time without a start for a rank with waiting requests while other ranks start some, in ms.
+/// Maximum time without a start for a rank with waiting requests while other ranks start some, in ms. With service times
+/// of some hundred ms this leaves it a few in a hundred of the upstream.
 pub const STARVATION_MS: u64 = 500;
-/// Time left to the goal that a request needs to count as timely, as a multiple of the mean service time.
+/// Time left to the goal that a request needs to count as timely, as a multiple of the mean service time. With the mean
+/// itself two of five requests would take too long, and an overloaded upstream starts nearly all of them at that point.
 const TIMELY_FACTOR: f64 = 1.25;
 /// Averaging time of the slots held by each kind, in ms.
 const AVERAGING_MS: f64 = 1_000.0;
 /// Divisor of the time left to the deadline that gives the maximum wait of a late request. A caller that is refused
 /// later has no time left to retry.
 const LATE_WAIT_DIVISOR: u64 = 16;
-/// Minimum time left to the deadline with which a refused caller can retry, in mean service times. With less, a request
-/// waits as long as it can still be answered.
+/// Minimum time left to the deadline with which a refused caller can retry, in mean service times: it has to receive the
+/// refusal, wait for a slot and run. With less, a request waits as long as it can still be answered; most of these are
+/// short calls of other requests, which fail with them.
 const RETRY_FACTOR: f64 = 4.0;
-/// Divisor of the time left to the goal that gives the maximum wait with [`WaitLimit::Short`]. It is above zero so that
-/// urgent requests can wait for the next free slot.
+/// Divisor of the time left to the goal that gives the maximum wait with [`WaitLimit::Short`]: many times what a hop to
+/// another endpoint of the zone takes. Without any wait, the most urgent requests would pass by an endpoint whose next
+/// free slot is theirs within some ms.
 const SHORT_WAIT_DIVISOR: u64 = 12;
 /// Interval of the check of waiting requests, in ms.
 const REVIEW_INTERVAL_MS: u64 = 20;
--- a/crates/kernel/src/guard.rs
+++ b/crates/kernel/src/guard.rs
@@ -35,7 +35,8 @@
 /// Maximum number of stored records; those that expire first are dropped first.
 pub const RECORDS_MAX: usize = 128;
 
-/// Number of crashes after which a request is quarantined.
+/// Number of crashes after which a request is quarantined. A crash takes down other requests with the one that caused it:
+/// quarantining on the first would let one request have all those refused that it met.
 const CRASHES_TO_QUARANTINE: usize = 2;
 
 /// Hash of a request, the same on all nodes.
--- a/crates/kernel/src/pick/placement.rs
+++ b/crates/kernel/src/pick/placement.rs
@@ -24,24 +24,26 @@
     view::Endpoint,
 };
 
-/// Maximum expected time at an endpoint of the own zone, in percent of the time left to the goal. The rest covers
-/// requests that take longer than the mean.
+/// Maximum expected time at an endpoint of the own zone, in percent of the time left to the goal. Half of the requests
+/// take longer than the mean, and outlooks are some tens of ms old: more keeps requests in the zone that then miss their
+/// goal, less sends requests away for nothing.
 const NEAR_GOAL_PERCENT: u64 = 85;
-/// Maximum expected time at an endpoint of another zone, in percent of the time left to the goal.
+/// Maximum expected time at an endpoint of another zone, in percent of the time left to the goal. Less than in the own
+/// zone, or the bytes of the hop would be paid for nothing.
 const FAR_GOAL_PERCENT: u64 = 75;
 /// Round trip to another zone of the region, in ms.
 const ZONE_HOP_MS: f64 = 2.0;
 /// Round trip to another region, in ms.
 const REGION_HOP_MS: f64 = 40.0;
-/// Age from which the wait in an outlook is ignored, in ms.
+/// Age from which the wait in an outlook is ignored, in ms: a queue of a few slots turns over within it.
 const OUTLOOK_MAX_AGE_MS: f64 = 1_000.0;
 /// Service time assumed for an endpoint without an outlook, in ms.
 const UNKNOWN_SERVICE_MS: f64 = 60.0;
-/// Weight of a new outcome in the fault rate.
+/// Weight of a new outcome in the fault rate: ten outcomes tell a faulty endpoint from a sound one.
 const FAULT_GAIN: f64 = 0.1;
 /// Half-life of the fault rate, in ms.
 const FAULT_HALF_LIFE_MS: f64 = 2_000.0;
-/// Expected time added at a fault rate of one, in ms, for a further attempt.
+/// Expected time added at a fault rate of one, in ms: another hop, and perhaps a retry by the caller.
 const FAULT_COST_MS: f64 = 300.0;
 /// Jitter of the expected times, so that entries with the same outlooks do not all choose the same endpoint.
 const JITTER: f64 = 0.15;
@@ -49,17 +51,18 @@
 /// entries of a large fleet, whose outlooks are old, would all queue at the fastest endpoints.
 const PROBES_MAX: usize = 2;
 /// Maximum ratio of the expected time at the endpoint on the entry's own host to that at the best endpoint for which
-/// the own host is preferred.
+/// the own host is preferred. Its state is known without a hop, while the best of many is often one that all entries take
+/// for idle.
 const OWN_HOST_FACTOR: f64 = 1.5;
 /// Maximum age of an outlook for requests to queue without a probe, in ms.
 const OUTLOOK_RECENT_MS: u64 = 250;
-/// Time to wait before a retry if the service has no endpoint, in ms.
+/// Time to wait before a retry if the service has no endpoint, in ms: a new one is known within that.
 const NO_ENDPOINT_RETRY_MS: u64 = 300;
 /// Minimum time to wait before a retry of a refused request, in ms.
 const BUSY_RETRY_MS: u64 = 20;
 
-/// Maximum number of endpoints of the own zone that an entry uses per service. It bounds the connections of each node
-/// in a large fleet.
+/// Maximum number of endpoints of the own zone that an entry uses per service. Without it each node of a large fleet
+/// would hold connections to all others and hear of each one rarely.
 pub const NEAR_MAX: usize = 16;
 /// Maximum number of endpoints of all other zones that an entry uses per service.
 pub const FAR_MAX: usize = 8;
--- a/crates/kernel/src/pick/stats.rs
+++ b/crates/kernel/src/pick/stats.rs
@@ -22,12 +22,13 @@
 const LOST_MS: u64 = 30_000;
 /// Smallest share of its work for an endpoint during warm-up.
 const MIN_RAMP_SHARE: f64 = 0.1;
-/// Longest hold after a refusal, whatever time the refusal states, in ms.
+/// Longest hold after a refusal, in ms, whatever time the refusal states: its sender may be wrong.
 const HOLD_MAX_MS: u64 = 1_000;
 /// Hold after a refusal by an endpoint that is not ready or drains, in ms; by then its phase has spread.
 const PHASE_HOLD_MS: u64 = 500;
 
-/// Maximum share of ejected endpoints, in percent.
+/// Maximum share of ejected endpoints, in percent. A fault on this node's side makes all endpoints fail alike; without
+/// this bound it would refuse all requests.
 const EJECTED_MAX_PERCENT: usize = 50;
 
 /// Returns whether one more endpoint may be ejected.
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -120,7 +120,8 @@
 
 /// Minimum silence before a reused connection becomes suspect, as a divisor of the remaining time.
 const SILENCE_SHARE: u32 = 3;
-/// Silence after which a reused connection becomes suspect, as a multiple of the slowest recent answer.
+/// Silence after which a reused connection becomes suspect, as a multiple of the slowest recent answer. Something between
+/// the two ends may have lost track of an idle connection: the request then vanishes without an error.
 const SILENCE_FACTOR: u64 = 4;
 
 impl Pool {
