A late answer to an earlier process of a host grants nothing

Found by reading: numbers of asks began at 1 with each process, so an answer that was on its way to the process before could be taken for the answer to an ask of another customer. Numbers begin at the process's start in ms. Test, which failed before.

--- a/crates/kernel/src/quota.rs
+++ b/crates/kernel/src/quota.rs
@@ -161,7 +161,8 @@
 fn start_ask(cx: &mut Context<'_>, state: &mut State, token: Token, ask: &Ask) {
     let bucket = bucket_of(&ask.customer);
     let quotas = &mut state.quotas;
-    quotas.last_call += 1;
+    // The numbers of an earlier process of this node are lower, so that its late answers match no call.
+    quotas.last_call = quotas.last_call.max(cx.settings.incarnation) + 1;
     let call = quotas.last_call;
     let pending = PendingAsk {
         token,
--- a/crates/kernel/tests/quota.rs
+++ b/crates/kernel/tests/quota.rs
@@ -8,14 +8,18 @@
 mod imported;
 
 use demand::Demand;
-use laburnum_kernel::customer::Quota;
+use laburnum_kernel::{
+    Event, Message, Reply,
+    customer::Quota,
+    quota::{self, Answer, Ask, Grant},
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use test_case::test_case;
 
 const HOSTS: usize = 20;
 
-fn quota(rate: u64, burst: u64) -> Quota {
+fn limit(rate: u64, burst: u64) -> Quota {
     Quota {
         rate: rate * 1_000,
         burst,
@@ -66,7 +70,7 @@
     demand.run(5_000);
     demand.spread(0, rate as f64 * 5.0);
     demand.run(20_000);
-    assert!(demand.excess(0, quota(rate, burst)) <= 0);
+    assert!(demand.excess(0, limit(rate, burst)) <= 0);
     demand.reset_counts();
     demand.run(20_000);
     let (ran, _, unknown) = demand.counts(0);
@@ -125,7 +129,7 @@
     }
     let excess = QUOTAS.into_iter().enumerate();
     let excess =
-        excess.map(|(customer, (rate, burst))| demand.excess(customer, quota(rate, burst)));
+        excess.map(|(customer, (rate, burst))| demand.excess(customer, limit(rate, burst)));
     excess.collect()
 }
 
@@ -139,7 +143,7 @@
     demand.run(5_500);
     demand.reset_counts();
     demand.run(10_000);
-    assert!(demand.excess(0, quota(50, 10)) <= 0);
+    assert!(demand.excess(0, limit(50, 10)) <= 0);
     demand.set_quota(0, (300, 60));
     demand.run(1_000);
     demand.reset_counts();
@@ -147,3 +151,40 @@
     let (ran, ..) = demand.counts(0);
     assert!(ran >= 2_700, "{ran}");
 }
+
+/// Guards against an answer to an earlier process of a host that is taken for the answer to an ask of another customer.
+#[test]
+fn late_answer_to_an_earlier_process_grants_nothing() {
+    let mut demand = Demand::new(6, HOSTS, &[(300, 60)]);
+    let name = demand.customers[0].spec.name.clone();
+    let ask = Ask {
+        customer: name,
+        need: 1,
+        spare: 0,
+        stock: 0,
+    };
+    for host in 0..HOSTS {
+        demand.restart(host);
+        // Long enough to join and to know the holder.
+        demand.run(3_000);
+        demand.driver.isolated.insert(host);
+        let token = demand.driver.call_quota(host, ask.clone());
+        for call in 1..10 {
+            let grant = Grant {
+                tokens: 50,
+                after: 0,
+            };
+            let message = Message::Quota(quota::Message::Granted { call, grant });
+            let from = driver::node((host + 1) % HOSTS);
+            demand.driver.event(host, Event::Message { from, message });
+        }
+        demand.driver.run(300);
+        let replies = demand.driver.replies.remove(&token).unwrap_or_default();
+        let late = Reply::Quota(Answer::Granted(Grant {
+            tokens: 50,
+            after: 0,
+        }));
+        assert!(!replies.contains(&late), "host {host}: {replies:?}");
+        demand.driver.isolated.clear();
+    }
+}
