A host that is cut off counts for itself alone, and counts are joined when it is back

Cause, found with 240 seeds of the model in place of 24 (6 passed a quota, by up to 220 of 1,736 requests): a host that is cut off notices the loss of one member after the other, so it took over buckets with 13 of 20 members still in its share while the others' holder counted for all; and when it was back, both held the bucket until all views agreed. Now suspects do not count, a host that may be partitioned counts for itself, and a holder whose reach grows claims its buckets again from the next in order: the lower level and all unspent tokens hold. Accounts of an earlier tenure are dropped: they lacked what others granted since. The six seeds stay as regressions.

--- a/crates/kernel/src/quota/bank.rs
+++ b/crates/kernel/src/quota/bank.rs
@@ -183,18 +183,19 @@
         balances.collect()
     }
 
-    /// Adds the accounts of a former holder.
+    /// Adds the accounts of another holder. Where both counted, the lower level and all unspent tokens hold.
     pub fn absorb(&mut self, now: Ms, balances: &[Balance]) {
         for it in balances {
+            let account = self.0.entry(it.customer.clone());
+            let account = account.or_insert_with(|| Account {
+                level: it.level,
+                ..Account::new(now)
+            });
+            account.level = account.level.min(it.level);
+            account.filled = account.filled.max(now);
             let unspent = it.unspent.iter();
             let unspent = unspent.map(|(host, tokens, left)| (*host, (*tokens, now + *left)));
-            let account = Account {
-                level: it.level,
-                filled: now,
-                unspent: unspent.collect(),
-                asked: BTreeMap::new(),
-            };
-            self.0.insert(it.customer.clone(), account);
+            account.unspent.extend(unspent);
         }
     }
 }
--- a/crates/kernel/src/quota/holders.rs
+++ b/crates/kernel/src/quota/holders.rs
@@ -39,6 +39,8 @@
     tenures: BTreeMap<usize, Tenure>,
     share: Share,
     is_stale: bool,
+    /// Whether this process may take buckets.
+    is_settled: bool,
     started: Option<Ms>,
     joined: Option<Ms>,
 }
@@ -75,6 +77,7 @@
             tenures: BTreeMap::new(),
             share: Share::default(),
             is_stale: true,
+            is_settled: false,
             started: None,
             joined: None,
         }
@@ -92,8 +95,13 @@
         if let Some(Tenure::Yielded { to, .. }) = self.tenures.get(&bucket) {
             return Some(*to);
         }
-        let mut others = self.order[bucket].iter().filter(|it| **it != own);
-        others.next().copied()
+        self.others(bucket, own).first().copied()
+    }
+
+    /// Returns the first nodes of `bucket` without `own`.
+    fn others(&self, bucket: usize, own: NodeId) -> Vec<NodeId> {
+        let ranked = self.order[bucket].iter().copied();
+        ranked.filter(|it| *it != own).collect()
     }
 
     /// Returns since when all that was granted of `bucket` is in the accounts, if this node holds it.
@@ -119,6 +127,9 @@
 
     /// Returns what `own` does about `bucket`, of which `former` was the first node before.
     fn next_step(&self, now: Ms, bucket: usize, own: NodeId, former: Option<&NodeId>) -> Step {
+        if !self.is_settled {
+            return Step::Keep;
+        }
         let tenure = self.tenures.get(&bucket);
         if self.first(bucket) != Some(own) {
             return match tenure {
@@ -157,14 +168,16 @@
         self.is_stale = true;
     }
 
-    /// Records that the former holder yielded `bucket`, which it counted since `counted`; returns whether this node
-    /// claimed it.
+    /// Records that another holder yielded `bucket`, which it counted since `counted`; returns whether this node
+    /// holds it now.
     pub fn record_yield(&mut self, bucket: usize, counted: Ms) -> bool {
-        let is_claimed = matches!(self.tenures.get(&bucket), Some(Tenure::Claiming { .. }));
-        if is_claimed {
-            self.tenures.insert(bucket, Tenure::Holding { counted });
-        }
-        is_claimed
+        let counted = match self.tenures.get(&bucket) {
+            Some(Tenure::Claiming { .. }) => counted,
+            Some(Tenure::Holding { counted: own }) => counted.max(*own),
+            Some(Tenure::Leaving { .. } | Tenure::Yielded { .. }) | None => return false,
+        };
+        self.tenures.insert(bucket, Tenure::Holding { counted });
+        true
     }
 
     /// Records that `from` did not hold `bucket`.
@@ -187,9 +200,10 @@
 
 /// Updates the order of the nodes if members changed, and claims or gives up buckets.
 pub(super) fn tick(cx: &mut Context<'_>, state: &mut State) {
-    if !state.import.table().has_customers() || !has_settled(cx, state) {
+    if !state.import.table().has_customers() {
         return;
     }
+    update_settled(cx, state);
     if std::mem::take(&mut state.quotas.holders.is_stale) {
         update_order(cx, state);
     }
@@ -228,16 +242,19 @@
     cx.send(from, event::Message::Quota(message));
 }
 
-/// Returns whether this process knows enough of the fleet to take buckets.
-fn has_settled(cx: &Context<'_>, state: &mut State) -> bool {
+/// Notes when this process knows enough of the fleet to take buckets. It asks the holders that it knows before.
+fn update_settled(cx: &Context<'_>, state: &mut State) {
     let joined = state.members.joined();
     let holders = &mut state.quotas.holders;
-    let started = *holders.started.get_or_insert(cx.now);
-    if joined {
-        let since = *holders.joined.get_or_insert(cx.now);
-        return cx.now.since(since) >= SETTLE_MS;
+    if holders.is_settled {
+        return;
     }
-    cx.now.since(started) >= ALONE_MS
+    let started = *holders.started.get_or_insert(cx.now);
+    holders.is_settled = match joined {
+        true => cx.now.since(*holders.joined.get_or_insert(cx.now)) >= SETTLE_MS,
+        false => cx.now.since(started) >= ALONE_MS,
+    };
+    holders.is_stale |= holders.is_settled;
 }
 
 /// What this node does about a bucket after the order changed.
@@ -258,8 +275,15 @@
     let holders = &mut state.quotas.holders;
     let former_share = std::mem::replace(&mut holders.share, share);
     let before = std::mem::replace(&mut holders.order, order);
+    // Members that could not be reached may have had a holder of their own.
+    let has_merged = share.reachable > former_share.reachable;
     for (bucket, before) in before.iter().enumerate() {
         match holders.next_step(cx.now, bucket, cx.settings.node, before.first()) {
+            Step::Keep if has_merged && holders.is_holding(bucket) => {
+                for to in holders.others(bucket, cx.settings.node) {
+                    send_claim(cx, to, bucket);
+                }
+            }
             Step::Keep => {}
             Step::Enter(it) => {
                 holders.tenures.insert(bucket, it);
@@ -269,9 +293,10 @@
             }
             Step::Claim(asked) => {
                 for to in &asked {
-                    let bucket = bucket as u16;
-                    cx.send(*to, event::Message::Quota(Message::Claim { bucket }));
+                    send_claim(cx, *to, bucket);
                 }
+                // Accounts of an earlier tenure lack what others granted since.
+                state.quotas.bank.take(cx.now, |it| bucket_of(it) == bucket);
                 let since = cx.now;
                 holders
                     .tenures
@@ -289,6 +314,11 @@
     }
 }
 
+fn send_claim(cx: &mut Context<'_>, to: NodeId, bucket: usize) {
+    let bucket = bucket as u16;
+    cx.send(to, event::Message::Quota(Message::Claim { bucket }));
+}
+
 /// Returns the first nodes of each bucket, and the part of the fleet that can be reached.
 fn rank(state: &State) -> (Vec<Vec<NodeId>>, Share) {
     let mut order: Vec<Vec<(u64, NodeId)>> = vec![Vec::new(); BUCKETS];
@@ -303,16 +333,26 @@
             }
         }
     }
-    let mut share = Share {
-        reachable: 0,
-        known: 0,
-    };
-    for (_, reach) in state.members.alive_with_reach() {
-        share.known += 1;
-        share.reachable += u64::from(reach != Reach::Unreachable);
-    }
     let nodes = |ranked: Vec<(u64, NodeId)>| ranked.into_iter().map(|it| it.1).collect();
-    (order.into_iter().map(nodes).collect(), share)
+    (
+        order.into_iter().map(nodes).collect(),
+        reachable_share(state),
+    )
+}
+
+/// Returns the part of the fleet that this node surely counts for.
+fn reachable_share(state: &State) -> Share {
+    let members = state.members.alive_with_reach();
+    let (mut reachable, mut known) = (0, 0);
+    for (_, reach) in members {
+        known += 1;
+        reachable += u64::from(reach == Reach::Reachable);
+    }
+    // A host that is cut off notices the loss of one member after the other, but no longer speaks for any.
+    if state.members.is_partitioned() {
+        reachable = 1;
+    }
+    Share { reachable, known }
 }
 
 /// Spreads the bits of `it` uniformly: the finaliser of SplitMix64.
--- a/crates/kernel/tests/quota.rs
+++ b/crates/kernel/tests/quota.rs
@@ -83,7 +83,7 @@
 #[test]
 fn faults_exceed_no_quota() {
     let mut failed = Vec::new();
-    for seed in 0..SEEDS {
+    for seed in (0..SEEDS).chain(REGRESSIONS) {
         let excess = run_faults(seed);
         if excess.iter().any(|it| *it > 0) {
             failed.push((seed, excess));
@@ -93,6 +93,8 @@
 }
 
 const SEEDS: u64 = 24;
+/// Regression seeds: hosts that were cut off counted beside the holder of the others.
+const REGRESSIONS: [u64; 6] = [33, 44, 93, 117, 168, 220];
 
 /// Returns the excess of each customer over its quota.
 fn run_faults(seed: u64) -> Vec<i64> {
