--- a/crates/kernel/src/members/contact.rs
+++ b/crates/kernel/src/members/contact.rs
@@ -10,7 +10,6 @@
     id::{CallId, Name, NodeId},
     kernel::Context,
     platform::{TableAnswer, TableOp, Write},
-    settings::Launch,
     utils::rendezvous,
 };
 
@@ -124,11 +123,9 @@
     // A node that found no contact, or whose first joins had no answer, writes a row soon so that others
     // find it. The random delay keeps nodes that start together from overwriting each other's rows unread.
     let awaits_answer = !rows.is_empty() && members.join.is_first();
-    let pause = match cx.settings.launch {
-        // Scans are spread over time, so this node is one of the first of its zone.
-        Launch::Fleet if alone && local.is_empty() => 0,
-        _ if alone && !awaits_answer => cx.rng.random_range(0..FIRST_WRITE_MAX_MS),
-        _ => FIRST_CHECK_MS,
+    let pause = match alone && !awaits_answer {
+        true => cx.rng.random_range(0..FIRST_WRITE_MAX_MS),
+        false => FIRST_CHECK_MS,
     };
     let first = last_check_for(cx.now, pause);
     members.contacts.checked = members.contacts.checked.max(first);
@@ -171,7 +168,7 @@
 /// Writes this node's contact row if a check is due and the last write is too old or for another slot.
 pub(super) fn tick(cx: &mut Context<'_>, members: &mut Members) {
     let alone = members.others.is_empty();
-    if alone && (members.contacts.scan.is_some() || !members.join.has_begun()) {
+    if members.contacts.scan.is_some() && alone {
         return;
     }
     let checked = members.contacts.checked;
--- a/crates/kernel/src/members/join.rs
+++ b/crates/kernel/src/members/join.rs
@@ -3,7 +3,7 @@
 use rand::{Rng, seq::IndexedRandom};
 
 use super::{Members, Message, contact};
-use crate::{clock::Ms, event, id::NodeId, kernel::Context, settings::Launch};
+use crate::{clock::Ms, event, id::NodeId, kernel::Context};
 
 /// Contacts asked per attempt.
 const CONTACTS_ASKED: usize = 2;
@@ -11,8 +11,6 @@
 /// Base and longest time between two attempts, in ms.
 const RETRY_MS: u64 = 500;
 const RETRY_MAX_MS: u64 = 30_000;
-/// Time over which the first attempts of a whole fleet are spread, in ms.
-const LAUNCH_SPREAD_MS: u64 = 1_500;
 
 /// State of the join attempts.
 #[derive(Debug, Default)]
@@ -22,24 +20,15 @@
 }
 
 impl Join {
-    /// Returns whether an attempt was made since another member was last reachable.
-    pub(super) fn has_begun(&self) -> bool {
-        self.attempts > 0
-    }
-
     /// Returns whether the current attempt is the first.
     pub(super) fn is_first(&self) -> bool {
         self.attempts <= 1
     }
 }
 
-/// Makes the first attempt, or schedules it if the whole fleet starts: then most nodes find contacts of their zone at
-/// once, which the first few have written.
+/// Makes the first attempt.
 pub(super) fn start(cx: &mut Context<'_>, members: &mut Members) {
-    match cx.settings.launch {
-        Launch::Host => attempt_join(cx, members),
-        Launch::Fleet => members.join.next = cx.now + cx.rng.random_range(0..LAUNCH_SPREAD_MS),
-    }
+    attempt_join(cx, members);
 }
 
 /// Repeats the attempt while no other member is reachable.
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -1,9 +1,6 @@
 //! Settings that a kernel gets at its start.
 
-use std::{
-    net::{Ipv4Addr, SocketAddr},
-    str::FromStr,
-};
+use std::net::{Ipv4Addr, SocketAddr};
 
 use crate::{
     drain::NOTICE_MS,
@@ -28,8 +25,6 @@
     pub zone: Name,
     /// Control addresses of the nodes to contact first. Default: none.
     pub peers: Vec<NodeId>,
-    /// Whether the whole fleet starts with this process. Default: no.
-    pub launch: Launch,
     /// Origin of the configuration. Default: submitted.
     pub origin: Origin,
     /// When this node watches an external source. Default: always.
@@ -46,33 +41,6 @@
     pub notice: u64,
 }
 
-/// How much of the fleet starts at the same time as a process.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Launch {
-    /// It joins a fleet that runs, or that was running.
-    #[default]
-    Host,
-    /// The whole fleet starts for the first time.
-    Fleet,
-}
-
-/// The text is not the name of a [`Launch`].
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{0:?} is not valid: use host or fleet")]
-pub struct BadLaunch(pub String);
-
-impl FromStr for Launch {
-    type Err = BadLaunch;
-
-    fn from_str(text: &str) -> Result<Launch, BadLaunch> {
-        match text {
-            "host" => Ok(Launch::Host),
-            "fleet" => Ok(Launch::Fleet),
-            _ => Err(BadLaunch(text.chars().take(40).collect())),
-        }
-    }
-}
-
 /// Origin of the configuration.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Origin {
@@ -187,7 +155,6 @@
             region: name("local"),
             zone: name("local-a"),
             peers: Vec::new(),
-            launch: Launch::default(),
             origin: Origin::default(),
             watch: Watch::default(),
             accept: AcceptSettings::default(),
--- a/crates/kernel/tests/members_start.rs
+++ b/crates/kernel/tests/members_start.rs
@@ -5,11 +5,7 @@
 
 use std::collections::BTreeSet;
 
-use laburnum_kernel::{
-    Event, Kernel, Name, Settings,
-    members::CONTACT_PREFIX,
-    settings::{Launch, Origin},
-};
+use laburnum_kernel::{Event, Kernel, Name, Settings, members::CONTACT_PREFIX, settings::Origin};
 use test_case::test_case;
 
 use driver::{Driver, name, node};
@@ -19,16 +15,11 @@
 
 /// Starts the node `index` without configured peers.
 fn start(driver: &mut Driver, index: usize) {
-    start_with(driver, index, Launch::Host);
-}
-
-fn start_with(driver: &mut Driver, index: usize, launch: Launch) {
     driver.add_with(Settings {
         node: node(index),
         incarnation: driver.now.0,
         zone: name(ZONES[index % ZONES.len()]),
         origin: Origin::Imported,
-        launch,
         ..Settings::default()
     });
 }
@@ -54,26 +45,6 @@
     assert!(calls <= 2 * NODES, "{calls} calls of {NODES} nodes");
 }
 
-/// Guards against three calls of each node when a whole fleet starts for the first time at one moment; the calls a node
-/// makes must not grow with the fleet.
-#[test_case(50)]
-#[test_case(100)]
-#[test_case(400)]
-fn first_start_makes_about_one_call_a_node(nodes: usize) {
-    let mut driver = Driver::new(&[]);
-    for index in 0..nodes {
-        start_with(&mut driver, index, Launch::Fleet);
-    }
-    driver.run(8_000);
-    for kernel in &driver.kernels {
-        assert_eq!(kernel.state().members.alive().count(), nodes);
-    }
-    let calls = driver.reads + driver.written.0;
-    // Besides, each zone's three contact rows and those of the nodes that start within the first ticks, each with a read.
-    let rows = 2 * 6 * ZONES.len() + nodes / 5;
-    assert!(calls <= nodes + rows, "{calls} calls of {nodes} nodes");
-}
-
 /// Guards against a fleet that stays split because nodes that found each other first had their contact rows
 /// overwritten by the others.
 #[test]
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -9,7 +9,7 @@
     import::Watch,
     once::OnceSettings,
     quota::QuotaSettings,
-    settings::{Launch, Origin, SpreadSettings},
+    settings::{Origin, SpreadSettings},
 };
 
 use crate::{
@@ -62,8 +62,6 @@
     /// Time before the end of `linger` at which a stopping node rejects new work for its upstream and notifies
     /// other nodes, in ms. Default: [`NOTICE_MS`].
     pub notice: u64,
-    /// Whether the whole fleet starts with this process. Default: no.
-    pub launch: Launch,
     /// Origin of the configuration. Default: submitted.
     pub origin: Origin,
     /// Whether the node watches the external configuration source. Default: always.
@@ -112,7 +110,6 @@
             grace: 30_000,
             linger: 0,
             notice: NOTICE_MS,
-            launch: Launch::default(),
             origin: Origin::default(),
             watch: Watch::default(),
             revoke: None,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -110,7 +110,6 @@
             region: config.region.parse()?,
             zone: config.zone.parse()?,
             peers: config.peers.iter().copied().map(NodeId).collect(),
-            launch: config.launch,
             origin: config.origin,
             watch: config.watch,
             accept: AcceptSettings::default(),
