A holder that waits for a claim takes no buckets when a cut heals

Cause, found by reading: a host that had been first only for itself claimed its buckets again when its reach grew, also from the true holder, and dropped what that yielded. Only the first in order claims.

--- a/crates/kernel/src/quota/holders.rs
+++ b/crates/kernel/src/quota/holders.rs
@@ -116,6 +116,11 @@
         self.counted(bucket).is_some()
     }
 
+    /// Returns whether `own` holds `bucket` and should go on to; a holder that only waits for a claim should not.
+    fn is_first_and_holding(&self, bucket: usize, own: NodeId) -> bool {
+        self.first(bucket) == Some(own) && self.is_holding(bucket)
+    }
+
     /// Returns the number of buckets held.
     pub fn held(&self) -> usize {
         (0..BUCKETS).filter(|it| self.is_holding(*it)).count()
@@ -279,7 +284,7 @@
     let has_merged = share.reachable > former_share.reachable;
     for (bucket, before) in before.iter().enumerate() {
         match holders.next_step(cx.now, bucket, cx.settings.node, before.first()) {
-            Step::Keep if has_merged && holders.is_holding(bucket) => {
+            Step::Keep if has_merged && holders.is_first_and_holding(bucket, cx.settings.node) => {
                 for to in holders.others(bucket, cx.settings.node) {
                     send_claim(cx, to, bucket);
                 }
--- a/crates/kernel/tests/quota.rs
+++ b/crates/kernel/tests/quota.rs
@@ -190,3 +190,29 @@
         demand.driver.isolated.clear();
     }
 }
+
+/// Guards against hosts that take buckets from their holder when a cut heals although they are not the next in order.
+#[test]
+fn healed_cut_leaves_holders_in_place() {
+    let (mut ran, mut unknown) = (0, 0);
+    for seed in 0..10 {
+        let mut demand = Demand::new(seed, HOSTS, &[(300, 60), (200, 40), (100, 20), (100, 20)]);
+        for (customer, rate) in [180.0, 120.0, 60.0, 60.0].into_iter().enumerate() {
+            demand.spread(customer, rate);
+        }
+        demand.driver.isolated.extend([2, 7, 11]);
+        demand.run(9_000);
+        demand.driver.isolated.clear();
+        demand.run(2_000);
+        demand.reset_counts();
+        demand.run(6_000);
+        for customer in 0..4 {
+            let counts = demand.counts(customer);
+            (ran, unknown) = (ran + counts.0, unknown + counts.2);
+        }
+    }
+    assert!(
+        unknown * 100 <= ran,
+        "{unknown} without a holder, {ran} ran"
+    );
+}
--- a/crates/node/src/traffic/customers.rs
+++ b/crates/node/src/traffic/customers.rs
@@ -25,7 +25,7 @@
 
 /// Why a request presents no usable key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub(super) enum KeyFault {
+enum KeyFault {
     #[error("the request carries no key; send one in the field authorization")]
     Missing,
     #[error("the request carries several keys; send one field authorization")]
@@ -125,7 +125,7 @@
 }
 
 /// Returns the digest of the key that a request presents.
-pub(super) fn presented_key(fields: &Fields, headers: &HeaderMap) -> Result<KeyDigest, KeyFault> {
+fn presented_key(fields: &Fields, headers: &HeaderMap) -> Result<KeyDigest, KeyFault> {
     let mut values = headers.get_all(header::AUTHORIZATION).iter();
     let value = values.next().ok_or(KeyFault::Missing)?;
     if values.next().is_some() {
