Answers about quotas: one type on the way to the caller, no message taken apart twice

Cause, by reading: an answer of the own node was built as a message, then matched back into an answer with an arm that could not be reached; the purses took the whole request path for its clock; a comment on returned tokens did not say what the code does. reply and handle_answer take an Answer, the message is made where it is sent. No behaviour changes.

--- a/crates/kernel/src/quota.rs
+++ b/crates/kernel/src/quota.rs
@@ -191,7 +191,7 @@
             let message = Message::Forwarded { origin, call, ask };
             cx.send(to, event::Message::Quota(message));
         }
-        _ => reply(cx, state, origin, Message::Unheld { call }),
+        _ => reply(cx, state, origin, call, Answer::Unknown),
     }
 }
 
@@ -200,31 +200,30 @@
     let customer = state.import.table().customer_named(&ask.customer);
     let counted = quotas.holders.counted(bucket_of(&ask.customer));
     let (Some(customer), Some(counted)) = (customer, counted) else {
-        return reply(cx, state, origin, Message::Unheld { call });
+        return reply(cx, state, origin, call, Answer::Unknown);
     };
     let share = quotas.holders.share();
     let limits = &cx.settings.quota;
     let account = quotas.bank.account(&ask.customer, counted);
     let grant = account.grant(cx.now, limits, customer.quota, share, origin, ask);
-    reply(cx, state, origin, Message::Granted { call, grant });
+    reply(cx, state, origin, call, Answer::Granted(grant));
 }
 
 /// Sends an answer to the node that asked, which may be this one.
-fn reply(cx: &mut Context<'_>, state: &mut State, origin: NodeId, message: Message) {
-    match origin == cx.settings.node {
-        true => handle_answer(cx, state, &message),
-        false => cx.send(origin, event::Message::Quota(message)),
+fn reply(cx: &mut Context<'_>, state: &mut State, origin: NodeId, call: u64, answer: Answer) {
+    if origin == cx.settings.node {
+        return handle_answer(cx, state, call, answer);
     }
+    let message = match answer {
+        Answer::Granted(grant) => Message::Granted { call, grant },
+        Answer::Unknown => Message::Unheld { call },
+    };
+    cx.send(origin, event::Message::Quota(message));
 }
 
-fn handle_answer(cx: &mut Context<'_>, state: &mut State, message: &Message) {
-    let (call, answer) = match message {
-        Message::Granted { call, grant } => (call, Answer::Granted(*grant)),
-        Message::Unheld { call } => (call, Answer::Unknown),
-        _ => return,
-    };
+fn handle_answer(cx: &mut Context<'_>, state: &mut State, call: u64, answer: Answer) {
     // A late answer has no call any more: its tokens are lost, which only costs the customer.
-    if let Some(pending) = state.quotas.asks.remove(call) {
+    if let Some(pending) = state.quotas.asks.remove(&call) {
         cx.reply(pending.token, Reply::Quota(answer));
     }
 }
@@ -236,7 +235,10 @@
             // Passed on once only, or two nodes could pass an ask to and fro.
             grant(cx, state, *origin, *call, ask);
         }
-        Message::Granted { .. } | Message::Unheld { .. } => handle_answer(cx, state, message),
+        Message::Granted { call, grant } => {
+            handle_answer(cx, state, *call, Answer::Granted(*grant));
+        }
+        Message::Unheld { call } => handle_answer(cx, state, *call, Answer::Unknown),
         Message::Claim { bucket } => holders::handle_claim(cx, state, from, *bucket),
         Message::Yielded {
             bucket,
--- a/crates/kernel/src/quota/purse.rs
+++ b/crates/kernel/src/quota/purse.rs
@@ -1,6 +1,6 @@
 //! Tokens of one customer that an entry holds, and its decision on each request.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, sync::Arc};
 
 use super::{Answer, Ask, TOKEN_TTL_MS};
 use crate::{
@@ -57,7 +57,7 @@
     }
 
     /// Decides on a waiting request. `customer` is asked for if tokens are needed.
-    pub fn take(&mut self, now: Ms, customer: &std::sync::Arc<str>) -> Take {
+    pub fn take(&mut self, now: Ms, customer: &Arc<str>) -> Take {
         self.expire(now);
         if let Some((_, tokens)) = self.tokens.front_mut() {
             *tokens -= 1;
@@ -91,7 +91,7 @@
     /// Returns the token of a request that was not run.
     pub fn give_back(&mut self, now: Ms) {
         self.expire(now);
-        // Without other tokens it has no time left that is known, so it ends with the shortest.
+        // It ends with the oldest token, or after half a lifetime if there is none: its own end is not kept.
         match self.tokens.front_mut() {
             Some((_, tokens)) => *tokens += 1,
             None => self.tokens.push_front((now + TOKEN_TTL_MS / 2, 1)),
@@ -110,7 +110,7 @@
     }
 
     /// Returns an ask if `need` or the expected requests exceed the stock, unless one is on its way or it is too early.
-    fn ask(&mut self, now: Ms, customer: &std::sync::Arc<str>, need: u32) -> Option<Ask> {
+    fn ask(&mut self, now: Ms, customer: &Arc<str>, need: u32) -> Option<Ask> {
         let stock = self.stock();
         // Rounded down: a token for a customer that is seldom here would end unspent.
         let target = (self.rate * STOCK_MS / AVERAGING_MS) as u32;
--- a/crates/node/src/traffic/quota.rs
+++ b/crates/node/src/traffic/quota.rs
@@ -6,7 +6,7 @@
 };
 
 use laburnum_kernel::{
-    Call, Reply,
+    Call, Ms, Reply,
     quota::{Answer, Ask, Purse, Take},
 };
 use tokio::sync::Notify;
@@ -36,7 +36,7 @@
         if !customer.quota.is_limited() {
             return Ok(());
         }
-        let shared = self.0.purses.get(self, &customer.name);
+        let shared = self.0.purses.get(self.now(), &customer.name);
         shared.lock().arrive(self.now());
         let _waiting = Waiting(&shared);
         loop {
@@ -59,7 +59,7 @@
     /// Gives back the token of a request that was not run.
     pub(super) fn give_back(&self, customer: &Customer) {
         if customer.quota.is_limited() {
-            let shared = self.0.purses.get(self, &customer.name);
+            let shared = self.0.purses.get(self.now(), &customer.name);
             shared.lock().give_back(self.now());
         }
     }
@@ -84,13 +84,12 @@
 }
 
 impl Purses {
-    fn get(&self, traffic: &Traffic, customer: &Arc<str>) -> Arc<SharedPurse> {
+    fn get(&self, now: Ms, customer: &Arc<str>) -> Arc<SharedPurse> {
         let mut purses = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(it) = purses.get(customer) {
             return it.clone();
         }
         if purses.len() >= PURSES_MAX {
-            let now = traffic.now();
             purses.retain(|_, it| !it.lock().is_idle(now));
         }
         let shared = Arc::new(SharedPurse::default());
