What upstreams say about themselves in answers is read, logged and counted

Owners now read the limit and the leaving from each answer, keep them per start of the upstream, log changes (upstream-standing) and show them as metrics. No decision uses them yet.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod sampling;
 pub mod settings;
 pub mod spread;
+pub mod standing;
 pub mod utils;
 pub mod view;
 
--- a/crates/node/src/metrics/table.rs
+++ b/crates/node/src/metrics/table.rs
@@ -10,7 +10,7 @@
 use crate::traffic::connections::OpenConnections;
 
 /// Every metric.
-pub const TABLE: [Row; 42] = [
+pub const TABLE: [Row; 45] = [
     gauge(
         "laburnum_seq",
         "Position in the log of changes that this node is at.",
@@ -170,6 +170,24 @@
         "Requests that wait for the upstream, of every class.",
         |it| one(it.traffic.admission().waiting as u64),
     ),
+    counter(
+        "laburnum_upstream_requests_total",
+        "Requests sent to the upstream beside this node.",
+        |it| one(it.traffic.counts().sent()),
+    ),
+    gauge(
+        "laburnum_upstream_limit",
+        "Rate limit that the upstream names in its answers, if any.",
+        |it| {
+            let limit = it.traffic.standing().limit;
+            limit.map_or_else(Vec::new, |it| one(it.millis()))
+        },
+    ),
+    gauge(
+        "laburnum_upstream_leaving",
+        "1 once the upstream says in its answers that it leaves.",
+        |it| one(it.traffic.standing().leaving.into()),
+    ),
     gauge(
         "laburnum_owned",
         "Requests at the upstream, and settlements on their way.",
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -30,6 +30,7 @@
 pub mod services;
 mod socket;
 mod stall;
+mod standing;
 mod trial;
 
 use std::{
@@ -48,7 +49,7 @@
 use laburnum_edge::Clock;
 use laburnum_kernel::{
     Event, Ms, Name, NodeId, View, event::UpstreamEvent, hot::Limiter, members::Exposure,
-    pick::Place, retry::Deadline, settings::Origin,
+    pick::Place, retry::Deadline, settings::Origin, standing::Standing,
 };
 use tokio::{
     sync::{Semaphore, watch},
@@ -71,6 +72,7 @@
 use report::RequestLog;
 use serve::ConnectionPeer;
 use services::Services;
+use standing::StandingLog;
 use trial::Trial;
 
 /// The request path of one node; cheap to clone.
@@ -94,6 +96,7 @@
     counts: Counts,
     limiter: Mutex<Limiter>,
     request_log: RequestLog,
+    standing_log: StandingLog,
     /// Memory budget for request bodies that the entry buffers for retries.
     buffered: Budget,
     origin: Origin,
@@ -193,6 +196,7 @@
             keys_refused: AtomicBool::new(false),
             limiter: Mutex::default(),
             request_log: RequestLog::default(),
+            standing_log: StandingLog::default(),
             buffered: Budget::new(BUFFERED_TOTAL),
             draining: AtomicBool::new(false),
             stopping: watch::Sender::new(false),
@@ -356,6 +360,11 @@
         self.0.gate.gauges()
     }
 
+    /// Returns what the upstream beside this node says about itself.
+    pub fn standing(&self) -> Standing {
+        self.0.gate.standing()
+    }
+
     /// Returns whether new requests for the upstream are rejected.
     pub fn draining(&self) -> bool {
         self.0.draining.load(Ordering::SeqCst)
--- a/crates/node/src/traffic/answer.rs
+++ b/crates/node/src/traffic/answer.rs
@@ -75,6 +75,9 @@
             let why = "the upstream sent the answer of another request, which was dropped; this request may have been run";
             return Err(Denial::unknown("crossed", why));
         }
+        if answer.status() != StatusCode::MISDIRECTED_REQUEST {
+            self.observe_statement(&job.upstream, run.started, answer.headers());
+        }
         if self.0.dialect.is_not_run(answer.status(), answer.headers()) {
             return Err(self.rejected_by_upstream(run, lease, answer));
         }
--- a/crates/node/src/traffic/counts.rs
+++ b/crates/node/src/traffic/counts.rs
@@ -18,6 +18,7 @@
     reasons: [AtomicU64; REASONS.len()],
     claims: [AtomicU64; ClaimResult::ALL.len()],
     retries: AtomicU64,
+    sent: AtomicU64,
     latency: Histogram<f64>,
 }
 
@@ -60,6 +61,7 @@
             reasons: Default::default(),
             claims: Default::default(),
             retries: AtomicU64::new(0),
+            sent: AtomicU64::new(0),
             latency,
         }
     }
@@ -95,6 +97,16 @@
         self.retries.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts a request sent to the upstream beside this node.
+    pub fn count_sent(&self) {
+        self.sent.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the number of requests sent to the upstream beside this node.
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
     /// Counts a claim request by its result.
     pub fn count_claim(&self, result: ClaimResult) {
         increment(
--- a/crates/node/src/traffic/dialect.rs
+++ b/crates/node/src/traffic/dialect.rs
@@ -6,9 +6,14 @@
 
 use axum::body::Body;
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
-use laburnum_kernel::refusal::Reason;
+use laburnum_kernel::{
+    refusal::Reason,
+    standing::{NamedLimit, Statement},
+};
 
-use super::headers::{self, DEADLINE, NOT_RUN, OUTCOME, PREFIX, REASON, RETRY_AFTER_MS};
+use super::headers::{
+    self, DEADLINE, LEAVING, LIMIT, NOT_RUN, OUTCOME, PREFIX, REASON, RETRY_AFTER_MS,
+};
 
 /// Header fields used with callers and upstreams.
 #[derive(Clone, Debug, Default)]
@@ -38,6 +43,10 @@
     pub scheme: &'static str,
     /// From upstreams: present on the answer to a request that was not run.
     pub not_run: HeaderName,
+    /// From upstreams: requests per second that the upstream takes from all nodes together.
+    pub limit: HeaderName,
+    /// From upstreams: `1` if the upstream leaves.
+    pub leaving: HeaderName,
 }
 
 impl Dialect {
@@ -81,6 +90,18 @@
         }
     }
 
+    /// Returns what an upstream's answer says about the upstream.
+    pub fn statement(&self, headers: &HeaderMap) -> Statement {
+        let (limit, leaving) = match self {
+            Dialect::Own => (&LIMIT, &LEAVING),
+            Dialect::Foreign(it) => (&it.limit, &it.leaving),
+        };
+        Statement {
+            limit: named_limit(headers, limit),
+            leaving: headers.get(leaving).is_some_and(|it| it == "1"),
+        }
+    }
+
     /// Translates an answer for the caller; `id` is the request's.
     pub fn translate_answer(
         &self,
@@ -94,6 +115,18 @@
     }
 }
 
+fn named_limit(headers: &HeaderMap, name: &HeaderName) -> NamedLimit {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return NamedLimit::Absent;
+    };
+    let rate = value.to_str().ok().and_then(|it| it.parse().ok());
+    match (rate, values.next()) {
+        (Some(rate), None) => NamedLimit::Rate(rate),
+        _ => NamedLimit::Invalid,
+    }
+}
+
 impl Fields {
     fn translate_answer(
         &self,
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -16,6 +16,7 @@
     members::Phase,
     refusal::Refusal,
     settings::Origin,
+    standing::{Observed, Standing, StartTag, Statement},
 };
 use tokio::sync::oneshot;
 
@@ -33,6 +34,7 @@
     policy: Policy,
     waiting: HashMap<Ticket, oneshot::Sender<Verdict>>,
     upstream: UpstreamState,
+    observed: Observed,
 }
 
 type Verdict = Result<Permit, Refusal>;
@@ -64,6 +66,8 @@
     pub slots: u16,
     /// Maximum number of waiting requests per class.
     pub queue: usize,
+    /// The present start of the upstream, if it reports an instance.
+    pub start: Option<StartTag>,
 }
 
 /// Admission counters at one moment, in requests.
@@ -92,6 +96,7 @@
             phase: Phase::Warming,
             slots: 1,
             queue: AdmissionSettings::default().queue,
+            start: None,
         };
         let state = State {
             policy: match origin {
@@ -100,6 +105,7 @@
             },
             waiting: HashMap::new(),
             upstream,
+            observed: Observed::default(),
         };
         Gate {
             clock,
@@ -116,11 +122,34 @@
         let now = self.clock.now();
         let mut wakes = Vec::new();
         let before = state.upstream;
+        if before.start != upstream.start || upstream.phase == Phase::Gone {
+            state.observed = Observed::default();
+        }
         let applied = state.policy.update(now, before, upstream, &mut wakes);
         state.upstream = applied;
         state.deliver(now, wakes);
     }
 
+    /// Applies what an answer says about the start `start` of the upstream; its request was sent at `sent`. Returns the
+    /// standing if it changed.
+    pub fn observe(
+        &self,
+        start: Option<StartTag>,
+        sent: Ms,
+        statement: Statement,
+    ) -> Option<Standing> {
+        let mut state = self.lock();
+        if state.upstream.start != start {
+            return None;
+        }
+        state.observed.observe(self.clock.now(), sent, statement)
+    }
+
+    /// Returns what the upstream says about itself.
+    pub fn standing(&self) -> Standing {
+        self.lock().observed.standing()
+    }
+
     /// Waits until `request` is admitted or rejected. Dropping the future cancels the wait.
     pub async fn acquire(&self, request: SlotRequest) -> Result<Slot, Refusal> {
         let mut wait = {
--- a/crates/node/src/traffic/headers.rs
+++ b/crates/node/src/traffic/headers.rs
@@ -40,6 +40,10 @@
 pub const LOAD: HeaderName = HeaderName::from_static("laburnum-load");
 /// Between nodes: proof that the sender holds the link key; see [`super::proof`].
 pub const PROOF: HeaderName = HeaderName::from_static("laburnum-proof");
+/// From upstreams: requests per second that the upstream takes from all nodes together, a decimal number.
+pub const LIMIT: HeaderName = HeaderName::from_static("laburnum-limit");
+/// From upstreams: `1` if the upstream leaves.
+pub const LEAVING: HeaderName = HeaderName::from_static("laburnum-leaving");
 /// Marks an answer as the stored one of an earlier run.
 pub const REPLAYED: HeaderName = HeaderName::from_static("laburnum-replayed");
 /// Idempotency key chosen by the caller; requests with the same key run at most once.
--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -179,9 +179,11 @@
                 phase: Phase::Gone,
                 slots: 1,
                 queue: 0,
+                start: None,
             });
         };
         let queue = view.services.get(&own.service);
+        let active = self.0.upstream.active();
         let phase = match self.draining() {
             true => Phase::Draining,
             false => own.phase,
@@ -190,6 +192,7 @@
             phase,
             slots: own.slots,
             queue: queue.map_or(0, |it| it.document.limits.queue as usize),
+            start: active.and_then(|it| it.start),
         });
     }
 
@@ -460,6 +463,7 @@
                 lease.return_unused();
                 return Err(expired(&job));
             }
+            self.0.counts.count_sent();
             match self.await_answer(&job, &mut lease, request, limit).await {
                 Sent::Answered(answer) => {
                     return self.receive_answer(&job, run, lease, answer, limit).await;
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -22,6 +22,7 @@
     id::Build,
     instance::{Instances, Start, Verdict},
     members::Phase,
+    standing::StartTag,
 };
 use serde::Deserialize;
 use tokio::{
@@ -90,6 +91,8 @@
     pub build: Build,
     /// Instance id of the present start, if the upstream reports one.
     pub instance: Option<Arc<str>>,
+    /// Identifies the present start between nodes, if the upstream reports an instance.
+    pub start: Option<StartTag>,
     /// Connections to the upstream.
     pub pool: Arc<Pool>,
 }
@@ -224,7 +227,7 @@
             }
         }
         self.save(&it);
-        self.apply(it.announcement, Some(it.start.id))
+        self.apply(it.announcement, Some(&it.start))
     }
 
     /// Applies the heartbeat that the node's previous process saved, unless the upstream has announced itself
@@ -270,8 +273,9 @@
         let _ = self.withdraw();
     }
 
-    fn apply(&self, it: Announcement, instance: Option<Arc<str>>) -> Result<(), Closed> {
+    fn apply(&self, it: Announcement, start: Option<&Start>) -> Result<(), Closed> {
         let shared = &self.0;
+        let instance = start.map(|it| it.id.clone());
         let now = shared.clock.now();
         let same = shared.active.load().as_ref().is_some_and(|active| {
             active.pool.address() == it.address
@@ -295,6 +299,7 @@
             slots: it.slots,
             build: it.build.clone(),
             instance,
+            start: start.map(StartTag::from),
             pool,
         };
         shared.active.store(Some(Arc::new(active)));
@@ -484,6 +489,7 @@
                 slots,
                 build: active.build.clone(),
                 instance: active.instance.clone(),
+                start: active.start,
                 pool: active.pool.clone(),
             };
             self.0.active.store(Some(Arc::new(next)));
