Upstreams get no more than the limit that they name, and nothing after they say that they leave

What callers saw: an upstream that named 29.2 requests a second in its answers got 408 in four seconds; others' room went unused. Nobody read what an upstream says about itself in its answers. The owner forwarded the fields to the caller; admission knew the slots of the heartbeat and nothing else. Change: the owner, through which every request to its upstream goes, spends a token of the named rate for each start (admission/pace.rs), beside the slots. Waits, refusals and the outlook that entries get count the turn within the limit, so that requests go to upstreams with room and are refused at once without. A limit ends with an answer to a request sent after the last naming; a value that is no rate changes nothing; one start in two seconds is always tried, since only an answer tells the end. An upstream that says it leaves is draining from then on, whatever its heartbeats say. Both belong to one start of the upstream. Entries remember what owners report and send it along, so that an owner that restarts begins with it. Why it works: one place counts for all hosts, without messages, and cut links only take requests away from it.

--- a/crates/kernel/src/admission.rs
+++ b/crates/kernel/src/admission.rs
@@ -7,6 +7,7 @@
 mod limit;
 pub mod link;
 mod load;
+mod pace;
 mod queue;
 pub mod ranks;
 
@@ -15,11 +16,13 @@
     document::Class,
     members::Phase,
     refusal::{Reason, Refusal},
+    standing::Rate,
 };
 
 pub use load::{BadLoad, Load};
 
 use limit::Limit;
+use pace::Pace;
 pub(crate) use queue::{CLASSES, index as class_index};
 use queue::{Entry, Queue, index};
 
@@ -105,6 +108,8 @@
     Failed,
     /// The caller gave up.
     Cancelled,
+    /// Nothing of the request was sent.
+    Unsent,
 }
 
 /// Result of [`Admission::cancel`].
@@ -122,6 +127,7 @@
     settings: AdmissionSettings,
     phase: Phase,
     limit: Limit,
+    pace: Pace,
     running: [usize; CLASSES],
     queues: [Queue; CLASSES],
     /// Slot time consumed by each class, divided by its weight.
@@ -144,6 +150,7 @@
             settings,
             phase: Phase::Warming,
             limit: Limit::new(slots),
+            pace: Pace::default(),
             running: [0; CLASSES],
             queues: Default::default(),
             consumed: [0.0; CLASSES],
@@ -169,7 +176,7 @@
             return Offer::Refuse(Refusal::new(Reason::Expired));
         }
         self.observe(now);
-        if self.queues[index(class)].is_empty() && self.has_slot(class) {
+        if self.queues[index(class)].is_empty() && self.has_slot(now, class) {
             return Offer::Run(self.start(now, class));
         }
         if self.queues[index(class)].len() >= self.settings.queue {
@@ -192,6 +199,7 @@
         match finish {
             Finish::Answered => self.limit.answered(now, class, took),
             Finish::Overloaded => self.limit.overloaded(now),
+            Finish::Unsent => self.pace.give_back(now),
             Finish::Failed | Finish::Cancelled => {}
         }
         self.dispatch(now, out);
@@ -244,6 +252,12 @@
         self.dispatch(now, out);
     }
 
+    /// Sets the rate limit that the upstream names.
+    pub fn set_rate_limit(&mut self, now: Ms, limit: Option<Rate>, out: &mut Vec<Wake>) {
+        self.pace.set(now, limit);
+        self.dispatch(now, out);
+    }
+
     /// Sets the maximum queue length, `limits.queue` of the document. Requests that already wait stay queued.
     pub fn set_queue(&mut self, queue: usize) {
         self.settings.queue = queue;
@@ -281,8 +295,8 @@
         &self.queues[index(class)]
     }
 
-    fn has_slot(&self, class: Class) -> bool {
-        let free = self.running() < self.limit.get();
+    fn has_slot(&self, now: Ms, class: Class) -> bool {
+        let free = self.running() < self.limit.get() && self.pace.has_room(now);
         match class {
             Class::Interactive | Class::Exact => free,
             Class::Background => free && self.running[index(class)] < self.background_limit(),
@@ -313,6 +327,7 @@
         let class = request.class;
         let service = self.limit.service(class);
         let wait = self.estimated_wait(class, self.queue(class).count_before(request.deadline) + 1);
+        let wait = wait.max(self.pace.wait(now, self.waiting() as f64));
         let class_limit = service as f64 * self.settings.wait_factors[index(class)];
         let slack = request.deadline.since(now).saturating_sub(service);
         let max_wait = if class_limit < slack as f64 {
@@ -386,6 +401,7 @@
     }
 
     fn start(&mut self, now: Ms, class: Class) -> Permit {
+        self.pace.take(now);
         self.virtual_time = self.virtual_time.max(self.charge(class));
         self.running[index(class)] += 1;
         self.limit.started(self.running());
@@ -430,15 +446,17 @@
         for class in CLASS_ORDER {
             let expected_slots = self.expected_slots(class);
             let service = self.limit.service(class) as f64;
-            let mut position = 0.0;
+            let (mut position, pace) = (0.0, self.pace);
             let late = self.queues[index(class)].take_if(|it| {
                 position += 1.0;
                 let slack = it.deadline.since(now) as f64 - service;
-                let is_late = position > 1.0 && position * service / expected_slots > slack;
+                let turn = pace.wait(now, position - 1.0) as f64;
+                let no_slot = position > 1.0 && position * service / expected_slots > slack;
+                let is_late = no_slot || turn > slack;
                 position -= f64::from(u8::from(is_late));
                 is_late
             });
-            let after = self.estimated_wait(class, 1);
+            let after = self.estimated_wait(class, 1).max(self.pace.wait(now, 0.0));
             let refusal = Refusal::after(Reason::Overloaded, after);
             out.extend(late.into_iter().map(|it| Wake::Refuse(it.ticket, refusal)));
         }
@@ -446,7 +464,7 @@
 
     /// Returns the class whose first request runs next, if a slot is free for any.
     fn next_class(&self, now: Ms) -> Option<Class> {
-        let ready = |it: &Class| !self.queue(*it).is_empty() && self.has_slot(*it);
+        let ready = |it: &Class| !self.queue(*it).is_empty() && self.has_slot(now, *it);
         if ready(&Class::Background) && now.since(self.background_progress) >= self.settings.aging {
             return Some(Class::Background);
         }
--- a/crates/kernel/src/admission/kinds.rs
+++ b/crates/kernel/src/admission/kinds.rs
@@ -102,19 +102,23 @@
         kinds.map(|it| it.mean_slots).sum()
     }
 
+    /// Returns the mean rate of starts of the kinds whose rank and mean service time match `predicate`, per ms.
+    pub(super) fn start_rate(&self, predicate: impl Fn(usize, f64) -> bool) -> f64 {
+        let kinds = self
+            .stats
+            .iter()
+            .filter(|it| predicate(it.rank, it.service));
+        // Little's law: a kind that holds `mean_slots` slots starts `mean_slots / service` requests per ms.
+        kinds.map(|it| it.mean_slots / it.service.max(1.0)).sum()
+    }
+
     /// Returns the mean service time over all kinds, weighted by their request rates, in ms.
     pub(super) fn mean_service(&self) -> f64 {
         let held: f64 = self.stats.iter().map(|it| it.mean_slots).sum();
         if held < 0.1 {
             return INITIAL_SERVICE_MS;
         }
-        // Little's law: a kind that holds `mean_slots` slots starts `mean_slots / service` requests per ms.
-        let start_rate: f64 = self
-            .stats
-            .iter()
-            .map(|it| it.mean_slots / it.service.max(1.0))
-            .sum();
-        held / start_rate
+        held / self.start_rate(|_, _| true)
     }
 
     /// Records the start of a request.
--- a/crates/kernel/src/admission/ranks.rs
+++ b/crates/kernel/src/admission/ranks.rs
@@ -13,12 +13,14 @@
 use super::{
     Finish, Offer, Permit, Ticket, Wake,
     kinds::{Key, Kind, Kinds},
+    pace::Pace,
 };
 use crate::{
     clock::Ms,
     members::Phase,
     refusal::{Reason, Refusal},
     routing,
+    standing::Rate,
 };
 
 /// Number of ranks; higher priority numbers belong to the last rank.
@@ -42,6 +44,8 @@
 /// another endpoint of the zone takes. Without any wait, the most urgent requests would pass by an endpoint whose next
 /// free slot is theirs within some ms.
 const SHORT_WAIT_DIVISOR: u64 = 12;
+/// Least share of the rate limit that a rank is expected to get beside more urgent ones.
+const STARVED_SHARE: f64 = 0.05;
 /// Interval of the check of waiting requests, in ms.
 const REVIEW_INTERVAL_MS: u64 = 20;
 
@@ -88,6 +92,7 @@
     phase: Phase,
     slots: usize,
     kinds: Kinds,
+    pace: Pace,
     waiting: BTreeSet<Entry>,
     observed: Ms,
     /// Time at which each rank last started a request, or began to wait in an empty queue.
@@ -129,6 +134,7 @@
             phase: Phase::Warming,
             slots: usize::from(slots.max(1)),
             kinds: Kinds::new(),
+            pace: Pace::default(),
             waiting: BTreeSet::new(),
             observed: Ms(0),
             progress: [Ms(0); RANKS],
@@ -163,6 +169,9 @@
             Finish::Answered => Some(now.since(permit.started)),
             _ => None,
         };
+        if finish == Finish::Unsent {
+            self.pace.give_back(now);
+        }
         self.kinds.ended(permit.kind, took);
         self.dispatch(now, out);
     }
@@ -205,26 +214,28 @@
         self.dispatch(now, out);
     }
 
+    /// Sets the rate limit that the upstream names.
+    pub fn set_limit(&mut self, now: Ms, limit: Option<Rate>, out: &mut Vec<Wake>) {
+        self.pace.set(now, limit);
+        self.refuse_unservable(now, out);
+        self.dispatch(now, out);
+    }
+
     /// Returns the expected wait and service time of a new request by rank.
     pub fn outlook(&self) -> Outlook {
+        let now = self.observed;
+        let taken = self.running() + self.waiting.len();
+        let free = self.slots.saturating_sub(taken) as f64;
+        let starts = self.pace.free(now);
+        let starts = starts.map(|it| (it - self.waiting.len() as f64).max(0.0));
         let mut outlook = Outlook {
-            free: clamp(
-                self.slots
-                    .saturating_sub(self.running() + self.waiting.len()) as f64,
-            ),
+            free: clamp(starts.map_or(free, |it| it.min(free))),
             slots: clamp(self.slots as f64),
             ..Outlook::default()
         };
         for rank in 0..RANKS {
-            let ahead = self.waiting.iter().filter(|it| it.rank <= rank).count();
-            let wait = match self.running() + ahead < self.slots {
-                true => 0,
-                false => self.estimated_wait(
-                    rank,
-                    self.kinds.rank_service(rank),
-                    self.waiting.iter().filter(|it| it.rank <= rank),
-                ),
-            };
+            let ahead = self.waiting.iter().filter(|it| it.rank <= rank);
+            let wait = self.expected_wait(now, rank, self.kinds.rank_service(rank), ahead);
             outlook.wait[rank] = clamp(wait as f64);
             outlook.service[rank] = clamp(self.kinds.rank_service(rank));
         }
@@ -281,11 +292,12 @@
         }
         self.observe(now);
         let entry = self.entry(now, request);
-        if self.can_start(&entry) {
+        if self.can_start(now, &entry) {
             return Ok(Decision::Slot(entry));
         }
         let service = self.kinds.service(entry.kind);
-        let wait = self.estimated_wait(entry.rank, service, self.waiting.range(..&entry));
+        let ahead = self.waiting.range(..&entry);
+        let wait = self.expected_wait(now, entry.rank, service, ahead);
         let max_wait = self.max_wait(now, request, service);
         match wait > max_wait {
             true => Err(Refusal::after(Reason::Overloaded, wait - max_wait)),
@@ -293,23 +305,61 @@
         }
     }
 
-    /// Returns whether a slot is free and no waiting request goes first.
-    fn can_start(&self, entry: &Entry) -> bool {
-        self.running() < self.slots && self.waiting.range(..entry).next().is_none()
+    /// Returns whether a request may start and no waiting one goes first.
+    fn can_start(&self, now: Ms, entry: &Entry) -> bool {
+        self.has_room(now) && self.waiting.range(..entry).next().is_none()
     }
 
-    /// Returns the expected wait of a request of `rank` and service time `service` behind the requests `ahead`, in ms.
+    /// Returns whether a slot is free and the rate limit leaves room for a start.
+    fn has_room(&self, now: Ms) -> bool {
+        self.running() < self.slots && self.pace.has_room(now)
+    }
+
+    /// Returns the expected wait of a request of `rank` and service time `service` behind the requests `ahead`, in ms:
+    /// for a slot, or for its turn within the rate limit.
+    fn expected_wait<'a>(
+        &self,
+        now: Ms,
+        rank: usize,
+        service: f64,
+        ahead: impl Iterator<Item = &'a Entry> + Clone,
+    ) -> u64 {
+        let turn = self.turn_wait(now, rank, service, ahead.clone());
+        match self.running() + ahead.clone().count() < self.slots {
+            true => turn,
+            false => turn.max(self.slot_wait(rank, service, ahead)),
+        }
+    }
+
+    /// Returns the wait until the rate limit lets a request start, in ms. Requests that go first, waiting or still to
+    /// arrive, take their part of the limit.
+    fn turn_wait<'a>(
+        &self,
+        now: Ms,
+        rank: usize,
+        service: f64,
+        ahead: impl Iterator<Item = &'a Entry>,
+    ) -> u64 {
+        let Some(rate) = self.pace.rate() else {
+            return 0;
+        };
+        let wait = self.pace.wait(now, ahead.count() as f64);
+        let goes_first = |other: usize, held: f64| goes_first(rank, service, other, held);
+        let left = rate - self.kinds.start_rate(goes_first);
+        (wait as f64 * rate / left.max(rate * STARVED_SHARE)) as u64
+    }
+
+    /// Returns the expected wait for a slot, in ms.
     ///
     /// All slots are taken. Waiting requests that go first get the next free slots, and those still to arrive hold
     /// their mean number of slots: requests of more urgent ranks, and much shorter ones of the same rank.
-    fn estimated_wait<'a>(
+    fn slot_wait<'a>(
         &self,
         rank: usize,
         service: f64,
         ahead: impl Iterator<Item = &'a Entry>,
     ) -> u64 {
-        let goes_first =
-            |other: usize, held: f64| other < rank || (other == rank && held * 2.0 < service);
+        let goes_first = |other: usize, held: f64| goes_first(rank, service, other, held);
         let reserved = self.kinds.mean_slots(goes_first);
         // Minimum of every rank: one start per STARVATION_MS.
         let mean = self.kinds.mean_service();
@@ -346,6 +396,7 @@
 
     fn start(&mut self, now: Ms, entry: Entry) -> Permit {
         self.kinds.started(entry.kind);
+        self.pace.take(now);
         self.progress[entry.rank] = now;
         Permit {
             class: routing::class_of(entry.rank as u8),
@@ -355,7 +406,7 @@
     }
 
     fn dispatch(&mut self, now: Ms, out: &mut Vec<Wake>) {
-        while self.running() < self.slots {
+        while self.has_room(now) {
             let Some(entry) = self.next(now) else {
                 return;
             };
@@ -385,10 +436,15 @@
         for mut entry in waiting {
             let service = self.kinds.service(entry.kind);
             self.mark_late(now, &mut entry);
+            let turn = self.pace.wait(now, self.waiting.len() as f64);
+            let left = entry.deadline.since(now);
             // Half the mean service time, as some requests are faster than the mean.
-            let unservable = entry.deadline.since(now) <= (service / 2.0) as u64;
-            if unservable {
-                let after = self.estimated_wait(entry.rank, service, std::iter::empty());
+            let unservable = left <= turn + (service / 2.0) as u64;
+            // Timely requests that arrive later take the turns of late ones; a caller that learns it soon can retry.
+            let displaced = entry.timeliness == Timeliness::Late && turn > left / LATE_WAIT_DIVISOR;
+            if unservable || displaced {
+                let waiting = self.waiting.iter();
+                let after = self.expected_wait(now, entry.rank, service, waiting);
                 let refusal = Refusal::after(Reason::Overloaded, after);
                 out.push(Wake::Refuse(entry.ticket, refusal));
                 continue;
@@ -405,6 +461,12 @@
     }
 }
 
+/// Returns whether a request of rank `other` that holds its slot for `held` ms goes before one of `rank` and `service`: if
+/// it is more urgent, or much shorter and of the same rank.
+fn goes_first(rank: usize, service: f64, other: usize, held: f64) -> bool {
+    other < rank || (other == rank && held * 2.0 < service)
+}
+
 /// Returns the time left to the goal that a request needs to count as timely, in ms.
 fn required_time(service: f64) -> u64 {
     (TIMELY_FACTOR * service) as u64
--- a/crates/kernel/src/pick/placement.rs
+++ b/crates/kernel/src/pick/placement.rs
@@ -20,6 +20,7 @@
     refusal::{Reason, Refusal},
     rollout::CANARY_PERCENT,
     routing,
+    standing::{Rate, Standing},
     utils::hash64,
     view::Endpoint,
 };
@@ -86,6 +87,8 @@
     sent_since: u32,
     /// Time of the last update and share of failed outcomes.
     fault_rate: (Ms, f64),
+    /// Rate limit that the upstream names, if any.
+    limit: Option<Rate>,
 }
 
 /// Distance of an endpoint from the entry.
@@ -133,6 +136,7 @@
                     outlook: None,
                     sent_since: 0,
                     fault_rate: (Ms(0), 0.0),
+                    limit: None,
                 },
             })
             .collect();
@@ -274,6 +278,17 @@
         }
     }
 
+    /// Records what the upstream of `node` says about itself. One that leaves gets no requests until its phase shows that.
+    pub fn record_standing(&mut self, now: Ms, node: NodeId, standing: Standing) {
+        let Some(it) = self.member(node) else {
+            return;
+        };
+        it.limit = standing.limit;
+        if standing.leaving {
+            it.stats.close(now);
+        }
+    }
+
     /// Returns the number of endpoints in use.
     pub fn len(&self) -> usize {
         self.members.len()
@@ -361,7 +376,12 @@
         let slots = f64::from(outlook.slots.max(1));
         let queued = f64::from(self.sent_since) - f64::from(outlook.free);
         let mean = outlook.service.iter().copied().map(f64::from).sum::<f64>() / RANKS as f64;
-        weight * f64::from(outlook.wait[rank]) + queued.max(0.0) * mean / slots
+        let turn = match self.limit {
+            Some(limit) if limit.millis() > 0 => (1.0 / limit.per_ms()).max(mean / slots),
+            Some(_) => OUTLOOK_MAX_AGE_MS,
+            None => mean / slots,
+        };
+        weight * f64::from(outlook.wait[rank]) + queued.max(0.0) * turn
     }
 
     fn record_outcome(&mut self, now: Ms, outcome: Outcome) {
--- a/crates/kernel/src/pick/stats.rs
+++ b/crates/kernel/src/pick/stats.rs
@@ -138,6 +138,11 @@
         }
     }
 
+    /// Holds all requests back until the endpoint's new phase has spread.
+    pub fn close(&mut self, now: Ms) {
+        self.closed_until = self.closed_until.max(now + PHASE_HOLD_MS);
+    }
+
     /// Ejects the endpoint after too many consecutive failures, or one failure of a probe.
     pub fn eject(&mut self, now: Ms) {
         let probe_failed = self.ejections > 0 && self.failures > 0;
--- a/crates/kernel/src/standing.rs
+++ b/crates/kernel/src/standing.rs
@@ -144,11 +144,14 @@
     }
 
     /// Applies what another node remembers, unless an answer has told better. Returns the standing if it changed.
+    ///
+    /// Of several limits the lowest holds: the others may be older, and the next answer tells which is right.
     pub fn adopt(&mut self, now: Ms, it: Standing) -> Option<Standing> {
         let before = self.standing;
         self.standing.leaving |= it.leaving;
-        if !self.answered && it.limit.is_some() {
-            self.standing.limit = it.limit;
+        let lowest = [before.limit, it.limit].into_iter().flatten().min();
+        if !self.answered && lowest != before.limit {
+            self.standing.limit = lowest;
             self.named = now;
         }
         (self.standing != before).then_some(self.standing)
--- a/crates/kernel/tests/standing.rs
+++ b/crates/kernel/tests/standing.rs
@@ -106,6 +106,20 @@
     assert_eq!(observed.adopt(NOW + 99, remembered), None);
 }
 
+/// Guards against an owner that starts with an old, higher limit although another entry knows the present one.
+#[test]
+fn lowest_remembered_limit_holds() {
+    let remembered = |limit| Standing {
+        limit: Some(rate(limit)),
+        leaving: false,
+    };
+    let mut observed = Observed::default();
+    observed.adopt(NOW, remembered(9_000));
+    observed.adopt(NOW, remembered(2_000));
+    assert_eq!(observed.adopt(NOW, remembered(60_000)), None);
+    assert_eq!(observed.standing(), remembered(2_000));
+}
+
 #[test_case("1f/12.500/0"; "a limit")]
 #[test_case("0/-/1"; "leaving")]
 #[test_case("ffffffff/0.000/1"; "both")]
--- a/crates/node/src/metrics/table.rs
+++ b/crates/node/src/metrics/table.rs
@@ -4,13 +4,14 @@
 use laburnum_kernel::{
     import,
     members::{Phase, Reach},
+    standing::Rate,
 };
 
 use super::{Kind, LATENCY, Point, Row, Source};
 use crate::traffic::connections::OpenConnections;
 
 /// Every metric.
-pub const TABLE: [Row; 45] = [
+pub const TABLE: [Row; 46] = [
     gauge(
         "laburnum_seq",
         "Position in the log of changes that this node is at.",
@@ -177,11 +178,13 @@
     ),
     gauge(
         "laburnum_upstream_limit",
-        "Rate limit that the upstream names in its answers, if any.",
-        |it| {
-            let limit = it.traffic.standing().limit;
-            limit.map_or_else(Vec::new, |it| one(it.millis()))
-        },
+        "Rate limit that the upstream names in its answers; zero without one.",
+        |it| one(it.traffic.standing().limit.map_or(0, Rate::millis)),
+    ),
+    gauge(
+        "laburnum_upstream_limited",
+        "1 while the upstream names a rate limit in its answers.",
+        |it| one(it.traffic.standing().limit.is_some().into()),
     ),
     gauge(
         "laburnum_upstream_leaving",
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -32,7 +32,7 @@
     denial::{Denial, UNPROVEN},
     headers::{
         self, ATTEMPT, BUDGET, DEADLINE, GOAL, KIND, NEVER, NOT_RUN, OUTCOME, PRIORITY, QUEUE, RAN,
-        REPEAT, REQUEST, SERVICE, SHORT, UNKNOWN,
+        REPEAT, REQUEST, SERVICE, SHORT, STANDING, UNKNOWN,
     },
     peers,
     plan::Plan,
@@ -232,6 +232,9 @@
             trace.tried.push(endpoint.node);
             let tree = retry.attempt();
             let mut request = self.build_request(plan, &payload, tree, number);
+            if let Some(report) = self.0.services.standing(endpoint.node) {
+                headers::insert_text(request.headers_mut(), STANDING, &report.to_string());
+            }
             if queue == WaitLimit::Short {
                 request.headers_mut().insert(QUEUE, SHORT);
             }
@@ -389,6 +392,12 @@
             return lost_attempt(Denial::unknown("crossed", why));
         }
         flight.set_feedback(headers::owner_feedback(response.headers()));
+        if let Some(report) = headers::standing(response.headers()) {
+            self.0.services.record_standing(endpoint.node, report);
+            let mut state = plan.service.lock();
+            let (now, standing) = (self.now(), report.standing);
+            state.chooser.record_standing(now, endpoint.node, standing);
+        }
         self.observe_baseline(plan, endpoint, sent, &response);
         self.classify_answer(plan, flight, response)
     }
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -16,7 +16,7 @@
     members::Phase,
     refusal::Refusal,
     settings::Origin,
-    standing::{Observed, Standing, StartTag, Statement},
+    standing::{Observed, Rate, Report, Standing, StartTag, Statement},
 };
 use tokio::sync::oneshot;
 
@@ -124,7 +124,16 @@
         let before = state.upstream;
         if before.start != upstream.start || upstream.phase == Phase::Gone {
             state.observed = Observed::default();
+            state.policy.set_limit(now, None, &mut wakes);
         }
+        let leaving = state.observed.standing().leaving;
+        let upstream = match leaving {
+            true => UpstreamState {
+                phase: Phase::Draining,
+                ..upstream
+            },
+            false => upstream,
+        };
         let applied = state.policy.update(now, before, upstream, &mut wakes);
         state.upstream = applied;
         state.deliver(now, wakes);
@@ -142,7 +151,29 @@
         if state.upstream.start != start {
             return None;
         }
-        state.observed.observe(self.clock.now(), sent, statement)
+        let now = self.clock.now();
+        let changed = state.observed.observe(now, sent, statement)?;
+        state.apply(now, changed);
+        Some(changed)
+    }
+
+    /// Applies what another node remembers of the upstream. Returns the standing if it changed.
+    pub fn adopt(&self, report: Report) -> Option<Standing> {
+        let mut state = self.lock();
+        if state.upstream.start != Some(report.start) {
+            return None;
+        }
+        let now = self.clock.now();
+        let changed = state.observed.adopt(now, report.standing)?;
+        state.apply(now, changed);
+        Some(changed)
+    }
+
+    /// Returns what the upstream says about itself, with its start; `None` if the upstream is gone or reports no instance.
+    pub fn report(&self) -> Option<Report> {
+        let state = self.lock();
+        let standing = state.observed.standing();
+        state.upstream.start.map(|start| Report { start, standing })
     }
 
     /// Returns what the upstream says about itself.
@@ -272,6 +303,13 @@
         }
     }
 
+    fn set_limit(&mut self, now: Ms, limit: Option<Rate>, out: &mut Vec<Wake>) {
+        match self {
+            Policy::Shares(it) => it.set_rate_limit(now, limit, out),
+            Policy::Ranks(it) => it.set_limit(now, limit, out),
+        }
+    }
+
     fn offer(&mut self, now: Ms, request: SlotRequest) -> Offer {
         match self {
             Policy::Shares(it) => {
@@ -316,6 +354,18 @@
 }
 
 impl State {
+    /// Applies a change of the upstream's standing.
+    fn apply(&mut self, now: Ms, it: Standing) {
+        let mut wakes = Vec::new();
+        self.policy.set_limit(now, it.limit, &mut wakes);
+        if it.leaving {
+            let before = self.upstream;
+            self.upstream.phase = Phase::Draining;
+            self.policy.update(now, before, self.upstream, &mut wakes);
+        }
+        self.deliver(now, wakes);
+    }
+
     fn deliver(&mut self, now: Ms, mut wakes: Vec<Wake>) {
         while let Some(wake) = wakes.pop() {
             let (ticket, verdict) = match wake {
@@ -328,8 +378,7 @@
             };
             // A permit that cannot be delivered would occupy its slot forever.
             if let Some(Ok(permit)) = undelivered {
-                self.policy
-                    .release(now, permit, Finish::Cancelled, &mut wakes);
+                self.policy.release(now, permit, Finish::Unsent, &mut wakes);
             }
         }
     }
@@ -369,7 +418,7 @@
             let mut wakes = Vec::new();
             state
                 .policy
-                .release(now, permit, Finish::Cancelled, &mut wakes);
+                .release(now, permit, Finish::Unsent, &mut wakes);
             state.deliver(now, wakes);
         }
     }
--- a/crates/node/src/traffic/headers.rs
+++ b/crates/node/src/traffic/headers.rs
@@ -1,7 +1,7 @@
 //! Header fields of the request path, and functions that read, set and strip them.
 
 use http::{HeaderMap, HeaderName, HeaderValue, Response, header};
-use laburnum_kernel::{admission::Load, refusal::Refusal};
+use laburnum_kernel::{admission::Load, refusal::Refusal, standing::Report};
 
 use super::services::Feedback;
 
@@ -38,6 +38,9 @@
 pub const OUTLOOK: HeaderName = HeaderName::from_static("laburnum-outlook");
 /// Between nodes: load of the upstream as `running/waiting/limit`.
 pub const LOAD: HeaderName = HeaderName::from_static("laburnum-load");
+/// Between nodes: what the upstream says about itself in its answers; from entries what they remember of it, from owners
+/// what is in force.
+pub const STANDING: HeaderName = HeaderName::from_static("laburnum-standing");
 /// Between nodes: proof that the sender holds the link key; see [`super::proof`].
 pub const PROOF: HeaderName = HeaderName::from_static("laburnum-proof");
 /// From upstreams: requests per second that the upstream takes from all nodes together, a decimal number.
@@ -150,6 +153,11 @@
     load(headers).map_or(Feedback::Nothing, Feedback::Load)
 }
 
+/// Reads what another node tells of an upstream.
+pub fn standing(headers: &HeaderMap) -> Option<Report> {
+    headers.get(STANDING)?.to_str().ok()?.parse().ok()
+}
+
 fn load(headers: &HeaderMap) -> Option<Load> {
     let mut parts = headers.get(LOAD)?.to_str().ok()?.split('/');
     let mut next = || parts.next()?.parse().ok();
@@ -172,6 +180,7 @@
     let headers = response.headers_mut();
     [
         SERVICE, REQUEST, LOAD, DEADLINE, BUDGET, ATTEMPT, REPEAT, PRIORITY, GOAL, KIND, OUTLOOK,
+        STANDING,
     ]
     .iter()
     .for_each(|it| {
--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -29,6 +29,7 @@
     retry::{Deadline, Tree},
     routing,
     settings::Origin,
+    standing::Standing,
     view::ServiceView,
 };
 use tokio::time::{Instant, timeout, timeout_at};
@@ -44,7 +45,7 @@
     gate::{Slot, SlotRequest, UpstreamState},
     headers::{
         self, ATTEMPT, BUDGET, DEADLINE, GOAL, KIND, LOAD, NEVER, OUTLOOK, PRIORITY, QUEUE, REPEAT,
-        REQUEST, SERVICE, SHORT,
+        REQUEST, SERVICE, SHORT, STANDING,
     },
     link_budget::{self, Reservation},
     pool::{Lease, Sent, Unavailable, Usage},
@@ -58,7 +59,7 @@
 /// a byte was written, or was abandoned.
 const CONNECTIONS_MAX: usize = 4;
 /// Retry delay for an upstream that drains, in ms: long enough for its new phase to reach the entries.
-const DRAINING_MS: u64 = 2_000;
+pub(super) const DRAINING_MS: u64 = 2_000;
 /// Retry delay while another suspect request runs, in ms: about as long as one request takes.
 const SUSPECT_MS: u64 = 200;
 /// Retry delay for an upstream that is not ready, in ms.
@@ -129,6 +130,7 @@
     pub(super) async fn handle_forwarded(&self, request: Request<Body>) -> Response<Body> {
         let number = request.headers().get(REQUEST).cloned();
         let id = self.0.dialect.id(request.headers());
+        let remembered = request.headers().contains_key(STANDING);
         let started = self.now();
         let owned = self.count_owned();
         let result = self.serve(request, &owned).await;
@@ -146,6 +148,11 @@
             Feedback::Outlook(it) => headers::insert_text(headers, OUTLOOK, &it.to_string()),
             Feedback::Nothing => {}
         }
+        // An entry that remembers a limit is also told that there is none any more.
+        let report = self.0.gate.report();
+        if let Some(report) = report.filter(|it| remembered || it.standing != Standing::default()) {
+            headers::insert_text(headers, STANDING, &report.to_string());
+        }
         if let Some(number) = number {
             headers.insert(REQUEST, number);
         }
@@ -165,6 +172,7 @@
             id: id.as_ref(),
             instance: instance.unwrap_or_default(),
             load: [gauges.running, gauges.waiting, gauges.limit],
+            limit: self.0.gate.standing().limit,
             took: now.since(started),
             status: response.status(),
             headers: response.headers(),
@@ -256,6 +264,7 @@
                 deadline: params.deadline,
             },
         };
+        self.adopt_remembered(&upstream, &parts.headers)?;
         let Terms {
             class,
             repeat,
@@ -461,6 +470,7 @@
             // The claim may have expired during the waits above, and a second attempt may hold it by now.
             if self.now() >= window.start {
                 lease.return_unused();
+                run.slot.finish(Finish::Unsent);
                 return Err(expired(&job));
             }
             self.0.counts.count_sent();
@@ -555,7 +565,7 @@
     fn no_connection(&self, slot: Slot, fault: Unavailable) -> Denial {
         match fault {
             Unavailable::Refused => {
-                slot.finish(Finish::Failed);
+                slot.finish(Finish::Unsent);
                 self.0.upstream.observe(Observation::Refused);
                 self.0.upstream.request_poll();
                 not_ready()
--- a/crates/node/src/traffic/report.rs
+++ b/crates/node/src/traffic/report.rs
@@ -11,11 +11,15 @@
     Ms, Name, NodeId,
     retry::Next,
     sampling::{Kind, Sampler, Verdict},
+    standing::Rate,
 };
 
 use crate::logs;
 
-use super::headers::{OUTCOME, REASON};
+use super::{
+    headers::{OUTCOME, REASON},
+    standing::limit_text,
+};
 
 /// Writes the log lines of one node, at a bounded rate.
 #[derive(Debug, Default)]
@@ -86,6 +90,8 @@
     pub instance: &'a str,
     /// Running requests, waiting requests and slots when the request ended.
     pub load: [usize; 3],
+    /// Rate limit that the upstream names, if any.
+    pub limit: Option<Rate>,
     /// Time since the request arrived, in ms.
     pub took: u64,
     /// Status of the answer.
@@ -165,6 +171,7 @@
             ("running", running),
             ("waiting", waiting),
             ("slots", slots),
+            ("limit", limit_text(it.limit)),
             ("took", it.took.to_string()),
             ("omitted", omitted.to_string()),
         ];
--- a/crates/node/src/traffic/services.rs
+++ b/crates/node/src/traffic/services.rs
@@ -17,6 +17,7 @@
     pick::{Choice, Lane, Outcome, Picker, Place, placement::Placement},
     retry::Budget,
     settings::Origin,
+    standing::{Report, Standing, Standings},
     view::ServiceView,
 };
 
@@ -27,6 +28,8 @@
     place: Place,
     origin: Origin,
     services: RwLock<HashMap<Name, Arc<Service>>>,
+    /// What owners reported of upstreams that limit their requests or leave.
+    standings: Mutex<Standings>,
     /// Latest view and its generation.
     current: ArcSwap<Current>,
 }
@@ -91,6 +94,15 @@
         }
     }
 
+    /// Records what the upstream of `node` says about itself.
+    pub fn record_standing(&mut self, now: Ms, node: NodeId, standing: Standing) {
+        match self {
+            // It learns of full and leaving endpoints by their refusals.
+            Chooser::Picker(_) => {}
+            Chooser::Placement(it) => it.record_standing(now, node, standing),
+        }
+    }
+
     fn started(&mut self, now: Ms, node: NodeId) {
         match self {
             Chooser::Picker(it) => it.started(now, node),
@@ -128,6 +140,7 @@
             place,
             origin,
             services: RwLock::default(),
+            standings: Mutex::default(),
             current: ArcSwap::default(),
         }
     }
@@ -150,6 +163,22 @@
         service
     }
 
+    /// Returns what this entry remembers of the upstream beside `owner`, if it limits its requests or leaves.
+    pub fn standing(&self, owner: NodeId) -> Option<Report> {
+        self.standings().of(owner)
+    }
+
+    /// Remembers what `owner` reported of its upstream.
+    pub fn record_standing(&self, owner: NodeId, report: Report) {
+        self.standings().record(owner, report);
+    }
+
+    fn standings(&self) -> MutexGuard<'_, Standings> {
+        self.standings
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn find_or_insert(&self, now: Ms, name: &Name, it: &ServiceView) -> Arc<Service> {
         let services = self.services.read().unwrap_or_else(PoisonError::into_inner);
         if let Some(service) = services.get(name) {
--- a/crates/node/src/traffic/standing.rs
+++ b/crates/node/src/traffic/standing.rs
@@ -1,17 +1,18 @@
-//! Owner side: learns from answers what the upstream says about itself.
+//! Owner side: learns what the upstream says about itself, from its answers and from what entries remember.
 
 use std::sync::{Mutex, PoisonError};
 
 use http::HeaderMap;
 use laburnum_kernel::{
     Ms,
+    refusal::{Reason, Refusal},
     sampling::{Kind, Sampler, Verdict},
     standing::{Rate, Standing},
 };
 
 use crate::{logs, upstream::ActiveUpstream};
 
-use super::Traffic;
+use super::{Traffic, denial::Denial, headers, owner::DRAINING_MS};
 
 /// Writes the changes of the upstream's standing to the log, at a bounded rate.
 #[derive(Debug, Default)]
@@ -27,13 +28,44 @@
     ) {
         let statement = self.0.dialect.statement(headers);
         if let Some(standing) = self.0.gate.observe(upstream.start, sent, statement) {
-            self.0.standing_log.write(self.now(), upstream, standing);
+            self.apply_standing(upstream, standing, "answer");
+        }
+    }
+
+    /// Applies what the entry remembers of `upstream`, and refuses the request if the upstream leaves.
+    ///
+    /// A process that has just started has seen no answer yet. Without the memory of others it would send an upstream
+    /// more than it takes, or requests after it began to leave.
+    pub(super) fn adopt_remembered(
+        &self,
+        upstream: &ActiveUpstream,
+        headers: &HeaderMap,
+    ) -> Result<(), Denial> {
+        let remembered = headers::standing(headers);
+        if let Some(standing) = remembered.and_then(|it| self.0.gate.adopt(it)) {
+            self.apply_standing(upstream, standing, "entry");
+        }
+        match self.0.gate.standing().leaving {
+            true => Err(Denial::Refused(Refusal::after(
+                Reason::Draining,
+                DRAINING_MS,
+            ))),
+            false => Ok(()),
+        }
+    }
+
+    fn apply_standing(&self, upstream: &ActiveUpstream, standing: Standing, from: &str) {
+        self.0
+            .standing_log
+            .write(self.now(), upstream, standing, from);
+        if standing.leaving {
+            self.0.upstream.mark_leaving(upstream);
         }
     }
 }
 
 impl StandingLog {
-    fn write(&self, now: Ms, upstream: &ActiveUpstream, standing: Standing) {
+    fn write(&self, now: Ms, upstream: &ActiveUpstream, standing: Standing, from: &str) {
         let verdict = {
             let mut sampler = self.0.lock().unwrap_or_else(PoisonError::into_inner);
             sampler.admit(now, Kind::Success)
@@ -48,6 +80,7 @@
             ),
             ("limit", limit_text(standing.limit)),
             ("leaving", standing.leaving.to_string()),
+            ("from", from.to_owned()),
             ("omitted", omitted.to_string()),
         ];
         logs::event("upstream-standing", &pairs);
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, Weak,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -95,6 +95,8 @@
     pub start: Option<StartTag>,
     /// Connections to the upstream.
     pub pool: Arc<Pool>,
+    /// Whether this start said in an answer that it leaves.
+    leaving: Arc<AtomicBool>,
 }
 
 /// Requests in flight, requests whose connection broke recently, and requests answered recently.
@@ -205,11 +207,12 @@
 
     /// Applies an announcement, new or repeated.
     pub fn announce(&self, it: Announcement) -> Result<(), Closed> {
-        self.apply(it, None)
+        let phase = self.known_phase(None, it.phase);
+        self.apply(Announcement { phase, ..it }, None)
     }
 
     /// Applies a heartbeat. Late and repeated ones, and those of a replaced process, are ignored.
-    pub fn heartbeat(&self, it: Heartbeat) -> Result<(), Closed> {
+    pub fn heartbeat(&self, mut it: Heartbeat) -> Result<(), Closed> {
         let now = self.0.clock.now();
         let verdict = lock(&self.0.instances).heartbeat(now, &it.start, it.sequence);
         match verdict {
@@ -226,6 +229,8 @@
                 self.withdraw()?;
             }
         }
+        let start = StartTag::from(&it.start);
+        it.announcement.phase = self.known_phase(Some(start), it.announcement.phase);
         self.save(&it);
         self.apply(it.announcement, Some(&it.start))
     }
@@ -240,6 +245,31 @@
         self.heartbeat(it)
     }
 
+    /// Records that `upstream` said in an answer that it leaves. From then on it counts as draining, whatever phase its
+    /// announcements tell: some upstreams never announce that they leave.
+    pub fn mark_leaving(&self, upstream: &ActiveUpstream) {
+        let is_marked = upstream.leaving.swap(true, Ordering::SeqCst);
+        let is_present = self
+            .active()
+            .is_some_and(|it| Arc::ptr_eq(&it.leaving, &upstream.leaving));
+        if is_marked || !is_present {
+            return;
+        }
+        self.0
+            .saved
+            .send_if_modified(|saved| saved.take().is_some());
+        self.observe(Observation::Report(Phase::Draining));
+    }
+
+    /// Returns the phase of an upstream that announces `phase`.
+    fn known_phase(&self, start: Option<StartTag>, phase: Phase) -> Phase {
+        let leaves = |it: &ActiveUpstream| it.start == start && it.leaving.load(Ordering::SeqCst);
+        match self.active() {
+            Some(it) if leaves(&it) => Phase::Draining,
+            _ => phase,
+        }
+    }
+
     /// Returns a receiver of the heartbeat to save for the node's next process.
     pub fn saved(&self) -> watch::Receiver<Option<Heartbeat>> {
         self.0.saved.subscribe()
@@ -290,9 +320,12 @@
             }
         };
         let phase = self.phase();
-        let pool = match shared.active.load().as_ref() {
-            Some(active) if same => active.pool.clone(),
-            _ => Arc::new(Pool::new(it.address, shared.settings.clone())),
+        let (pool, leaving) = match shared.active.load().as_ref() {
+            Some(active) if same => (active.pool.clone(), active.leaving.clone()),
+            _ => {
+                let pool = Pool::new(it.address, shared.settings.clone());
+                (Arc::new(pool), Arc::default())
+            }
         };
         let active = ActiveUpstream {
             service: it.service.clone(),
@@ -301,6 +334,7 @@
             instance,
             start: start.map(StartTag::from),
             pool,
+            leaving,
         };
         shared.active.store(Some(Arc::new(active)));
         let announced = UpstreamEvent::Announced {
@@ -491,6 +525,7 @@
                 instance: active.instance.clone(),
                 start: active.start,
                 pool: active.pool.clone(),
+                leaving: active.leaving.clone(),
             };
             self.0.active.store(Some(Arc::new(next)));
             let announced = UpstreamEvent::Announced {
