Retry times of upstreams are kept to the millisecond

What callers saw: 503 with Retry-After 0 where the upstream had asked for 0.4 s, and further requests of entries to it at once. Cause: the third thing that answers say about their upstream: Retry-After was read as a whole number, and one with a fraction fell to zero without a word. Evidence: fraction_of_an_upstreams_retry_time_is_kept failed before (0.000 for 0.400). Rates and seconds share one parser of decimal numbers now.

--- a/crates/kernel/src/standing.rs
+++ b/crates/kernel/src/standing.rs
@@ -9,14 +9,17 @@
     str::FromStr,
 };
 
-use crate::{clock::Ms, id::NodeId, instance::Start, utils::hash64};
+use crate::{
+    clock::Ms,
+    id::NodeId,
+    instance::Start,
+    utils::{hash64, parse_thousandths},
+};
 
 /// A number of requests per second, in thousandths.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rate(u64);
 
-/// Maximum number of characters of a rate in text form.
-const RATE_TEXT_MAX: usize = 32;
 /// Units of [`Rate`] in one request per second.
 const PER_REQUEST: u64 = 1_000;
 
@@ -53,19 +56,8 @@
 
     /// Reads digits with an optional fraction. Signs, exponents and words such as `inf` are no rates.
     fn from_str(text: &str) -> Result<Rate, BadRate> {
-        let bad = || BadRate(text.chars().take(RATE_TEXT_MAX).collect());
-        let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
-        let is_number = |it: &str| !it.is_empty() && it.bytes().all(|it| it.is_ascii_digit());
-        if text.len() > RATE_TEXT_MAX || !is_number(whole) || !is_number(fraction) {
-            return Err(bad());
-        }
-        let whole: u64 = whole.parse().map_err(|_| bad())?;
-        let millis = format!("{fraction:0<3}")[..3].parse::<u64>();
-        let millis = millis.map_err(|_| bad())?;
-        let rate = whole.checked_mul(PER_REQUEST);
-        rate.and_then(|it| it.checked_add(millis))
-            .map(Rate)
-            .ok_or_else(bad)
+        let bad = || BadRate(text.chars().take(32).collect());
+        parse_thousandths(text).map(Rate).ok_or_else(bad)
     }
 }
 
--- a/crates/kernel/src/utils.rs
+++ b/crates/kernel/src/utils.rs
@@ -48,3 +48,19 @@
     let ceiling = base.saturating_mul(1 << failures.min(16)).min(max);
     rng.random_range(0..=ceiling)
 }
+
+/// Parses a decimal number, digits with an optional fraction, into thousandths; further digits are dropped. Signs, exponents
+/// and words such as `inf` are no decimal numbers.
+pub fn parse_thousandths(text: &str) -> Option<u64> {
+    let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
+    let is_number = |it: &str| !it.is_empty() && it.bytes().all(|it| it.is_ascii_digit());
+    if text.len() > DECIMAL_MAX || !is_number(whole) || !is_number(fraction) {
+        return None;
+    }
+    let whole: u64 = whole.parse().ok()?;
+    let thousandths: u64 = format!("{fraction:0<3}")[..3].parse().ok()?;
+    whole.checked_mul(1_000)?.checked_add(thousandths)
+}
+
+/// Maximum number of characters of a decimal number.
+const DECIMAL_MAX: usize = 32;
--- a/crates/node/src/traffic/answer.rs
+++ b/crates/node/src/traffic/answer.rs
@@ -15,6 +15,7 @@
     refusal::{Reason, Refusal},
     rollout::{self, Ending},
     settings::Origin,
+    utils::parse_thousandths,
 };
 use tokio::{sync::OwnedSemaphorePermit, time::Instant};
 
@@ -209,10 +210,9 @@
 fn shed_refusal(answer: &Response<Incoming>) -> Refusal {
     let headers = answer.headers();
     let after = headers::number(headers, &RETRY_AFTER_MS).ok().flatten();
-    let seconds = headers::number(headers, &header::RETRY_AFTER)
-        .ok()
-        .flatten();
-    let after = after.or(seconds.map(|it| it.saturating_mul(1000)));
+    let seconds = headers.get(header::RETRY_AFTER);
+    let seconds = seconds.and_then(|it| parse_thousandths(it.to_str().ok()?));
+    let after = after.or(seconds);
     Refusal::after(Reason::Shed, after.unwrap_or(0))
 }
 
