--- a/crates/kernel/src/admission.rs
+++ b/crates/kernel/src/admission.rs
@@ -327,7 +327,8 @@
         let class = request.class;
         let service = self.limit.service(class);
         let wait = self.estimated_wait(class, self.queue(class).count_before(request.deadline) + 1);
-        let wait = wait.max(self.pace.wait(now, self.waiting() as f64));
+        let turn = self.pace.wait(now, self.waiting() as f64);
+        let wait = wait.max(turn);
         let class_limit = service as f64 * self.settings.wait_factors[index(class)];
         let slack = request.deadline.since(now).saturating_sub(service);
         let max_wait = if class_limit < slack as f64 {
@@ -335,7 +336,7 @@
         } else {
             slack
         };
-        if wait <= max_wait || self.must_probe(class) {
+        if wait <= max_wait || (turn <= max_wait && self.must_probe(class)) {
             return None;
         }
         Some(Refusal::after(Reason::Overloaded, wait - max_wait))
--- a/crates/kernel/src/admission/pace.rs
+++ b/crates/kernel/src/admission/pace.rs
@@ -9,7 +9,7 @@
 /// of the limit would go unused.
 const BURST_MS: f64 = 100.0;
 /// Minimum capacity of the bucket, in requests.
-const BURST_MIN: f64 = 1.0;
+const BURST_MIN: f64 = 2.0;
 /// Lowest rate at which requests start, per ms: one in two seconds. The end of a limit shows only in answers, so that an
 /// upstream that takes none would never be heard again without it.
 const TRIAL_RATE: f64 = 0.5 / 1_000.0;
