A small rate limit goes to the most urgent, and nobody queues at a limited upstream beside one with room

Cause, by reading: a rank without a start for 500 ms goes first, which is every start of an upstream that takes 2.2 a second; and an entry with an old outlook queued at a limited upstream up to its goal. Change: within a limit a rank is starved after the time of eight starts, and then the next turn is its own; an entry probes a limited upstream while another endpoint has none. Without a limit nothing of it runs.

--- a/crates/kernel/src/admission/ranks.rs
+++ b/crates/kernel/src/admission/ranks.rs
@@ -44,8 +44,8 @@
 /// another endpoint of the zone takes. Without any wait, the most urgent requests would pass by an endpoint whose next
 /// free slot is theirs within some ms.
 const SHORT_WAIT_DIVISOR: u64 = 12;
-/// Least share of the rate limit that a rank is expected to get beside more urgent ones.
-const STARVED_SHARE: f64 = 0.05;
+/// Least share of the rate limit that a rank gets beside more urgent ones.
+const STARVED_SHARE: f64 = 0.125;
 /// Interval of the check of waiting requests, in ms.
 const REVIEW_INTERVAL_MS: u64 = 20;
 
@@ -150,7 +150,8 @@
             Err(refusal) => return Offer::Refuse(refusal),
         };
         let rank = entry.rank;
-        if !self.waiting.iter().any(|it| it.rank == rank) {
+        let is_first = !self.waiting.iter().any(|it| it.rank == rank);
+        if is_first && !self.has_next_turn(now, rank) {
             self.progress[rank] = now;
         }
         self.waiting.insert(entry);
@@ -297,7 +298,10 @@
         }
         let service = self.kinds.service(entry.kind);
         let ahead = self.waiting.range(..&entry);
-        let wait = self.expected_wait(now, entry.rank, service, ahead);
+        let wait = match self.has_next_turn(now, entry.rank) {
+            true => self.pace.wait(now, 0.0),
+            false => self.expected_wait(now, entry.rank, service, ahead),
+        };
         let max_wait = self.max_wait(now, request, service);
         match wait > max_wait {
             true => Err(Refusal::after(Reason::Overloaded, wait - max_wait)),
@@ -423,13 +427,29 @@
     /// Returns the request that runs next: the first of a starved rank, else the first in order.
     fn next(&self, now: Ms) -> Option<Entry> {
         let first = self.waiting.first()?;
+        let longest = self.starvation_time();
         let starved = self
             .waiting
             .iter()
-            .find(|it| it.rank > first.rank && now.since(self.progress[it.rank]) >= STARVATION_MS);
+            .find(|it| it.rank > first.rank && now.since(self.progress[it.rank]) >= longest);
         Some(*starved.unwrap_or(first))
     }
 
+    /// Returns whether the next turn within the rate limit is due to `rank`, of which none has started for long and none
+    /// waits. Its expected wait behind more urgent ranks would refuse all of its requests, so that none could be starved.
+    fn has_next_turn(&self, now: Ms, rank: usize) -> bool {
+        self.pace.rate().is_some()
+            && now.since(self.progress[rank]) >= self.starvation_time()
+            && !self.waiting.iter().any(|it| it.rank == rank)
+    }
+
+    /// Returns the maximum time without a start for a rank with waiting requests, in ms. Within a small rate limit it is the
+    /// time of several starts, or the least urgent rank would get most of them.
+    fn starvation_time(&self) -> u64 {
+        let share = self.pace.rate().map(|it| 1.0 / (it * STARVED_SHARE));
+        STARVATION_MS.max(share.unwrap_or_default() as u64)
+    }
+
     /// Marks waiting requests that became late and refuses those that can no longer be answered in time.
     fn refuse_unservable(&mut self, now: Ms, out: &mut Vec<Wake>) {
         let waiting = std::mem::take(&mut self.waiting);
--- a/crates/kernel/src/pick/placement.rs
+++ b/crates/kernel/src/pick/placement.rs
@@ -222,10 +222,13 @@
             [Some((_, it)), _] | [None, Some((_, it))] => Some(it),
             [None, None] => None,
         };
+        let has_unlimited = || untried().any(|it| it.limit.is_none() && it.usable(now, lane));
         match chosen {
             Some(it) if probes && it.distance == Distance::Zone && !it.is_recent(now) => {
                 Choice::Probe(it.endpoint.clone())
             }
+            // Its outlook may be old: no request waits for a turn there while another endpoint takes it at once.
+            Some(it) if it.limit.is_some() && has_unlimited() => Choice::Probe(it.endpoint.clone()),
             Some(it) => Choice::Send(it.endpoint.clone()),
             None => self.fallback_choice(now, lane, untried()),
         }
--- a/crates/kernel/tests/placement.rs
+++ b/crates/kernel/tests/placement.rs
@@ -17,6 +17,7 @@
     },
     refusal::{Reason, Refusal},
     rollout::CANARY_PERCENT,
+    standing::{Rate, Standing},
     view::Endpoint,
 };
 use rand::SeedableRng;
@@ -335,3 +336,40 @@
     });
     assert!(refused.count() * 100 >= DRAWS * 85);
 }
+
+/// Guards against requests that wait for their turn at a limited endpoint while another one takes them at once.
+#[test]
+fn limited_endpoint_is_probed_while_another_has_room() {
+    let mut placement = placement();
+    report_outlook(&mut placement, 1, 0, 10);
+    report_outlook(&mut placement, 2, 0, 100);
+    let limited = Standing {
+        limit: Some(Rate::from_millis(2_000)),
+        leaving: false,
+    };
+    let choose = |placement: &Placement| {
+        let mut rng = ChaCha8Rng::seed_from_u64(5);
+        placement.place(NOW, &mut rng, ranked(NOW), &[])
+    };
+    placement.record_standing(NOW, id(1), limited);
+    assert!(matches!(choose(&placement), Choice::Probe(it) if it.node == id(1)));
+    placement.record_standing(NOW, id(2), limited);
+    placement.record_standing(NOW, id(3), limited);
+    assert!(matches!(choose(&placement), Choice::Send(it) if it.node == id(1)));
+    placement.record_standing(NOW, id(1), Standing::default());
+    assert!(matches!(choose(&placement), Choice::Send(it) if it.node == id(1)));
+}
+
+/// Guards against requests to an endpoint between its answer that it leaves and the news of its phase.
+#[test]
+fn leaving_endpoint_is_avoided_at_once() {
+    let mut placement = placement();
+    report_outlook(&mut placement, 1, 0, 10);
+    report_outlook(&mut placement, 2, 0, 100);
+    let leaving = Standing {
+        limit: None,
+        leaving: true,
+    };
+    placement.record_standing(NOW, id(1), leaving);
+    assert_eq!(count_choices(&placement, &[])[0], 0);
+}
--- a/crates/kernel/tests/ranks.rs
+++ b/crates/kernel/tests/ranks.rs
@@ -1,5 +1,7 @@
 //! Admission control by priority and goal: order, refusals and simulated overload.
 
+use std::collections::HashMap;
+
 use laburnum_kernel::{
     Ms,
     admission::{
@@ -9,6 +11,7 @@
     },
     members::Phase,
     refusal::{Reason, Refusal},
+    standing::Rate,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -392,3 +395,69 @@
     }
     assert_eq!(ranks.running(), 0);
 }
+
+/// Guards against the least urgent requests taking every other start of an upstream that names a small rate limit.
+#[test]
+fn small_rate_limit_goes_to_the_most_urgent() {
+    let mut ranks = ranks(12);
+    let limit = Rate::from_millis(2_200);
+    ranks.set_limit(NOW, Some(limit), &mut Vec::new());
+    let (mut urgent, mut others) = (0, 0);
+    let mut tickets = HashMap::new();
+    for now in (0..60_000).step_by(20).map(|it| NOW + it) {
+        let mut wakes = Vec::new();
+        for priority in [0, 2] {
+            if let Offer::Wait(ticket) = ranks.offer(now, ranked(now, priority, 2_000, 4_000)) {
+                tickets.insert(ticket, priority);
+            }
+        }
+        ranks.tick(now, &mut wakes);
+        for wake in wakes {
+            if let Wake::Run(ticket, permit) = wake {
+                match tickets[&ticket] {
+                    0 => urgent += 1,
+                    _ => others += 1,
+                }
+                ranks.done(now + 10, permit, Finish::Answered, &mut Vec::new());
+            }
+        }
+    }
+    assert!(urgent > 100, "132 fit: {urgent} and {others}");
+    assert!(others > 8, "{urgent} and {others}");
+}
+
+/// Guards against more starts than the upstream takes, and against waits that no caller can use.
+#[test]
+fn rate_limit_bounds_starts_and_waits() {
+    let mut ranks = ranks(12);
+    let mut running = Vec::new();
+    ranks.set_limit(NOW, Some(Rate::from_millis(10_000)), &mut Vec::new());
+    let now = NOW + 1_000;
+    for _ in 0..2 {
+        running.push(run(ranks.offer(now, ranked(now, 2, 500, 2_000))));
+    }
+    assert_eq!(ranks.outlook().free, 0);
+    let waiting = wait(ranks.offer(now, ranked(now, 2, 500, 2_000)));
+    let refusal = refused(ranks.offer(now, ranked(now, 2, 60, 200)));
+    assert_eq!(refusal.reason, Reason::Overloaded);
+    let mut wakes = Vec::new();
+    ranks.tick(now + 80, &mut wakes);
+    assert_eq!(started(&wakes), []);
+    ranks.tick(now + 100, &mut wakes);
+    assert_eq!(started(&wakes), [waiting]);
+    ranks.set_limit(now + 100, None, &mut Vec::new());
+    running.push(run(ranks.offer(now + 100, ranked(now, 2, 500, 2_000))));
+    assert_eq!(running.len(), 3);
+}
+
+/// Guards against turns that are lost with requests of which nothing was sent.
+#[test]
+fn unsent_request_gives_its_turn_back() {
+    let mut ranks = ranks(12);
+    ranks.set_limit(NOW, Some(Rate::from_millis(1_000)), &mut Vec::new());
+    let now = NOW + 1_000;
+    let permit = run(ranks.offer(now, ranked(now, 2, 500, 2_000)));
+    ranks.done(now, permit, Finish::Unsent, &mut Vec::new());
+    let _again = run(ranks.offer(now, ranked(now, 2, 500, 2_000)));
+    let _refused = refused(ranks.offer(now, ranked(now, 2, 500, 600)));
+}
