A restarted node starts requests one at a time while it only knows a remembered limit

What an upstream would see: six requests within four seconds where it takes none and five are tolerated. Cause: its node had restarted and adopted the limit that an entry remembered, 60 a second, while the upstream had meanwhile named zero; until its first answer four started. Change: a remembered limit lets a request start only while none runs, until an answer names one.

--- a/crates/kernel/src/admission.rs
+++ b/crates/kernel/src/admission.rs
@@ -296,7 +296,8 @@
     }
 
     fn has_slot(&self, now: Ms, class: Class) -> bool {
-        let free = self.running() < self.limit.get() && self.pace.has_room(now);
+        let running = self.running();
+        let free = running < self.limit.get() && self.pace.has_room(now, running);
         match class {
             Class::Interactive | Class::Exact => free,
             Class::Background => free && self.running[index(class)] < self.background_limit(),
--- a/crates/kernel/src/admission/pace.rs
+++ b/crates/kernel/src/admission/pace.rs
@@ -26,11 +26,32 @@
     rate: f64,
     level: f64,
     filled: Ms,
+    basis: Basis,
+}
+
+/// Who named a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Basis {
+    /// The upstream, in an answer.
+    Answer,
+    /// Another node, which may remember an older limit.
+    Memory,
 }
 
 impl Pace {
-    /// Sets the limit. A new one begins without a token: the upstream has just had a request, and others may still run.
+    /// Sets the limit that an answer named. A new one begins without a token: the upstream has just had a request, and
+    /// others may still run.
     pub(super) fn set(&mut self, now: Ms, limit: Option<Rate>) {
+        self.replace(now, limit, Basis::Answer);
+    }
+
+    /// Sets the limit that another node remembers. Until an answer names one, requests start one at a time: the memory may
+    /// be that of a much higher limit.
+    pub(super) fn adopt(&mut self, now: Ms, limit: Option<Rate>) {
+        self.replace(now, limit, Basis::Memory);
+    }
+
+    fn replace(&mut self, now: Ms, limit: Option<Rate>, basis: Basis) {
         self.bucket = limit.map(|limit| {
             let rate = limit.per_ms().max(TRIAL_RATE);
             let level = self.bucket.map_or(0.0, |it| it.level(now));
@@ -38,6 +59,7 @@
                 rate,
                 level: level.min(capacity(rate)),
                 filled: now,
+                basis,
             }
         });
     }
@@ -47,9 +69,12 @@
         self.bucket.map(|it| it.rate)
     }
 
-    /// Returns whether a request may start.
-    pub(super) fn has_room(&self, now: Ms) -> bool {
-        self.bucket.is_none_or(|it| it.level(now) >= 1.0)
+    /// Returns whether a request may start beside `running` others.
+    pub(super) fn has_room(&self, now: Ms, running: usize) -> bool {
+        self.bucket.is_none_or(|it| {
+            let alone = it.basis == Basis::Answer || running == 0;
+            alone && it.level(now) >= 1.0
+        })
     }
 
     /// Returns the number of requests that may start at once; `None` without a limit.
--- a/crates/kernel/src/admission/ranks.rs
+++ b/crates/kernel/src/admission/ranks.rs
@@ -222,6 +222,13 @@
         self.dispatch(now, out);
     }
 
+    /// Sets the rate limit that another node remembers, until the upstream itself names one.
+    pub fn adopt_limit(&mut self, now: Ms, limit: Option<Rate>, out: &mut Vec<Wake>) {
+        self.pace.adopt(now, limit);
+        self.refuse_unservable(now, out);
+        self.dispatch(now, out);
+    }
+
     /// Returns the expected wait and service time of a new request by rank.
     pub fn outlook(&self) -> Outlook {
         let now = self.observed;
@@ -316,7 +323,8 @@
 
     /// Returns whether a slot is free and the rate limit leaves room for a start.
     fn has_room(&self, now: Ms) -> bool {
-        self.running() < self.slots && self.pace.has_room(now)
+        let running = self.running();
+        running < self.slots && self.pace.has_room(now, running)
     }
 
     /// Returns the expected wait of a request of `rank` and service time `service` behind the requests `ahead`, in ms:
--- a/crates/kernel/src/standing.rs
+++ b/crates/kernel/src/standing.rs
@@ -116,12 +116,13 @@
         self.standing
     }
 
-    /// Applies an answer to a request that was sent at `sent`. Returns the standing if it changed.
+    /// Applies an answer to a request that was sent at `sent`. Returns the standing if it changed, or if this is the first
+    /// answer and confirms a limit that another node remembered.
     ///
     /// A limit ends with an answer that names none, unless its request was sent before the limit was named: answers
     /// that were on their way together may arrive in any order.
     pub fn observe(&mut self, now: Ms, sent: Ms, it: Statement) -> Option<Standing> {
-        self.answered = true;
+        let is_first = !std::mem::replace(&mut self.answered, true);
         let before = self.standing;
         self.standing.leaving |= it.leaving;
         match it.limit {
@@ -132,7 +133,8 @@
             NamedLimit::Absent if sent >= self.named => self.standing.limit = None,
             NamedLimit::Absent | NamedLimit::Invalid => {}
         }
-        (self.standing != before).then_some(self.standing)
+        let confirmed = is_first && self.standing.limit.is_some();
+        (confirmed || self.standing != before).then_some(self.standing)
     }
 
     /// Applies what another node remembers, unless an answer has told better. Returns the standing if it changed.
--- a/crates/kernel/tests/ranks.rs
+++ b/crates/kernel/tests/ranks.rs
@@ -461,3 +461,20 @@
     let _again = run(ranks.offer(now, ranked(now, 2, 500, 2_000)));
     let _refused = refused(ranks.offer(now, ranked(now, 2, 500, 600)));
 }
+
+/// Guards against a burst to an upstream whose node has restarted and was told an older, higher limit.
+#[test]
+fn remembered_limit_lets_one_request_start_at_a_time() {
+    let mut ranks = ranks(12);
+    let limit = Some(Rate::from_millis(60_000));
+    ranks.adopt_limit(NOW, limit, &mut Vec::new());
+    let now = NOW + 1_000;
+    let first = run(ranks.offer(now, ranked(now, 2, 500, 2_000)));
+    let second = wait(ranks.offer(now, ranked(now, 2, 500, 2_000)));
+    let mut wakes = Vec::new();
+    ranks.tick(now + 50, &mut wakes);
+    assert_eq!(started(&wakes), []);
+    ranks.set_limit(now + 60, limit, &mut wakes);
+    assert_eq!(started(&wakes), [second]);
+    ranks.done(now + 60, first, Finish::Answered, &mut Vec::new());
+}
--- a/crates/kernel/tests/standing.rs
+++ b/crates/kernel/tests/standing.rs
@@ -114,10 +114,14 @@
         leaving: false,
     };
     let mut observed = Observed::default();
-    observed.adopt(NOW, remembered(9_000));
+    assert!(observed.adopt(NOW, remembered(9_000)).is_some());
     observed.adopt(NOW, remembered(2_000));
     assert_eq!(observed.adopt(NOW, remembered(60_000)), None);
     assert_eq!(observed.standing(), remembered(2_000));
+    let named = statement(NamedLimit::Rate(rate(2_000)));
+    let confirmed = observed.observe(NOW + 9, NOW, named);
+    assert_eq!(confirmed, Some(remembered(2_000)));
+    assert_eq!(observed.observe(NOW + 9, NOW, named), None);
 }
 
 #[test_case("1f/12.500/0"; "a limit")]
--- a/crates/kernel/tests/standing_fleet.rs
+++ b/crates/kernel/tests/standing_fleet.rs
@@ -244,7 +244,7 @@
         let remembered = report.filter(|it| it.start == tag(at));
         if let Some(changed) = remembered.and_then(|it| owner.observed.adopt(self.now, it.standing))
         {
-            owner.ranks.set_limit(self.now, changed.limit, &mut wakes);
+            owner.ranks.adopt_limit(self.now, changed.limit, &mut wakes);
         }
         match owner.ranks.offer(self.now, ranked) {
             Offer::Run(permit) => self.start(at, permit, request),
@@ -445,6 +445,9 @@
     worst
 }
 
+/// Seeds that once failed: entries told a restarted owner an older, higher limit.
+const FAILED_SEEDS: [u64; 1] = [536];
+
 /// Returns the number of fleets to play: `STANDING_FLEETS`, or 24.
 fn seeds() -> u64 {
     let text = std::env::var("STANDING_FLEETS").ok();
@@ -454,7 +457,7 @@
 /// Guards against limits that are exceeded because an owner restarts, an entry is cut off, or answers overlap.
 #[test]
 fn named_limits_hold_through_restarts_and_cuts() {
-    for seed in 0..seeds() {
+    for seed in (0..seeds()).chain(FAILED_SEEDS) {
         let excess = play(seed);
         assert!(excess <= 0.0, "seed {seed}: {excess} requests too many");
     }
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -153,7 +153,9 @@
         }
         let now = self.clock.now();
         let changed = state.observed.observe(now, sent, statement)?;
-        state.apply(now, changed);
+        let mut wakes = Vec::new();
+        state.policy.set_limit(now, changed.limit, &mut wakes);
+        state.apply_leaving(now, changed, wakes);
         Some(changed)
     }
 
@@ -165,7 +167,9 @@
         }
         let now = self.clock.now();
         let changed = state.observed.adopt(now, report.standing)?;
-        state.apply(now, changed);
+        let mut wakes = Vec::new();
+        state.policy.adopt_limit(now, changed.limit, &mut wakes);
+        state.apply_leaving(now, changed, wakes);
         Some(changed)
     }
 
@@ -310,6 +314,14 @@
         }
     }
 
+    fn adopt_limit(&mut self, now: Ms, limit: Option<Rate>, out: &mut Vec<Wake>) {
+        match self {
+            // Upstreams of submitted documents report no instance, so that nothing is remembered of them.
+            Policy::Shares(it) => it.set_rate_limit(now, limit, out),
+            Policy::Ranks(it) => it.adopt_limit(now, limit, out),
+        }
+    }
+
     fn offer(&mut self, now: Ms, request: SlotRequest) -> Offer {
         match self {
             Policy::Shares(it) => {
@@ -354,10 +366,8 @@
 }
 
 impl State {
-    /// Applies a change of the upstream's standing.
-    fn apply(&mut self, now: Ms, it: Standing) {
-        let mut wakes = Vec::new();
-        self.policy.set_limit(now, it.limit, &mut wakes);
+    /// Drains the upstream if it leaves, and delivers `wakes`.
+    fn apply_leaving(&mut self, now: Ms, it: Standing, mut wakes: Vec<Wake>) {
         if it.leaving {
             let before = self.upstream;
             self.upstream.phase = Phase::Draining;
