Whatever an upstream answers replaces what others remember of it

Cause, by reading: a remembered limit counted as named when it was adopted, so that an answer without one to a request sent before that left an ended limit in force until the next answer. Answers of a process are all newer than the memory it was started beside. Also one rule in place of three cases for the turn that an entry expects at a limited upstream.

--- a/crates/kernel/src/pick/placement.rs
+++ b/crates/kernel/src/pick/placement.rs
@@ -379,11 +379,8 @@
         let slots = f64::from(outlook.slots.max(1));
         let queued = f64::from(self.sent_since) - f64::from(outlook.free);
         let mean = outlook.service.iter().copied().map(f64::from).sum::<f64>() / RANKS as f64;
-        let turn = match self.limit {
-            Some(limit) if limit.millis() > 0 => (1.0 / limit.per_ms()).max(mean / slots),
-            Some(_) => OUTLOOK_MAX_AGE_MS,
-            None => mean / slots,
-        };
+        let turn = |limit: Rate| 1.0 / limit.per_ms().max(1.0 / OUTLOOK_MAX_AGE_MS);
+        let turn = self.limit.map_or(0.0, turn).max(mean / slots);
         weight * f64::from(outlook.wait[rank]) + queued.max(0.0) * turn
     }
 
--- a/crates/kernel/src/standing.rs
+++ b/crates/kernel/src/standing.rs
@@ -104,7 +104,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Observed {
     standing: Standing,
-    /// Time of the last answer that named a limit, or at which another node told one.
+    /// Time of the last answer that named a limit.
     named: Ms,
     /// Whether an answer has arrived since the start of the upstream or of this process.
     answered: bool,
@@ -139,14 +139,14 @@
 
     /// Applies what another node remembers, unless an answer has told better. Returns the standing if it changed.
     ///
-    /// Of several limits the lowest holds: the others may be older, and the next answer tells which is right.
-    pub fn adopt(&mut self, now: Ms, it: Standing) -> Option<Standing> {
+    /// Of several limits the lowest holds: the others may be older, and the next answer tells which is right. Whatever it
+    /// tells is newer than any memory.
+    pub fn adopt(&mut self, it: Standing) -> Option<Standing> {
         let before = self.standing;
         self.standing.leaving |= it.leaving;
         let lowest = [before.limit, it.limit].into_iter().flatten().min();
         if !self.answered && lowest != before.limit {
             self.standing.limit = lowest;
-            self.named = now;
         }
         (self.standing != before).then_some(self.standing)
     }
--- a/crates/kernel/tests/standing.rs
+++ b/crates/kernel/tests/standing.rs
@@ -93,17 +93,18 @@
 }
 
 /// Guards against outdated memories of other nodes that replace what the upstream itself says.
-#[test]
-fn remembered_limit_yields_to_the_first_answer() {
+#[test_case(NOW; "sent with the memory")]
+#[test_case(NOW - 50; "sent before the memory came")]
+fn remembered_limit_yields_to_the_first_answer(sent: Ms) {
     let remembered = Standing {
         limit: Some(rate(2_000)),
         leaving: false,
     };
     let mut observed = Observed::default();
-    assert_eq!(observed.adopt(NOW, remembered), Some(remembered));
-    observed.observe(NOW + 90, NOW + 10, statement(NamedLimit::Absent));
+    assert_eq!(observed.adopt(remembered), Some(remembered));
+    observed.observe(NOW + 90, sent, statement(NamedLimit::Absent));
     assert_eq!(observed.standing().limit, None);
-    assert_eq!(observed.adopt(NOW + 99, remembered), None);
+    assert_eq!(observed.adopt(remembered), None);
 }
 
 /// Guards against an owner that starts with an old, higher limit although another entry knows the present one.
@@ -114,9 +115,9 @@
         leaving: false,
     };
     let mut observed = Observed::default();
-    assert!(observed.adopt(NOW, remembered(9_000)).is_some());
-    observed.adopt(NOW, remembered(2_000));
-    assert_eq!(observed.adopt(NOW, remembered(60_000)), None);
+    assert!(observed.adopt(remembered(9_000)).is_some());
+    observed.adopt(remembered(2_000));
+    assert_eq!(observed.adopt(remembered(60_000)), None);
     assert_eq!(observed.standing(), remembered(2_000));
     let named = statement(NamedLimit::Rate(rate(2_000)));
     let confirmed = observed.observe(NOW + 9, NOW, named);
--- a/crates/kernel/tests/standing_fleet.rs
+++ b/crates/kernel/tests/standing_fleet.rs
@@ -242,8 +242,7 @@
         let mut wakes = Vec::new();
         let owner = &mut self.owners[at];
         let remembered = report.filter(|it| it.start == tag(at));
-        if let Some(changed) = remembered.and_then(|it| owner.observed.adopt(self.now, it.standing))
-        {
+        if let Some(changed) = remembered.and_then(|it| owner.observed.adopt(it.standing)) {
             owner.ranks.adopt_limit(self.now, changed.limit, &mut wakes);
         }
         match owner.ranks.offer(self.now, ranked) {
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -166,7 +166,7 @@
             return None;
         }
         let now = self.clock.now();
-        let changed = state.observed.adopt(now, report.standing)?;
+        let changed = state.observed.adopt(report.standing)?;
         let mut wakes = Vec::new();
         state.policy.adopt_limit(now, changed.limit, &mut wakes);
         state.apply_leaving(now, changed, wakes);
