A test of our own fields names no field of the platform

The words of the users' platform stay in platform/; the case still shows that an upstream's other fields reach callers.

--- a/crates/node/tests/rate_limit.rs
+++ b/crates/node/tests/rate_limit.rs
@@ -37,7 +37,7 @@
 }
 
 /// Guards against node fields that reach callers, and statements of upstreams that do not.
-#[test_case("server-limit: 900", "server-limit", "900"; "a field of another deployment is passed on")]
+#[test_case("x-other-limit: 900", "x-other-limit", "900"; "a field of another deployment is passed on")]
 #[test_case("laburnum-limit: 900", "laburnum-standing", ""; "what nodes tell each other is not")]
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_shows_only_the_upstreams_fields(line: &'static str, name: &str, value: &str) {
