A refused body sends a packet or two, not 10 ms of its owner's link

Cause: on links of 10 Mbit/s with more uploads than they carry, each upload that was refused had sent the first window of its stream, 12.5 KB, about 60 times a second: with the admitted bodies more than the link carries. Small calls to the same hosts ended at their deadline, and the orders that made them failed. Change: the window is 2.4 ms of the link, at least 2 KiB; the decision moves to the kernel. Its test fails with the old window (a wait of 17.7 s). Bodies over 40 ms of round trip become slower; no deployment has these.

--- a/crates/kernel/src/admission/link.rs
+++ b/crates/kernel/src/admission/link.rs
@@ -15,6 +15,19 @@
 /// Maximum time in which all admitted bodies must be able to arrive, in ms: about five bodies of 60 KB at 7 Mbit/s. Twice
 /// as much serves less under load, and half refuses more uploads on a calm day.
 const BACKLOG_MS: u64 = 500;
+/// Flow-control window of a stream, as transfer time on the link, in ms: a few round trips within a region, so that an
+/// admitted body arrives at full speed.
+const WINDOW_MS: f64 = 2.4;
+/// Smallest window, in bytes: a packet or two.
+const WINDOW_MIN: f64 = 2.0 * 1024.0;
+
+/// Returns the flow-control window of one stream on a link of `mbps` Mbit/s, in bytes.
+///
+/// A sender transmits this much of a body before it learns that the body is refused. Callers retry refused bodies, so a
+/// large window lets them fill the link that the admitted ones leave free.
+pub fn stream_window(mbps: f64) -> u32 {
+    (mbps * 125.0 * WINDOW_MS).max(WINDOW_MIN) as u32
+}
 
 /// Limits the admitted bodies of one link.
 #[derive(Debug)]
--- a/crates/kernel/tests/link.rs
+++ b/crates/kernel/tests/link.rs
@@ -3,11 +3,12 @@
 use std::collections::VecDeque;
 
 use laburnum_kernel::{
-    admission::link::{LinkGate, UNGATED_MAX_BYTES},
+    admission::link::{LinkGate, UNGATED_MAX_BYTES, stream_window},
     refusal::Reason,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
 
 const MBPS: f64 = 7.0;
 /// Bytes per ms of the whole link.
@@ -77,3 +78,25 @@
     // The link carries two thirds of the bodies, less its idle time between two bodies.
     assert!(whole * 10 > asked * 6, "{whole} of {asked}");
 }
+
+/// Guards against refused bodies that fill the link: each has sent the first window of its stream by the time it is
+/// refused, so that short requests wait behind bytes that nobody reads.
+#[test_case(7.0)]
+#[test_case(10.0)]
+#[test_case(13.0)]
+fn refused_bodies_do_not_delay_short_requests(mbps: f64) {
+    const REFUSED_PER_S: u32 = 60;
+    let rate = mbps * 125.0;
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let (mut queued, mut longest) = (0.0_f64, 0.0_f64);
+    for _ in 0..60_000 {
+        // Admitted bodies take their share of the link.
+        queued += 0.7 * rate;
+        if rng.random_ratio(REFUSED_PER_S, 1_000) {
+            queued += f64::from(stream_window(mbps));
+        }
+        queued = (queued - rate).max(0.0);
+        longest = longest.max(queued / rate);
+    }
+    assert!(longest < 100.0, "a short request waits for {longest:.0} ms");
+}
