An upstream that once looked bad is tried again by its own host

Cause: what an entry thinks of an endpoint changes only with its answers, and an endpoint that looks worse than others gets no requests while those have room. An upstream that named a small limit once, or was slow, stayed unused until its restart: 0 of the 8.8 requests that fit in 4 s in a fleet of 12 hosts, and none after the limit had ended. Ruled out: the mean service time of whole ranks, which starts at 50 ms, by itself (trial: still 0). Change: the entry on an endpoint's own host probes it after two seconds without a request; differences below a twentieth of the time left do not drive requests from the own host; old service times decay, at entries towards those of other endpoints, at the owner in favour of new answers after a second of none.

--- a/crates/kernel/src/admission/kinds.rs
+++ b/crates/kernel/src/admission/kinds.rs
@@ -32,6 +32,8 @@
     service: f64,
     /// Weight of the last sample in `service`.
     gain: f64,
+    /// Time of the last sample.
+    sampled: Option<Ms>,
     running: usize,
     /// Moving average of the number of slots held.
     mean_slots: f64,
@@ -44,6 +46,9 @@
 /// slowed upstream is noticed within a second. The first samples of a new kind weigh more, so that it soon departs from
 /// the mean of its rank.
 const SERVICE_GAIN: f64 = 0.03;
+/// Time without a sample from which the mean service time loses weight, and its half-life from then on, in ms. An upstream
+/// that was slow and gets hardly any requests since would else look slow for tens of answers after it has recovered.
+const STALE_MS: (u64, f64) = (1_000, 2_000.0);
 /// Service time assumed before the first sample, in ms.
 const INITIAL_SERVICE_MS: f64 = 50.0;
 
@@ -127,16 +132,16 @@
     }
 
     /// Records the end of a request; `took` is its service time, if it counts as a sample.
-    pub(super) fn ended(&mut self, key: Key, took: Option<u64>) {
+    pub(super) fn ended(&mut self, now: Ms, key: Key, took: Option<u64>) {
         let state = &mut self.stats[usize::from(key.0)];
         state.running -= 1;
         let rank = state.rank;
         let Some(took) = took else {
             return;
         };
-        state.add_sample(took as f64);
+        state.add_sample(now, took as f64);
         if usize::from(key.0) != rank {
-            self.stats[rank].add_sample(took as f64);
+            self.stats[rank].add_sample(now, took as f64);
         }
     }
 
@@ -170,14 +175,20 @@
             rank,
             service,
             gain: 1.0,
+            sampled: None,
             running: 0,
             mean_slots: 0.0,
             last_used: Ms(0),
         }
     }
 
-    fn add_sample(&mut self, took: f64) {
+    fn add_sample(&mut self, now: Ms, took: f64) {
+        let (fresh, half_life) = STALE_MS;
+        let idle = self.sampled.map_or(0, |it| now.since(it));
+        let stale = idle.saturating_sub(fresh) as f64;
+        let aged = 1.0 - 0.5f64.powf(stale / half_life);
         self.gain = (self.gain / (1.0 + self.gain)).max(SERVICE_GAIN);
-        self.service += self.gain * (took - self.service);
+        self.sampled = Some(now);
+        self.service += self.gain.max(aged) * (took - self.service);
     }
 }
--- a/crates/kernel/src/admission/ranks.rs
+++ b/crates/kernel/src/admission/ranks.rs
@@ -173,7 +173,7 @@
         if finish == Finish::Unsent {
             self.pace.give_back(now);
         }
-        self.kinds.ended(permit.kind, took);
+        self.kinds.ended(now, permit.kind, took);
         self.dispatch(now, out);
     }
 
--- a/crates/kernel/src/pick/placement.rs
+++ b/crates/kernel/src/pick/placement.rs
@@ -55,6 +55,15 @@
 /// the own host is preferred. Its state is known without a hop, while the best of many is often one that all entries take
 /// for idle.
 const OWN_HOST_FACTOR: f64 = 1.5;
+/// Divisor of the time left to the goal that gives a difference in expected time that callers do not notice. The endpoint on
+/// the own host is preferred within it, however much faster another one is in proportion.
+const NOTICED_DIVISOR: u64 = 20;
+/// Time without a request from this entry after which the endpoint on its own host gets one, in ms. That an upstream has
+/// recovered, or that its rate limit has ended, shows only in its answers: without trials one that once looked bad would
+/// stay unused while others have room. Only the own host's entry tries it, so that the trials do not grow with the fleet.
+const TRIAL_INTERVAL_MS: u64 = 2_000;
+/// Half-life of the service time in an outlook, in ms; it decays towards that of the other endpoints.
+const SERVICE_HALF_LIFE_MS: f64 = 10_000.0;
 /// Maximum age of an outlook for requests to queue without a probe, in ms.
 const OUTLOOK_RECENT_MS: u64 = 250;
 /// Time to wait before a retry if the service has no endpoint, in ms: a new one is known within that.
@@ -85,6 +94,8 @@
     outlook: Option<(Ms, Outlook)>,
     /// Number of requests sent since the last outlook.
     sent_since: u32,
+    /// Time of the last request from this entry.
+    last_sent: Ms,
     /// Time of the last update and share of failed outcomes.
     fault_rate: (Ms, f64),
     /// Rate limit that the upstream names, if any.
@@ -135,6 +146,7 @@
                     stats: EndpointStats::warm(),
                     outlook: None,
                     sent_since: 0,
+                    last_sent: Ms(0),
                     fault_rate: (Ms(0), 0.0),
                     limit: None,
                 },
@@ -193,10 +205,15 @@
                 .iter()
                 .filter(|it| it.endpoint.exposure == exposure && !tried.contains(&it.endpoint.node))
         };
+        let own = untried().find(|it| it.endpoint.node == self.own && it.usable(now, lane));
+        if let Some(own) = own.filter(|it| tried.is_empty() && it.needs_trial(now)) {
+            return Choice::Probe(own.endpoint.clone());
+        }
+        let typical = self.typical_service(rank);
         let mut best: [Option<(f64, &Member)>; 2] = [None, None];
         for member in untried().filter(|it| it.usable(now, lane)) {
-            let cost =
-                member.expected_time(now, rank) * rng.random_range(1.0 - JITTER..1.0 + JITTER);
+            let cost = member.expected_time(now, rank, typical)
+                * rng.random_range(1.0 - JITTER..1.0 + JITTER);
             let current = &mut best[usize::from(member.distance != Distance::Zone)];
             if current.is_none_or(|(least, _)| cost < least) {
                 *current = Some((cost, member));
@@ -207,11 +224,11 @@
         let left = request.goal.since(now);
         let within = |cost: f64, percent: u64| cost <= (left * percent / 100) as f64;
         if let (true, [Some((near, _)), _]) = (probes, best) {
-            let own = untried().find(|it| it.endpoint.node == self.own && it.usable(now, lane));
-            let cost = own.map(|it| (it.expected_time(now, rank), it));
+            let cost = own.map(|it| (it.expected_time(now, rank, typical), it));
+            let longest = (OWN_HOST_FACTOR * near).max(near + (left / NOTICED_DIVISOR) as f64);
             if let Some((cost, it)) = cost
                 && within(cost, NEAR_GOAL_PERCENT)
-                && cost <= OWN_HOST_FACTOR * near
+                && cost <= longest
             {
                 return Choice::Probe(it.endpoint.clone());
             }
@@ -253,6 +270,7 @@
         if let Some(it) = self.member(node) {
             it.stats.started(now);
             it.sent_since += 1;
+            it.last_sent = now;
         }
     }
 
@@ -317,6 +335,17 @@
         }
     }
 
+    /// Returns the median service time of requests of `rank` over the endpoints with an outlook, in ms.
+    fn typical_service(&self, rank: usize) -> f64 {
+        let outlooks = self.members.iter().filter_map(|it| it.outlook);
+        let mut times: Vec<u16> = outlooks.map(|(_, it)| it.service[rank]).collect();
+        if times.is_empty() {
+            return UNKNOWN_SERVICE_MS;
+        }
+        let middle = times.len() / 2;
+        f64::from(*times.select_nth_unstable(middle).1)
+    }
+
     /// Returns the choice when no endpoint accepts the request: a refusal, or an ejected endpoint.
     fn fallback_choice<'a>(
         &self,
@@ -353,19 +382,29 @@
             .is_some_and(|(at, _)| now.since(at) <= OUTLOOK_RECENT_MS)
     }
 
-    /// Returns the expected time from sending a request of `rank` to its answer, in ms.
-    fn expected_time(&self, now: Ms, rank: usize) -> f64 {
+    /// Returns whether this entry has sent it nothing for so long that the outlook may no longer hold.
+    fn needs_trial(&self, now: Ms) -> bool {
+        now.since(self.last_sent) >= TRIAL_INTERVAL_MS
+    }
+
+    /// Returns the expected time from sending a request of `rank` to its answer, in ms, where one takes `typical` ms at
+    /// other endpoints.
+    fn expected_time(&self, now: Ms, rank: usize, typical: f64) -> f64 {
         let hop = match self.distance {
             Distance::Zone => 0.0,
             Distance::Region => ZONE_HOP_MS,
             Distance::OtherRegion => REGION_HOP_MS,
         };
-        hop + self.wait(now, rank) + self.service(rank) + FAULT_COST_MS * self.fault_rate(now)
+        let service = self.service(now, rank, typical);
+        hop + self.wait(now, rank) + service + FAULT_COST_MS * self.fault_rate(now)
     }
 
-    fn service(&self, rank: usize) -> f64 {
-        self.outlook
-            .map_or(UNKNOWN_SERVICE_MS, |(_, it)| f64::from(it.service[rank]))
+    fn service(&self, now: Ms, rank: usize, typical: f64) -> f64 {
+        let Some((at, outlook)) = self.outlook else {
+            return UNKNOWN_SERVICE_MS;
+        };
+        let weight = 0.5f64.powf(now.since(at) as f64 / SERVICE_HALF_LIFE_MS);
+        typical + weight * (f64::from(outlook.service[rank]) - typical)
     }
 
     /// Returns the expected wait of a request of `rank`, in ms: that of the outlook, discounted by age, plus that
--- a/crates/kernel/tests/placement.rs
+++ b/crates/kernel/tests/placement.rs
@@ -166,6 +166,61 @@
     assert_eq!(count_choices(&placement, &[])[2], 0);
 }
 
+/// Returns a placement like [`placement`] of the entry on the host of endpoint 1, with a third endpoint of the zone.
+fn placement_beside_first() -> Placement {
+    let place = Place {
+        region: "cairo".parse().expect("a name"),
+        zone: "nasr".parse().expect("a name"),
+    };
+    let mut placement = Placement::new(id(1), place);
+    placement.refresh(&[
+        endpoint(1, "nasr"),
+        endpoint(2, "nasr"),
+        endpoint(3, "nasr"),
+    ]);
+    placement
+}
+
+/// Guards against an upstream that once looked bad and gets nothing for good while others have room: only its own answers
+/// show that it has recovered.
+#[test]
+fn upstream_that_looked_bad_is_tried_by_its_own_host() {
+    let mut placement = placement_beside_first();
+    report_outlook(&mut placement, 1, 0, 900);
+    report_outlook(&mut placement, 2, 0, 60);
+    report_outlook(&mut placement, 3, 0, 60);
+    assert_eq!(count_choices(&placement, &[])[0], 0);
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let (mut tried, mut last) = (0, NOW);
+    for now in (0..20_000).step_by(50).map(|it| NOW + it) {
+        let choice = placement.place(now, &mut rng, ranked(now), &[]);
+        if let Choice::Probe(it) = choice
+            && it.node == id(1)
+        {
+            assert!(tried == 0 || now.since(last) >= 1_000, "{now:?}");
+            placement.started(now, id(1));
+            (tried, last) = (tried + 1, now);
+        }
+    }
+    assert!((5..=20).contains(&tried), "{tried}");
+}
+
+/// Guards against an old service time that keeps an endpoint of another host unused for good.
+#[test]
+fn old_service_time_gives_way_to_that_of_the_others() {
+    let mut placement = placement();
+    report_outlook(&mut placement, 1, 0, 60);
+    report_outlook(&mut placement, 2, 0, 900);
+    report_outlook(&mut placement, 3, 0, 60);
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let mut is_chosen = |now| match placement.place(now, &mut rng, ranked(now), &[]) {
+        Choice::Send(it) | Choice::Probe(it) => it.node == id(2),
+        Choice::Refuse(it) => panic!("refused: {it:?}"),
+    };
+    assert!(!(0..10_000).step_by(50).any(|it| is_chosen(NOW + it)));
+    assert!((60_000..90_000).step_by(50).any(|it| is_chosen(NOW + it)));
+}
+
 #[test]
 fn faster_endpoint_is_preferred() {
     let mut placement = placement();
--- a/crates/kernel/tests/ranks.rs
+++ b/crates/kernel/tests/ranks.rs
@@ -450,6 +450,24 @@
     assert_eq!(running.len(), 3);
 }
 
+/// Guards against an upstream that was slow, gets hardly any requests since, and looks slow for tens of answers after it
+/// has recovered.
+#[test]
+fn recovered_upstream_looks_well_after_a_few_answers() {
+    let mut ranks = ranks(6);
+    let mut now = NOW;
+    let mut answer_in = |took: u64, gap: u64| {
+        let permit = run(ranks.offer(now, ranked(now, 0, 500, 2_000)));
+        ranks.done(now + took, permit, Finish::Answered, &mut Vec::new());
+        now = now + took + gap;
+        ranks.outlook().service[0]
+    };
+    let slow = (0..100).map(|_| answer_in(400, 0)).last();
+    assert!(slow.is_some_and(|it| it > 300), "{slow:?}");
+    let recovered = (0..6).map(|_| answer_in(60, 2_000)).last();
+    assert!(recovered.is_some_and(|it| it < 150), "{recovered:?}");
+}
+
 /// Guards against turns that are lost with requests of which nothing was sent.
 #[test]
 fn unsent_request_gives_its_turn_back() {
