Requests with large answers are admitted by the link of the owner's host

Answer sizes are learned by kind; a request whose answer is expected to be large is refused before it runs if the link cannot send the answer in time after those already promised.

--- a/crates/kernel/src/admission.rs
+++ b/crates/kernel/src/admission.rs
@@ -3,6 +3,7 @@
 //! Each request runs at once, waits for a slot, or is refused as not run. A waiting request gets exactly one
 //! [`Wake`], unless its caller cancels it first.
 
+pub mod answers;
 pub mod kinds;
 mod limit;
 pub mod link;
@@ -10,6 +11,7 @@
 mod pace;
 mod queue;
 pub mod ranks;
+pub mod sizes;
 
 use crate::{
     clock::Ms,
--- a/crates/kernel/src/admission/ranks.rs
+++ b/crates/kernel/src/admission/ranks.rs
@@ -163,6 +163,16 @@
         self.decide(now, request).map(drop)
     }
 
+    /// Returns the expected time from now to the end of a request, in ms: its wait for a slot and its service time.
+    pub fn expected_run(&mut self, now: Ms, request: RankedRequest) -> u64 {
+        self.observe(now);
+        let rank = rank_of(request.priority);
+        let kind = self.kinds.key(now, request.kind, rank);
+        let service = self.kinds.service(kind);
+        let ahead = self.waiting.iter().filter(|it| it.rank <= rank);
+        self.expected_wait(now, rank, service, ahead) + service as u64
+    }
+
     /// Takes back a permit and starts waiting requests in the freed slot.
     pub fn done(&mut self, now: Ms, permit: Permit, finish: Finish, out: &mut Vec<Wake>) {
         self.observe(now);
--- a/crates/kernel/src/pick/stats.rs
+++ b/crates/kernel/src/pick/stats.rs
@@ -127,7 +127,7 @@
                     Reason::NotReady | Reason::Draining => {
                         self.closed_until = now + PHASE_HOLD_MS.max(refusal.after.min(HOLD_MAX_MS));
                     }
-                    Reason::Overloaded | Reason::QueueFull | Reason::Shed => {
+                    Reason::Overloaded | Reason::QueueFull | Reason::Shed | Reason::LinkFull => {
                         self.hold(now, lane, now + refusal.after.min(HOLD_MAX_MS));
                     }
                     _ => {}
--- a/crates/node/src/metrics/table.rs
+++ b/crates/node/src/metrics/table.rs
@@ -11,7 +11,7 @@
 use crate::traffic::connections::OpenConnections;
 
 /// Every metric.
-pub const TABLE: [Row; 46] = [
+pub const TABLE: [Row; 48] = [
     gauge(
         "laburnum_seq",
         "Position in the log of changes that this node is at.",
@@ -206,6 +206,16 @@
         "Requests of callers that were not run, by reason.",
         |it| labelled("reason", it.traffic.counts().reasons()),
     ),
+    counter(
+        "laburnum_answers_link_full_total",
+        "Requests that this owner refused because the host's link had no room for their answers.",
+        |it| one(it.traffic.answers_refused()),
+    ),
+    gauge(
+        "laburnum_link_answer_bytes",
+        "Bytes of answers promised by this owner or under way on the host's link.",
+        |it| one(it.traffic.answer_bytes()),
+    ),
     counter(
         "laburnum_retries_total",
         "Requests of callers that were sent once more.",
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -7,6 +7,7 @@
 //! [`laburnum_kernel::once`]); the modules here do the I/O.
 
 mod answer;
+mod answer_link;
 pub mod body;
 pub mod connections;
 pub mod counts;
@@ -58,6 +59,7 @@
 
 use crate::{control::Control, upstream::Upstream};
 
+use answer_link::AnswerBudget;
 use body::Budget;
 use counts::Counts;
 use denial::Denial;
@@ -87,6 +89,8 @@
     gate: Gate,
     /// Admits large request bodies at the rate of the host's link.
     link: LinkBudget,
+    /// Admits requests with large answers at the rate of the host's link.
+    answers: AnswerBudget,
     peers: Peers,
     proofs: Proofs,
     services: Services,
@@ -180,6 +184,7 @@
             control,
             gate: Gate::new(clock.clone(), origin),
             link: LinkBudget::new(link),
+            answers: AnswerBudget::new(clock.clone(), link),
             clock,
             upstream,
             peers: Peers::default(),
@@ -360,6 +365,16 @@
         self.0.gate.gauges()
     }
 
+    /// Returns the number of requests refused because the link had no room for their answers.
+    pub fn answers_refused(&self) -> u64 {
+        self.0.answers.refused()
+    }
+
+    /// Returns the number of bytes of answers that are promised or under way on the link.
+    pub fn answer_bytes(&self) -> u64 {
+        self.0.answers.pending_bytes()
+    }
+
     /// Returns what the upstream beside this node says about itself.
     pub fn standing(&self) -> Standing {
         self.0.gate.standing()
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -368,7 +368,9 @@
             false => {
                 self.0.proofs.prove(&mut request, endpoint.traffic);
                 match self.0.peers.send(endpoint.traffic, request, deadline).await {
-                    peers::Sent::Answered(response) => response.map(Body::new),
+                    peers::Sent::Answered(response) => {
+                        response.map(|it| self.0.answers.forwarded(Body::new(it)))
+                    }
                     peers::Sent::Unsent => {
                         flight.ended(Outcome::Failed);
                         let refusal = Refusal::new(Reason::NotReady);
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -219,6 +219,14 @@
         }
     }
 
+    /// Returns the expected time from now to the end of a request with `ranked`, in ms. Zero with submitted documents.
+    pub fn expected_run(&self, ranked: RankedRequest) -> u64 {
+        match &mut self.lock().policy {
+            Policy::Shares(_) => 0,
+            Policy::Ranks(it) => it.expected_run(self.clock.now(), ranked),
+        }
+    }
+
     /// Rejects expired requests and starts those that are due.
     pub fn tick(&self) {
         let mut state = self.lock();
--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -18,6 +18,7 @@
     Ms, Name, View,
     admission::{
         Finish,
+        answers::AnswerRequest,
         kinds::Kind,
         ranks::{RankedRequest, WaitLimit, rank_of},
     },
@@ -39,6 +40,7 @@
 use super::{
     Traffic,
     answer::{Answer, RunningRequest, Suspect, deadline_missed},
+    answer_link::Promised,
     body::{self, BodyFault, Bounded, End, ReclaimableBody},
     denial::Denial,
     dialect::Dialect,
@@ -97,6 +99,8 @@
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
     pub(super) payload: Payload,
+    /// Bandwidth of the link for the answer, if the route sets a priority.
+    pub(super) promised: Option<Promised>,
 }
 
 /// Body of the request.
@@ -173,6 +177,7 @@
             instance: instance.unwrap_or_default(),
             load: [gauges.running, gauges.waiting, gauges.limit],
             limit: self.0.gate.standing().limit,
+            link: self.0.answers.pending_ms(),
             took: now.since(started),
             status: response.status(),
             headers: response.headers(),
@@ -220,23 +225,26 @@
                 DRAINING_MS,
             )));
         }
-        let job = self.build_job(request).await?;
+        let mut job = self.build_job(request).await?;
         match (job.repeat, self.0.origin) {
             (Repeat::Never, Origin::Submitted) => self.run_once(job).await,
             // Callers of imported routes give each attempt a new id, and the system never resends a request
             // that may have run, so a claim would only add two writes.
             (Repeat::Idempotent, _) | (Repeat::Never, Origin::Imported) => {
+                let promised = job.promised.take();
                 let slot = self.admit(&job).await?;
                 let window = Window {
                     start: job.deadline.at(),
                     end: self.instant(job.deadline),
                 };
-                match self.exchange(job, slot, window).await? {
-                    Answer::Whole(parts, bytes) => {
-                        Ok(Response::from_parts(parts, Body::from(bytes)))
-                    }
-                    Answer::Streamed(response) => Ok(response),
-                }
+                let response = match self.exchange(job, slot, window).await? {
+                    Answer::Whole(parts, bytes) => Response::from_parts(parts, Body::from(bytes)),
+                    Answer::Streamed(response) => response,
+                };
+                Ok(match promised {
+                    Some(it) => it.attach(response),
+                    None => response,
+                })
             }
         }
     }
@@ -275,6 +283,8 @@
             Origin::Submitted => repeat,
             Origin::Imported => Repeat::Idempotent,
         };
+        // Before the body is read, which a refused request would send for nothing.
+        let promised = self.promise_answer(params.ranked)?;
         let reserved = self.reserve_link(&incoming, params.ranked)?;
         let payload = read_body(incoming, claimed, limit, self.instant(deadline), reserved).await?;
         let mut headers = parts.headers;
@@ -322,9 +332,25 @@
             uri,
             headers,
             payload,
+            promised,
         })
     }
 
+    /// Promises bandwidth of the link for the answer, if its expected size is large.
+    fn promise_answer(&self, ranked: Option<RankedRequest>) -> Result<Option<Promised>, Denial> {
+        let Some(ranked) = ranked else {
+            return Ok(None);
+        };
+        let request = AnswerRequest {
+            kind: ranked.kind,
+            run: self.0.gate.expected_run(ranked),
+            goal: ranked.goal,
+            deadline: ranked.deadline,
+        };
+        let promised = self.0.answers.promise(request);
+        promised.map(Some).map_err(Denial::Refused)
+    }
+
     /// Reserves bandwidth of the link for a large body, so that no body is read for a request that would be
     /// rejected afterwards.
     fn reserve_link(
--- a/crates/node/src/traffic/report.rs
+++ b/crates/node/src/traffic/report.rs
@@ -92,6 +92,8 @@
     pub load: [usize; 3],
     /// Rate limit that the upstream names, if any.
     pub limit: Option<Rate>,
+    /// Time until the promised answers are through the host's link, in ms.
+    pub link: u64,
     /// Time since the request arrived, in ms.
     pub took: u64,
     /// Status of the answer.
@@ -172,6 +174,7 @@
             ("waiting", waiting),
             ("slots", slots),
             ("limit", limit_text(it.limit)),
+            ("link", it.link.to_string()),
             ("took", it.took.to_string()),
             ("omitted", omitted.to_string()),
         ];
