Entries choose owners of large answers by the state of their links

Outlooks gain the time until the promised answers are through and the rate of the link. They are recorded when the header of an answer arrives: that of a long answer was out of date by the time the answer had arrived whole.

--- a/crates/kernel/src/pick/placement.rs
+++ b/crates/kernel/src/pick/placement.rs
@@ -13,7 +13,11 @@
     stats::{EndpointStats, Lane, may_eject},
 };
 use crate::{
-    admission::ranks::{Outlook, RANKS, RankedRequest, rank_of},
+    admission::{
+        kinds::Kind,
+        ranks::{Outlook, RANKS, RankedRequest, rank_of},
+        sizes::Sizes,
+    },
     clock::Ms,
     id::NodeId,
     members::{Exposure, Phase, Reach},
@@ -75,6 +79,8 @@
     place: Place,
     members: Vec<Member>,
     positions: HashMap<NodeId, usize>,
+    /// Sizes of the answers that this entry got, by kind.
+    sizes: Sizes,
 }
 
 #[derive(Debug)]
@@ -85,6 +91,8 @@
     outlook: Option<(Ms, Outlook)>,
     /// Number of requests sent since the last outlook.
     sent_since: u32,
+    /// Expected bytes of the large answers to the requests sent since the last outlook.
+    bytes_since: f64,
     /// Time of the last update and share of failed outcomes.
     fault_rate: (Ms, f64),
     /// Rate limit that the upstream names, if any.
@@ -107,6 +115,7 @@
             place,
             members: Vec::new(),
             positions: HashMap::new(),
+            sizes: Sizes::default(),
         }
     }
 
@@ -135,6 +144,7 @@
                     stats: EndpointStats::warm(),
                     outlook: None,
                     sent_since: 0,
+                    bytes_since: 0.0,
                     fault_rate: (Ms(0), 0.0),
                     limit: None,
                 },
@@ -187,6 +197,7 @@
     ) -> Choice {
         let rank = rank_of(request.priority);
         let lane = Lane::of(routing::class_of(request.priority), request.kind);
+        let size = self.sizes.large(request.kind).unwrap_or_default();
         let exposure = self.draw_exposure(now, rng, lane, tried);
         let untried = || {
             self.members
@@ -195,8 +206,8 @@
         };
         let mut best: [Option<(f64, &Member)>; 2] = [None, None];
         for member in untried().filter(|it| it.usable(now, lane)) {
-            let cost =
-                member.expected_time(now, rank) * rng.random_range(1.0 - JITTER..1.0 + JITTER);
+            let cost = member.expected_time(now, rank, size)
+                * rng.random_range(1.0 - JITTER..1.0 + JITTER);
             let current = &mut best[usize::from(member.distance != Distance::Zone)];
             if current.is_none_or(|(least, _)| cost < least) {
                 *current = Some((cost, member));
@@ -208,7 +219,7 @@
         let within = |cost: f64, percent: u64| cost <= (left * percent / 100) as f64;
         if let (true, [Some((near, _)), _]) = (probes, best) {
             let own = untried().find(|it| it.endpoint.node == self.own && it.usable(now, lane));
-            let cost = own.map(|it| (it.expected_time(now, rank), it));
+            let cost = own.map(|it| (it.expected_time(now, rank, size), it));
             if let Some((cost, it)) = cost
                 && within(cost, NEAR_GOAL_PERCENT)
                 && cost <= OWN_HOST_FACTOR * near
@@ -256,6 +267,29 @@
         }
     }
 
+    /// Records that the attempt sent to `node` last is of `kind`, whose answer may take the link of its host.
+    pub fn expect_answer(&mut self, node: NodeId, kind: Kind) {
+        let size = self.sizes.large(kind).unwrap_or_default();
+        if let Some(it) = self.member(node) {
+            it.bytes_since += size;
+        }
+    }
+
+    /// Records the size of an answer to a request of `kind`, in bytes.
+    pub fn record_size(&mut self, now: Ms, kind: Kind, bytes: u64) {
+        self.sizes.record(now, kind, bytes);
+    }
+
+    /// Records the outlook that the header of an answer of `node` reports. Until a long answer has arrived whole, its
+    /// outlook would be out of date.
+    pub fn record_outlook(&mut self, now: Ms, node: NodeId, outlook: Outlook) {
+        if let Some(it) = self.member(node) {
+            it.outlook = Some((now, outlook));
+            it.sent_since = 0;
+            it.bytes_since = 0.0;
+        }
+    }
+
     /// Records the end of an attempt at `node`, with the outlook reported in its answer.
     pub fn finished(
         &mut self,
@@ -267,14 +301,13 @@
     ) {
         let all_stats = self.members.iter().map(|it| &it.stats);
         let may_eject = outcome == Outcome::Failed && may_eject(now, all_stats);
+        if let Some(outlook) = outlook {
+            self.record_outlook(now, node, outlook);
+        }
         let Some(it) = self.member(node) else {
             return;
         };
         it.stats.finished(now, lane.into(), outcome, None);
-        if let Some(outlook) = outlook {
-            it.outlook = Some((now, outlook));
-            it.sent_since = 0;
-        }
         it.record_outcome(now, outcome);
         if may_eject {
             it.stats.eject(now);
@@ -353,14 +386,27 @@
             .is_some_and(|(at, _)| now.since(at) <= OUTLOOK_RECENT_MS)
     }
 
-    /// Returns the expected time from sending a request of `rank` to its answer, in ms.
-    fn expected_time(&self, now: Ms, rank: usize) -> f64 {
+    /// Returns the expected time from sending a request of `rank` to its answer, in ms; `size` is the expected size of a
+    /// large answer, in bytes, and zero for others.
+    fn expected_time(&self, now: Ms, rank: usize, size: f64) -> f64 {
         let hop = match self.distance {
             Distance::Zone => 0.0,
             Distance::Region => ZONE_HOP_MS,
             Distance::OtherRegion => REGION_HOP_MS,
         };
-        hop + self.wait(now, rank) + self.service(rank) + FAULT_COST_MS * self.fault_rate(now)
+        let run = self.wait(now, rank) + self.service(rank);
+        hop + run + self.link_time(now, size) + FAULT_COST_MS * self.fault_rate(now)
+    }
+
+    /// Returns the time that a large answer of `size` bytes needs on the link of the endpoint's host, in ms: behind
+    /// those of the outlook, less what the link has carried since, and those requested since. Zero if `size` is zero or the
+    /// outlook does not state the link's rate.
+    fn link_time(&self, now: Ms, size: f64) -> f64 {
+        let Some((at, outlook)) = self.outlook.filter(|it| size > 0.0 && it.1.rate > 0) else {
+            return 0.0;
+        };
+        let left = f64::from(outlook.link) - now.since(at) as f64;
+        left.max(0.0) + (self.bytes_since + size) / f64::from(outlook.rate)
     }
 
     fn service(&self, rank: usize) -> f64 {
--- a/crates/kernel/tests/placement.rs
+++ b/crates/kernel/tests/placement.rs
@@ -78,6 +78,7 @@
         slots: 6,
         wait: [wait; RANKS],
         service: [service; RANKS],
+        ..Outlook::default()
     };
     finish(
         placement,
@@ -373,3 +374,90 @@
     placement.record_standing(NOW, id(1), leaving);
     assert_eq!(count_choices(&placement, &[])[0], 0);
 }
+
+/// Reports the same outlook for the endpoint `number`, with `link` ms of promised answers on a link of 13 Mbit/s.
+fn report_link(placement: &mut Placement, number: u16, link: u16) {
+    let outlook = Outlook {
+        free: 3,
+        slots: 6,
+        service: [40; RANKS],
+        link,
+        rate: 1_137,
+        ..Outlook::default()
+    };
+    finish(
+        placement,
+        number,
+        Outcome::Answered { latency: 60 },
+        Some(outlook),
+    );
+}
+
+/// Returns how often each of the endpoints 1 to 3 is chosen for a request of `kind`.
+fn count_kind(placement: &Placement, kind: Kind) -> [usize; 3] {
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let mut counts = [0; 3];
+    let request = RankedRequest {
+        kind,
+        goal: NOW + 800,
+        ..ranked(NOW)
+    };
+    for _ in 0..DRAWS {
+        match placement.place(NOW, &mut rng, request, &[]) {
+            Choice::Send(it) | Choice::Probe(it) => counts[usize::from(it.node.0.port()) - 1] += 1,
+            Choice::Refuse(it) => panic!("refused: {it:?}"),
+        }
+    }
+    counts
+}
+
+/// Guards against large answers that are asked of a host whose link is full, and against short ones that avoid it.
+#[test]
+fn large_answers_are_asked_of_a_host_with_a_free_link() {
+    let mut placement = placement();
+    let (large, short) = (Kind::of("download"), Kind::of("lookup"));
+    placement.record_size(NOW, large, 90_000);
+    placement.record_size(NOW, short, 900);
+    report_link(&mut placement, 1, 300);
+    report_link(&mut placement, 2, 0);
+    let [full, free, _] = count_kind(&placement, large);
+    assert_eq!([full, free], [0, DRAWS]);
+    let [full, free, _] = count_kind(&placement, short);
+    assert!(full > DRAWS / 3 && free > DRAWS / 3, "{full} and {free}");
+}
+
+/// Guards against an entry that sends all its large requests to the host whose link was free last.
+#[test]
+fn large_answers_asked_for_since_the_outlook_count_on_the_link() {
+    let mut placement = placement();
+    let large = Kind::of("download");
+    placement.record_size(NOW, large, 90_000);
+    report_link(&mut placement, 1, 100);
+    report_link(&mut placement, 2, 0);
+    for _ in 0..3 {
+        placement.started(NOW, id(2));
+        placement.expect_answer(id(2), large);
+    }
+    let [first, second, _] = count_kind(&placement, large);
+    assert_eq!([first, second], [DRAWS, 0]);
+}
+
+/// Guards against an owner that is asked again at once although its link has no room for answers of this kind.
+#[test]
+fn link_refusal_holds_its_kind_only() {
+    let mut placement = placement();
+    let large = Kind::of("download");
+    report_link(&mut placement, 1, 0);
+    report_link(&mut placement, 2, 0);
+    placement.started(NOW, id(1));
+    let refusal = Refusal::after(Reason::LinkFull, 200);
+    placement.finished(
+        NOW,
+        id(1),
+        Lane::Kind(large),
+        Outcome::Refused(refusal),
+        None,
+    );
+    assert_eq!(count_kind(&placement, large)[0], 0);
+    assert!(count_kind(&placement, Kind::of("lookup"))[0] > 0);
+}
--- a/crates/kernel/tests/ranks.rs
+++ b/crates/kernel/tests/ranks.rs
@@ -161,7 +161,9 @@
 
 #[test_case("3/6/0/10/20/0/5/6/7/8" => true; "whole")]
 #[test_case("3/6/0/10/20/0/5/6/7" => false; "too short")]
+#[test_case("3/6/0/10/20/0/5/6/7/8/40/1137" => true; "with the link")]
 #[test_case("3/6/0/10/20/0/5/6/7/8/9" => false; "too long")]
+#[test_case("3/6/0/10/20/0/5/6/7/8/9/10/11" => false; "far too long")]
 #[test_case("3/6/0/10/20/0/5/6/7/x" => false; "no number")]
 fn outlook_text_round_trips(text: &str) -> bool {
     match text.parse::<Outlook>() {
--- a/crates/node/src/traffic/answer_link.rs
+++ b/crates/node/src/traffic/answer_link.rs
@@ -18,6 +18,7 @@
     admission::{
         answers::{AnswerLink, AnswerRequest, Promise},
         kinds::Kind,
+        ranks::Outlook,
     },
     refusal::Refusal,
 };
@@ -76,6 +77,17 @@
         })
     }
 
+    /// Adds the state of the link to `outlook`.
+    pub fn outlook(&self, outlook: Outlook) -> Outlook {
+        let now = self.0.clock.now();
+        let mut link = self.lock();
+        Outlook {
+            link: u16::try_from(link.pending_ms(now)).unwrap_or(u16::MAX),
+            rate: link.rate() as u32,
+            ..outlook
+        }
+    }
+
     /// Returns the time until all promised answers are through, in ms.
     pub fn pending_ms(&self) -> u64 {
         self.lock().pending_ms(self.0.clock.now())
--- a/crates/node/src/traffic/body.rs
+++ b/crates/node/src/traffic/body.rs
@@ -4,7 +4,10 @@
 use std::{
     future::Future,
     pin::Pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     task::{Context, Poll},
     time::Duration,
 };
@@ -292,6 +295,22 @@
     }
 }
 
+/// Returns `body` with its declared length, or with the number of its bytes read so far if it declares none.
+pub fn count_bytes(body: Body) -> (Body, Arc<AtomicU64>) {
+    // A mapped body loses its length, by which truncation is detected.
+    if let Some(length) = body.size_hint().exact() {
+        return (body, Arc::new(AtomicU64::new(length)));
+    }
+    let count = Arc::new(AtomicU64::new(0));
+    let counter = count.clone();
+    let body = body.map_frame(move |frame| {
+        let length = frame.data_ref().map_or(0, |it| it.len() as u64);
+        counter.fetch_add(length, Ordering::Relaxed);
+        frame
+    });
+    (Body::new(body), count)
+}
+
 /// Maximum number of frames buffered between an upstream and a slow reader.
 const PUMP_FRAMES: usize = 4;
 
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -3,7 +3,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, OnceLock},
+    sync::{Arc, OnceLock, atomic::Ordering},
     time::Duration,
 };
 
@@ -482,8 +482,12 @@
             flight.answered();
             return Response::from_parts(parts, body);
         }
+        let (body, length) = body::count_bytes(body);
         let body = Bounded::new(body, limit, deadline, move |end| match end {
-            End::Whole => flight.answered(),
+            End::Whole => {
+                flight.record_size(length.load(Ordering::Relaxed));
+                flight.answered();
+            }
             End::Failed(_) => flight.ended(Outcome::Failed),
             End::Dropped => drop(flight),
         });
--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -149,7 +149,10 @@
         let headers = response.headers_mut();
         match self.0.gate.feedback() {
             Feedback::Load(load) => headers::insert_text(headers, LOAD, &load.to_string()),
-            Feedback::Outlook(it) => headers::insert_text(headers, OUTLOOK, &it.to_string()),
+            Feedback::Outlook(it) => {
+                let outlook = self.0.answers.outlook(it);
+                headers::insert_text(headers, OUTLOOK, &outlook.to_string());
+            }
             Feedback::Nothing => {}
         }
         // An entry that remembers a limit is also told that there is none any more.
--- a/crates/node/src/traffic/services.rs
+++ b/crates/node/src/traffic/services.rs
@@ -103,10 +103,27 @@
         }
     }
 
-    fn started(&mut self, now: Ms, node: NodeId) {
+    fn started(&mut self, now: Ms, node: NodeId, kind: Kind) {
         match self {
             Chooser::Picker(it) => it.started(now, node),
-            Chooser::Placement(it) => it.started(now, node),
+            Chooser::Placement(it) => {
+                it.started(now, node);
+                it.expect_answer(node, kind);
+            }
+        }
+    }
+
+    fn record_outlook(&mut self, now: Ms, node: NodeId, outlook: Outlook) {
+        match self {
+            Chooser::Picker(_) => {}
+            Chooser::Placement(it) => it.record_outlook(now, node, outlook),
+        }
+    }
+
+    fn record_size(&mut self, now: Ms, kind: Kind, bytes: u64) {
+        match self {
+            Chooser::Picker(_) => {}
+            Chooser::Placement(it) => it.record_size(now, kind, bytes),
         }
     }
 
@@ -124,9 +141,6 @@
                 it.finished(now, node, class, outcome, Some(load));
             }
             (Chooser::Picker(it), _) => it.finished(now, node, class, outcome, None),
-            (Chooser::Placement(it), Feedback::Outlook(outlook)) => {
-                it.finished(now, node, lane, outcome, Some(outlook));
-            }
             (Chooser::Placement(it), _) => it.finished(now, node, lane, outcome, None),
         }
     }
@@ -271,7 +285,7 @@
         kind: Kind,
     ) -> InFlight {
         let started = clock.now();
-        service.lock().chooser.started(started, node);
+        service.lock().chooser.started(started, node, kind);
         InFlight {
             service,
             clock: clock.clone(),
@@ -287,6 +301,19 @@
     /// Sets the load information that came with the answer.
     pub fn set_feedback(&mut self, feedback: Feedback) {
         self.feedback = feedback;
+        if let Feedback::Outlook(outlook) = feedback {
+            let now = self.clock.now();
+            let mut state = self.service.lock();
+            state.chooser.record_outlook(now, self.node, outlook);
+        }
+    }
+
+    /// Records the size of the answer, in bytes.
+    pub fn record_size(&self, bytes: u64) {
+        if let Lane::Kind(kind) = self.lane {
+            let now = self.clock.now();
+            self.service.lock().chooser.record_size(now, kind, bytes);
+        }
     }
 
     /// Records that the whole answer arrived.
