--- a/crates/kernel/src/admission.rs
+++ b/crates/kernel/src/admission.rs
@@ -9,6 +9,7 @@
 pub mod link;
 mod load;
 mod pace;
+pub mod pacer;
 mod queue;
 pub mod ranks;
 pub mod sizes;
