--- a/crates/kernel/src/admission.rs
+++ b/crates/kernel/src/admission.rs
@@ -3,13 +3,16 @@
 //! Each request runs at once, waits for a slot, or is refused as not run. A waiting request gets exactly one
 //! [`Wake`], unless its caller cancels it first.
 
+pub mod answers;
 pub mod kinds;
 mod limit;
 pub mod link;
 mod load;
 mod pace;
+pub mod pacer;
 mod queue;
 pub mod ranks;
+pub mod sizes;
 
 use crate::{
     clock::Ms,
--- a/crates/kernel/src/pick/placement.rs
+++ b/crates/kernel/src/pick/placement.rs
@@ -13,7 +13,11 @@
     stats::{EndpointStats, Lane, may_eject},
 };
 use crate::{
-    admission::ranks::{Outlook, RANKS, RankedRequest, rank_of},
+    admission::{
+        kinds::Kind,
+        ranks::{Outlook, RANKS, RankedRequest, rank_of},
+        sizes::Sizes,
+    },
     clock::Ms,
     id::NodeId,
     members::{Exposure, Phase, Reach},
@@ -84,6 +88,8 @@
     place: Place,
     members: Vec<Member>,
     positions: HashMap<NodeId, usize>,
+    /// Sizes of the answers that this entry got, by kind.
+    sizes: Sizes,
 }
 
 #[derive(Debug)]
@@ -96,12 +102,24 @@
     sent_since: u32,
     /// Time of the last request from this entry.
     last_sent: Ms,
+    /// Expected bytes of the large answers to the requests sent since the last outlook.
+    bytes_since: f64,
     /// Time of the last update and share of failed outcomes.
     fault_rate: (Ms, f64),
     /// Rate limit that the upstream names, if any.
     limit: Option<Rate>,
 }
 
+/// What a request is expected to take, wherever it goes.
+#[derive(Clone, Copy, Debug)]
+struct Expected {
+    rank: usize,
+    /// Typical service time of the rank over all endpoints, in ms.
+    service: f64,
+    /// Size of its answer if that is large, else zero, in bytes.
+    size: f64,
+}
+
 /// Distance of an endpoint from the entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Distance {
@@ -118,6 +136,7 @@
             place,
             members: Vec::new(),
             positions: HashMap::new(),
+            sizes: Sizes::default(),
         }
     }
 
@@ -147,6 +166,7 @@
                     outlook: None,
                     sent_since: 0,
                     last_sent: Ms(0),
+                    bytes_since: 0.0,
                     fault_rate: (Ms(0), 0.0),
                     limit: None,
                 },
@@ -209,11 +229,15 @@
         if let Some(own) = own.filter(|it| tried.is_empty() && it.needs_trial(now)) {
             return Choice::Probe(own.endpoint.clone());
         }
-        let typical = self.typical_service(rank);
+        let expected = Expected {
+            rank,
+            service: self.typical_service(rank),
+            size: self.sizes.large(request.kind).unwrap_or_default(),
+        };
         let mut best: [Option<(f64, &Member)>; 2] = [None, None];
         for member in untried().filter(|it| it.usable(now, lane)) {
-            let cost = member.expected_time(now, rank, typical)
-                * rng.random_range(1.0 - JITTER..1.0 + JITTER);
+            let cost =
+                member.expected_time(now, &expected) * rng.random_range(1.0 - JITTER..1.0 + JITTER);
             let current = &mut best[usize::from(member.distance != Distance::Zone)];
             if current.is_none_or(|(least, _)| cost < least) {
                 *current = Some((cost, member));
@@ -224,7 +248,7 @@
         let left = request.goal.since(now);
         let within = |cost: f64, percent: u64| cost <= (left * percent / 100) as f64;
         if let (true, [Some((near, _)), _]) = (probes, best) {
-            let cost = own.map(|it| (it.expected_time(now, rank, typical), it));
+            let cost = own.map(|it| (it.expected_time(now, &expected), it));
             let longest = (OWN_HOST_FACTOR * near).max(near + (left / NOTICED_DIVISOR) as f64);
             if let Some((cost, it)) = cost
                 && within(cost, NEAR_GOAL_PERCENT)
@@ -274,6 +298,29 @@
         }
     }
 
+    /// Records that the attempt sent to `node` last is of `kind`, whose answer may take the link of its host.
+    pub fn expect_answer(&mut self, node: NodeId, kind: Kind) {
+        let size = self.sizes.large(kind).unwrap_or_default();
+        if let Some(it) = self.member(node) {
+            it.bytes_since += size;
+        }
+    }
+
+    /// Records the size of an answer to a request of `kind`, in bytes.
+    pub fn record_size(&mut self, now: Ms, kind: Kind, bytes: u64) {
+        self.sizes.record(now, kind, bytes);
+    }
+
+    /// Records the outlook that the header of an answer of `node` reports. Until a long answer has arrived whole, its
+    /// outlook would be out of date.
+    pub fn record_outlook(&mut self, now: Ms, node: NodeId, outlook: Outlook) {
+        if let Some(it) = self.member(node) {
+            it.outlook = Some((now, outlook));
+            it.sent_since = 0;
+            it.bytes_since = 0.0;
+        }
+    }
+
     /// Records the end of an attempt at `node`, with the outlook reported in its answer.
     pub fn finished(
         &mut self,
@@ -285,14 +332,13 @@
     ) {
         let all_stats = self.members.iter().map(|it| &it.stats);
         let may_eject = outcome == Outcome::Failed && may_eject(now, all_stats);
+        if let Some(outlook) = outlook {
+            self.record_outlook(now, node, outlook);
+        }
         let Some(it) = self.member(node) else {
             return;
         };
         it.stats.finished(now, lane.into(), outcome, None);
-        if let Some(outlook) = outlook {
-            it.outlook = Some((now, outlook));
-            it.sent_since = 0;
-        }
         it.record_outcome(now, outcome);
         if may_eject {
             it.stats.eject(now);
@@ -387,24 +433,35 @@
         now.since(self.last_sent) >= TRIAL_INTERVAL_MS
     }
 
-    /// Returns the expected time from sending a request of `rank` to its answer, in ms, where one takes `typical` ms at
-    /// other endpoints.
-    fn expected_time(&self, now: Ms, rank: usize, typical: f64) -> f64 {
+    /// Returns the expected time from sending a request like `expected` to its answer, in ms.
+    fn expected_time(&self, now: Ms, expected: &Expected) -> f64 {
         let hop = match self.distance {
             Distance::Zone => 0.0,
             Distance::Region => ZONE_HOP_MS,
             Distance::OtherRegion => REGION_HOP_MS,
         };
-        let service = self.service(now, rank, typical);
-        hop + self.wait(now, rank) + service + FAULT_COST_MS * self.fault_rate(now)
+        let run = self.wait(now, expected.rank) + self.service(now, expected);
+        hop + run + self.link_time(now, expected.size) + FAULT_COST_MS * self.fault_rate(now)
+    }
+
+    /// Returns the time that a large answer of `size` bytes needs on the link of the endpoint's host, in ms: behind
+    /// those of the outlook, less what the link has carried since, and those requested since. Zero if `size` is zero or the
+    /// outlook does not state the link's rate.
+    fn link_time(&self, now: Ms, size: f64) -> f64 {
+        let Some((at, outlook)) = self.outlook.filter(|it| size > 0.0 && it.1.rate > 0) else {
+            return 0.0;
+        };
+        let left = f64::from(outlook.link) - now.since(at) as f64;
+        left.max(0.0) + (self.bytes_since + size) / f64::from(outlook.rate)
     }
 
-    fn service(&self, now: Ms, rank: usize, typical: f64) -> f64 {
+    fn service(&self, now: Ms, expected: &Expected) -> f64 {
         let Some((at, outlook)) = self.outlook else {
             return UNKNOWN_SERVICE_MS;
         };
         let weight = 0.5f64.powf(now.since(at) as f64 / SERVICE_HALF_LIFE_MS);
-        typical + weight * (f64::from(outlook.service[rank]) - typical)
+        let own = f64::from(outlook.service[expected.rank]);
+        expected.service + weight * (own - expected.service)
     }
 
     /// Returns the expected wait of a request of `rank`, in ms: that of the outlook, discounted by age, plus that
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -3,7 +3,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, OnceLock},
+    sync::{Arc, OnceLock, atomic::Ordering},
     time::Duration,
 };
 
@@ -368,7 +368,9 @@
             false => {
                 self.0.proofs.prove(&mut request, endpoint.traffic);
                 match self.0.peers.send(endpoint.traffic, request, deadline).await {
-                    peers::Sent::Answered(response) => response.map(Body::new),
+                    peers::Sent::Answered(response) => {
+                        response.map(|it| self.0.answers.forwarded(Body::new(it)))
+                    }
                     peers::Sent::Unsent => {
                         flight.ended(Outcome::Failed);
                         let refusal = Refusal::new(Reason::NotReady);
@@ -480,8 +482,12 @@
             flight.answered();
             return Response::from_parts(parts, body);
         }
+        let (body, length) = body::count_bytes(body);
         let body = Bounded::new(body, limit, deadline, move |end| match end {
-            End::Whole => flight.answered(),
+            End::Whole => {
+                flight.record_size(length.load(Ordering::Relaxed));
+                flight.answered();
+            }
             End::Failed(_) => flight.ended(Outcome::Failed),
             End::Dropped => drop(flight),
         });
