--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -14,6 +14,7 @@
 
 pub mod accept;
 pub mod admission;
+pub mod calls;
 pub mod clock;
 pub mod connections;
 pub mod customer;
--- a/crates/node/src/metrics/table.rs
+++ b/crates/node/src/metrics/table.rs
@@ -2,6 +2,7 @@
 
 use laburnum_edge::link::Kind as Control;
 use laburnum_kernel::{
+    calls::{CallEnd, Totals},
     import,
     members::{Phase, Reach},
     standing::Rate,
@@ -11,7 +12,7 @@
 use crate::traffic::connections::OpenConnections;
 
 /// Every metric.
-pub const TABLE: [Row; 46] = [
+pub const TABLE: [Row; 48] = [
     gauge(
         "laburnum_seq",
         "Position in the log of changes that this node is at.",
@@ -211,6 +212,16 @@
         "Requests of callers that were sent once more.",
         |it| one(it.traffic.counts().retries()),
     ),
+    counter(
+        "laburnum_calls_total",
+        "Calls of requests that run at the upstream, by outcome.",
+        |it| labelled("outcome", calls(&it.traffic.call_totals())),
+    ),
+    counter(
+        "laburnum_runs_failed_calls_total",
+        "Requests that failed at the upstream after one of their calls had failed.",
+        |it| one(it.traffic.call_totals().runs_failed_calls),
+    ),
     counter(
         "laburnum_faults_total",
         "Faults of callers and nodes by kind.",
@@ -289,6 +300,11 @@
     points.collect()
 }
 
+fn calls(totals: &Totals) -> Vec<(&'static str, u64)> {
+    let names = CallEnd::ALL.map(CallEnd::as_str);
+    names.into_iter().zip(totals.calls).collect()
+}
+
 fn by_kind(bytes: [u64; Control::ALL.len()]) -> Vec<Point> {
     let names = Control::ALL.map(Control::name);
     labelled("kind", names.into_iter().zip(bytes).collect())
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -8,6 +8,7 @@
 
 mod answer;
 pub mod body;
+mod calls;
 pub mod connections;
 pub mod counts;
 mod customers;
@@ -59,6 +60,7 @@
 use crate::{control::Control, upstream::Upstream};
 
 use body::Budget;
+use calls::Calls;
 use counts::Counts;
 use denial::Denial;
 use dialect::Dialect;
@@ -87,6 +89,8 @@
     gate: Gate,
     /// Admits large request bodies at the rate of the host's link.
     link: LinkBudget,
+    /// Requests that run at the upstream, by which their calls are recognised.
+    calls: Calls,
     peers: Peers,
     proofs: Proofs,
     services: Services,
@@ -180,6 +184,7 @@
             control,
             gate: Gate::new(clock.clone(), origin),
             link: LinkBudget::new(link),
+            calls: Calls::new(clock.clone()),
             clock,
             upstream,
             peers: Peers::default(),
@@ -217,6 +222,7 @@
                 traffic.update_gate(&view);
                 traffic.0.gate.tick();
                 traffic.update_rollout(&view);
+                traffic.log_calls(&view);
                 if count.is_multiple_of(PRUNE_TICKS) {
                     traffic.0.peers.prune();
                 }
--- a/crates/node/src/traffic/answer.rs
+++ b/crates/node/src/traffic/answer.rs
@@ -24,6 +24,7 @@
 use super::{
     Traffic,
     body::{self, BodyFault, End},
+    calls::TrackedRun,
     denial::{self, Denial},
     gate::Slot,
     headers::{self, OUTCOME, RAN, RETRY_AFTER_MS},
@@ -48,6 +49,8 @@
     pub(super) run: Run,
     pub(super) slot: Slot,
     pub(super) suspect: Option<Suspect>,
+    /// Entry in the table by which its calls are recognised, once it was sent.
+    pub(super) tracked: Option<TrackedRun>,
 }
 
 /// A request that was in flight when an upstream crashed.
@@ -112,15 +115,16 @@
             let bytes = body::collect(incoming, job.limit, limit).await;
             return match bytes {
                 Ok(bytes) => {
-                    self.complete(run, lease);
+                    self.complete(run, lease, parts.status);
                     Ok(Answer::Whole(parts, bytes))
                 }
                 Err(fault) => Err(self.incomplete(run, fault)),
             };
         }
         let traffic = self.clone();
+        let status = parts.status;
         let body = body::pump(incoming, job.limit, limit, move |end| match end {
-            End::Whole => traffic.complete(run, lease),
+            End::Whole => traffic.complete(run, lease, status),
             End::Failed(fault) => drop(traffic.incomplete(run, fault)),
             End::Dropped => drop((run, lease)),
         });
@@ -134,6 +138,9 @@
         lease: Lease,
         answer: Response<Incoming>,
     ) -> Denial {
+        if let Some(tracked) = run.tracked {
+            tracked.rejected();
+        }
         if answer.status() == StatusCode::MISDIRECTED_REQUEST {
             // Another process listens at the address: nothing is sent there until the next announcement.
             run.slot.finish(Finish::Failed);
@@ -147,7 +154,10 @@
         Denial::Refused(shed_refusal(&answer))
     }
 
-    fn complete(&self, run: RunningRequest, lease: Lease) {
+    fn complete(&self, run: RunningRequest, lease: Lease, status: StatusCode) {
+        if let Some(tracked) = run.tracked {
+            tracked.answered(status);
+        }
         lease.put_back();
         run.slot.finish(Finish::Answered);
         self.0.upstream.observe_answer();
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -96,9 +96,11 @@
             decision: None,
             tried: Vec::new(),
         };
+        let mut call = None;
         let (class, result) = match self.plan(parts, peer) {
             Ok(mut plan) => {
                 trace.decision = plan.decision.take();
+                call = plan.call.take();
                 (
                     Some(plan.class),
                     self.forward_until_stop(plan, incoming, &mut trace).await,
@@ -113,6 +115,9 @@
             denial.response()
         });
         self.0.counts.count_answer(response.headers());
+        if let Some(call) = call {
+            call.close(&response);
+        }
         if let Some(class) = class {
             self.0
                 .counts
--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -454,7 +454,8 @@
         let limit = window.end;
         let suspect = self.suspect_permit(&job, limit).await?;
         let pool = job.upstream.pool.clone();
-        let run = RunningRequest {
+        let mut run = RunningRequest {
+            tracked: None,
             started: self.now(),
             run: self.0.upstream.begin(job.fingerprint),
             slot,
@@ -474,6 +475,10 @@
                 return Err(expired(&job));
             }
             self.0.counts.count_sent();
+            run.tracked.get_or_insert_with(|| {
+                let id = self.0.dialect.id(&job.headers);
+                self.0.calls.begin(id.as_ref(), job.ranked)
+            });
             match self.await_answer(&job, &mut lease, request, limit).await {
                 Sent::Answered(answer) => {
                     return self.receive_answer(&job, run, lease, answer, limit).await;
--- a/crates/node/src/traffic/plan.rs
+++ b/crates/node/src/traffic/plan.rs
@@ -25,6 +25,7 @@
 
 use super::{
     Traffic,
+    calls::{RunningCall, Urgency},
     customers::Customer,
     denial::Denial,
     dialect::Dialect,
@@ -46,7 +47,7 @@
     /// Maximum attempts and budget for retries.
     pub(super) retry: document::Retry,
     pub(super) class: Class,
-    /// Priority, if the route sets one.
+    /// Priority, if the route sets one; that of its run if the request is a call of a more urgent one.
     pub(super) priority: Option<u8>,
     /// Kind of the request, derived from the route's name.
     pub(super) kind: Kind,
@@ -60,6 +61,8 @@
     pub(super) headers: HeaderMap,
     /// Customer that the request belongs to, if it carries a key.
     pub(super) customer: Option<Customer>,
+    /// The request as a call of a request that runs at this host, if it is one.
+    pub(super) call: Option<RunningCall>,
     /// Decision to be written to the log, if routes have names.
     pub(super) decision: Option<RouteDecision>,
 }
@@ -76,7 +79,7 @@
         }
         match self.0.origin {
             Origin::Submitted => self.plan_by_document(&view, parts, peer),
-            Origin::Imported => self.plan_by_table(&view, known_since, parts),
+            Origin::Imported => self.plan_by_table(&view, known_since, parts, peer),
         }
     }
 
@@ -86,6 +89,7 @@
         view: &Arc<View>,
         known_since: Ms,
         parts: Parts,
+        peer: SocketAddr,
     ) -> Result<Plan, Denial> {
         let now = self.now();
         let authority: Arc<str> = Arc::from(authority(&parts)?);
@@ -111,6 +115,12 @@
             return Err(Denial::Refused(refusal));
         };
         let goal = (now + route.goal).min(deadline.at());
+        let Urgency {
+            priority: rank,
+            goal,
+            call,
+            inherited,
+        } = self.urgency(peer, &headers, &name, (priority, goal));
         let decision = RouteDecision {
             route: route.name.clone(),
             service: name.clone(),
@@ -119,6 +129,7 @@
             version: view.table.version(),
             left: deadline.left(now),
             goal: goal.since(now),
+            inherited,
             endpoints: found.endpoints.len(),
         };
         if let Dialect::Foreign(fields) = &self.0.dialect {
@@ -131,8 +142,8 @@
         }
         Ok(Plan {
             service: self.0.services.get(now, view, &name, found),
-            class: routing::class_of(priority),
-            priority: Some(priority),
+            class: routing::class_of(rank),
+            priority: Some(rank),
             kind: Kind::of(&route.name),
             goal,
             repeat: route.repeat,
@@ -149,6 +160,7 @@
             method: parts.method,
             headers,
             customer,
+            call,
             decision: Some(decision),
         })
     }
@@ -213,6 +225,7 @@
             method: parts.method,
             headers,
             customer: None,
+            call: None,
             decision: None,
         })
     }
--- a/crates/node/src/traffic/report.rs
+++ b/crates/node/src/traffic/report.rs
@@ -17,6 +17,7 @@
 use crate::logs;
 
 use super::{
+    calls::Inherited,
     headers::{OUTCOME, REASON},
     standing::limit_text,
 };
@@ -46,6 +47,8 @@
     pub left: u64,
     /// Time until the latency goal at the start, in ms.
     pub goal: u64,
+    /// What the request inherited, if it is a call of a request that runs at this host.
+    pub inherited: Option<Inherited>,
     /// Number of the service's endpoints in the view.
     pub endpoints: usize,
 }
@@ -131,6 +134,10 @@
                 ("goal", decision.goal.to_string()),
                 ("endpoints", decision.endpoints.to_string()),
             ]);
+            if let Some(call) = &decision.inherited {
+                pairs.push(("run", call.run.clone()));
+                pairs.push(("inherited", call.priority.to_string()));
+            }
         }
         let tried: Vec<String> = it.tried.iter().map(ToString::to_string).collect();
         pairs.push(("tried", tried.join(",")));
