--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -9,6 +9,7 @@
 mod answer;
 mod answer_link;
 pub mod body;
+mod calls;
 pub mod connections;
 pub mod counts;
 mod customers;
@@ -61,6 +62,7 @@
 
 use answer_link::AnswerBudget;
 use body::Budget;
+use calls::Calls;
 use counts::Counts;
 use denial::Denial;
 use dialect::Dialect;
@@ -91,6 +93,8 @@
     link: LinkBudget,
     /// Admits requests with large answers at the rate of the host's link.
     answers: AnswerBudget,
+    /// Requests that run at the upstream, by which their calls are recognised.
+    calls: Calls,
     peers: Peers,
     proofs: Proofs,
     services: Services,
@@ -185,6 +189,7 @@
             gate: Gate::new(clock.clone(), origin),
             link: LinkBudget::new(link),
             answers: AnswerBudget::new(clock.clone(), link),
+            calls: Calls::new(clock.clone()),
             clock,
             upstream,
             peers: Peers::default(),
@@ -222,6 +227,7 @@
                 traffic.update_gate(&view);
                 traffic.0.gate.tick();
                 traffic.update_rollout(&view);
+                traffic.log_calls(&view);
                 if count.is_multiple_of(PRUNE_TICKS) {
                     traffic.0.peers.prune();
                 }
