--- a/crates/kernel/src/retry.rs
+++ b/crates/kernel/src/retry.rs
@@ -1,5 +1,7 @@
 //! Retry policy of the entry: deadline propagation, retry budgets, and which failures may be retried.
 
+mod budget;
+
 use std::{fmt, str::FromStr};
 
 use rand::Rng;
@@ -10,16 +12,12 @@
     refusal::{Reason, Refusal, Remedy},
 };
 
+pub use budget::{Bound, Budget};
+
 /// Call depth from which requests are not retried.
 pub const MAX_DEPTH: u8 = 10;
 /// Retries for the whole call tree of a request that arrives without a [`Tree`].
 const TREE_RETRIES: u8 = 2;
-/// Cost of one retry in the units of [`Budget`].
-const RETRY_COST: u64 = 100;
-/// Maximum number of tokens in a budget.
-const BUDGET_CAP: u64 = 10 * RETRY_COST;
-/// Interval at which a budget is refilled to at least one retry, in ms.
-const BUDGET_REFILL_MS: u64 = 2_000;
 /// Least time left with which a retry is sent, in ms. An entry gives owners a few ms less than it has itself, so that one
 /// that missed the deadline would else be followed by another attempt that cannot be answered.
 pub const LEAST_LEFT_MS: u64 = 20;
@@ -117,56 +115,6 @@
     }
 }
 
-/// Retry budget of one service at one entry, a share of its successes.
-#[derive(Clone, Debug)]
-pub struct Budget {
-    percent: u64,
-    tokens: u64,
-    refilled: Ms,
-}
-
-impl Budget {
-    /// Creates a budget of `percent` retries per hundred successes. It starts with one retry unless `percent` is zero.
-    pub fn new(now: Ms, percent: u32) -> Budget {
-        Budget {
-            percent: u64::from(percent),
-            tokens: if percent > 0 { RETRY_COST } else { 0 },
-            refilled: now,
-        }
-    }
-
-    /// Sets the number of retries per hundred successes.
-    pub fn set_percent(&mut self, percent: u32) {
-        self.percent = u64::from(percent);
-    }
-
-    /// Records a success.
-    pub fn success(&mut self) {
-        self.tokens = (self.tokens + self.percent).min(BUDGET_CAP);
-    }
-
-    /// Spends one retry, if there is one; returns whether it did.
-    fn spend(&mut self, now: Ms) -> bool {
-        self.refill(now);
-        if self.tokens < RETRY_COST {
-            return false;
-        }
-        self.tokens -= RETRY_COST;
-        true
-    }
-
-    /// Refills the budget to one retry per interval for services with little traffic, unless the percentage is zero.
-    fn refill(&mut self, now: Ms) {
-        if now.since(self.refilled) < BUDGET_REFILL_MS {
-            return;
-        }
-        self.refilled = now;
-        if self.percent > 0 {
-            self.tokens = self.tokens.max(RETRY_COST);
-        }
-    }
-}
-
 /// Kind of failure of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
--- a/crates/kernel/tests/retry.rs
+++ b/crates/kernel/tests/retry.rs
@@ -4,9 +4,11 @@
     Ms,
     document::{self, Repeat},
     refusal::{Reason, Refusal},
-    retry::{Budget, Counted, Deadline, Failure, GiveUp, MAX_DEPTH, Next, Retry, Tree, Untried},
+    retry::{
+        Bound, Budget, Counted, Deadline, Failure, GiveUp, MAX_DEPTH, Next, Retry, Tree, Untried,
+    },
 };
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use test_case::test_case;
 
@@ -229,3 +231,77 @@
     );
     assert_eq!(next, Next::GiveUp(GiveUp::Budget));
 }
+
+const BOUND: Bound = Bound {
+    ratio: 0.2,
+    window: 10_000,
+    extra: 158.0,
+};
+/// Route of an imported configuration: each request reaches two upstreams at most.
+const TWO_ATTEMPTS: document::Retry = document::Retry {
+    attempts: 2,
+    budget: 0,
+};
+
+/// Requests and retries of a service over all entries, per 100 ms.
+struct Sent {
+    requests: Vec<u32>,
+    retries: Vec<u32>,
+}
+
+/// Simulates the entries of a fleet for 60 s. From the 20th to the 40th second the upstreams shed `shed` of all arrivals.
+fn send_through_shedding(entries: usize, per_second: impl Fn(u64) -> f64, shed: f64) -> Sent {
+    let mut rng = rng();
+    let mut budgets = vec![Budget::bounded(NOW, BOUND, entries); entries];
+    let mut sent = Sent {
+        requests: vec![0; 600],
+        retries: vec![0; 600],
+    };
+    for ms in 0..60_000_u64 {
+        let now = NOW + ms;
+        let mean = per_second(ms) / 1_000.0;
+        let count = mean as u32 + u32::from(rng.random_bool(mean.fract()));
+        for _ in 0..count {
+            let budget = &mut budgets[rng.random_range(0..entries)];
+            budget.requested();
+            sent.requests[ms as usize / 100] += 1;
+            let is_shed = (20_000..40_000).contains(&ms) && rng.random_bool(shed);
+            if !is_shed {
+                budget.success();
+                continue;
+            }
+            let deadline = Deadline::after(now, 1_000);
+            let (policy, repeat, tree) = (&TWO_ATTEMPTS, Repeat::Never, Tree::default());
+            let mut retry = Retry::counting(Counted::Reached, policy, repeat, deadline, tree);
+            let failure = not_run(Reason::Shed, 0);
+            let next = retry.next(now, &mut rng, budget, failure, Untried::Some);
+            sent.retries[ms as usize / 100] += u32::from(next == AT_ONCE);
+        }
+    }
+    sent
+}
+
+/// Guards against retries beyond the bound of the whole fleet: in calm before, in a small service, at a thousand entries that
+/// all hold a token, and when traffic falls while the upstreams shed.
+#[test_case(59, |_| 1_300.0; "busy service")]
+#[test_case(59, |_| 20.0; "quiet service")]
+#[test_case(1_000, |_| 1_300.0; "thousand entries")]
+#[test_case(59, |ms| if ms < 20_000 { 1_300.0 } else { 200.0 }; "falling traffic")]
+#[test_case(59, |ms| if ms < 20_000 { 20.0 } else { 1_300.0 }; "rising traffic")]
+fn retries_of_all_entries_stay_within_their_bound(entries: usize, per_second: fn(u64) -> f64) {
+    let sent = send_through_shedding(entries, per_second, 0.9);
+    for (end, _) in sent.retries.iter().enumerate().skip(100) {
+        let sum = |of: &[u32]| f64::from(of[end - 100..end].iter().sum::<u32>());
+        let allowed = BOUND.ratio * sum(&sent.requests) + BOUND.extra;
+        assert!(sum(&sent.retries) <= allowed, "{end}: {allowed}");
+    }
+}
+
+/// Guards against a budget that shrinks with the successes just when upstreams shed most requests.
+#[test]
+fn shedding_upstreams_get_most_of_the_retries_that_the_bound_allows() {
+    let sent = send_through_shedding(59, |_| 1_300.0, 0.55);
+    let sum = |of: &[u32]| f64::from(of[200..400].iter().sum::<u32>());
+    let (used, allowed) = (sum(&sent.retries), BOUND.ratio * sum(&sent.requests));
+    assert!(used >= 0.7 * allowed, "{used} of {allowed}");
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -9,6 +9,7 @@
     import::Watch,
     once::OnceSettings,
     quota::QuotaSettings,
+    retry::Bound,
     settings::{Origin, SpreadSettings},
 };
 
@@ -72,6 +73,8 @@
     pub revoke: Option<u64>,
     /// Tolerance of customers' quotas. Default: [`QuotaSettings::default`].
     pub quota: QuotaSettings,
+    /// Bound on the retries of all nodes together. Default: none; retries are a share of successes.
+    pub retries: Option<Bound>,
     /// Bandwidth of the host's link, in Mbit/s. Default: 1000.
     pub link: f64,
     /// Service of the upstream beside the node, sent as the caller's service to other upstreams. Default:
@@ -114,6 +117,7 @@
             watch: Watch::default(),
             revoke: None,
             quota: QuotaSettings::default(),
+            retries: None,
             link: 1_000.0,
             service: None,
             dialect: Dialect::default(),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -159,6 +159,7 @@
             service: config.service,
             link: config.link,
             revoke: config.revoke,
+            retries: config.retries,
         });
         let entry_connections = OpenConnections::new(clock.clone(), config.callers.connections);
         let owner_connections = OpenConnections::new(clock.clone(), config.nodes.connections);
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -50,8 +50,14 @@
 use hyper::body::Incoming;
 use laburnum_edge::Clock;
 use laburnum_kernel::{
-    Event, Ms, Name, NodeId, View, event::UpstreamEvent, hot::Limiter, members::Exposure,
-    pick::Place, retry::Deadline, settings::Origin, standing::Standing,
+    Event, Ms, Name, NodeId, View,
+    event::UpstreamEvent,
+    hot::Limiter,
+    members::Exposure,
+    pick::Place,
+    retry::{Bound, Deadline},
+    settings::Origin,
+    standing::Standing,
 };
 use tokio::{
     sync::{Semaphore, watch},
@@ -163,6 +169,8 @@
     pub link: f64,
     /// Longest time for which a key works after it was taken away, in ms.
     pub revoke: Option<u64>,
+    /// Bound on the retries of all nodes together, if there is one.
+    pub retries: Option<Bound>,
 }
 
 impl Traffic {
@@ -182,6 +190,7 @@
             service,
             link,
             revoke,
+            retries,
         } = parts;
         let traffic = Traffic(Arc::new(Shared {
             node,
@@ -194,7 +203,7 @@
             upstream,
             peers: Peers::default(),
             proofs,
-            services: Services::new(node, place, origin),
+            services: Services::new(node, place, origin, retries),
             trial: Trial::default(),
             purses: Purses::default(),
             faults,
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -225,7 +225,10 @@
             }
             let now = self.now();
             let choice = {
-                let state = plan.service.lock();
+                let mut state = plan.service.lock();
+                if number == 1 {
+                    state.budget.requested();
+                }
                 state.chooser.choose(now, plan.class, plan.ranked(), &tried)
             };
             let (endpoint, queue) = match choice {
--- a/crates/node/src/traffic/services.rs
+++ b/crates/node/src/traffic/services.rs
@@ -15,7 +15,7 @@
     },
     document::Class,
     pick::{Choice, Lane, Outcome, Picker, Place, placement::Placement},
-    retry::Budget,
+    retry::{Bound, Budget},
     settings::Origin,
     standing::{Report, Standing, Standings},
     view::ServiceView,
@@ -27,6 +27,8 @@
     own: NodeId,
     place: Place,
     origin: Origin,
+    /// Bound on the retries of all nodes together, if there is one.
+    retries: Option<Bound>,
     services: RwLock<HashMap<Name, Arc<Service>>>,
     /// What owners reported of upstreams that limit their requests or leave.
     standings: Mutex<Standings>,
@@ -147,12 +149,13 @@
 }
 
 impl Services {
-    /// Creates the empty state of the entry `own` at `place`.
-    pub fn new(own: NodeId, place: Place, origin: Origin) -> Services {
+    /// Creates the empty state of the entry `own` at `place`, whose retries share `retries` with all others.
+    pub fn new(own: NodeId, place: Place, origin: Origin, retries: Option<Bound>) -> Services {
         Services {
             own,
             place,
             origin,
+            retries,
             services: RwLock::default(),
             standings: Mutex::default(),
             current: ArcSwap::default(),
@@ -172,6 +175,7 @@
                 Chooser::Placement(placement) => placement.refresh(&it.endpoints),
             }
             state.budget.set_percent(it.document.retry.budget);
+            state.budget.set_entries(now, entries(view));
         }
         drop(state);
         service
@@ -211,7 +215,10 @@
                         Chooser::Placement(Placement::new(self.own, self.place.clone()))
                     }
                 },
-                budget: Budget::new(now, it.document.retry.budget),
+                budget: match self.retries {
+                    Some(bound) => Budget::bounded(now, bound, 1),
+                    None => Budget::new(now, it.document.retry.budget),
+                },
                 generation: 0,
             };
             Arc::new(Service {
@@ -254,6 +261,11 @@
     }
 }
 
+/// Returns the number of nodes with an upstream; each is an entry.
+fn entries(view: &View) -> usize {
+    view.services.values().map(|it| it.endpoints.len()).sum()
+}
+
 impl Service {
     /// Locks the state. Hold the lock for one decision only.
     pub fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/node/tests/services.rs
+++ b/crates/node/tests/services.rs
@@ -62,7 +62,7 @@
     };
     let id = NodeId(([127, 0, 0, 1], 7101).into());
     for _ in 0..ROUNDS {
-        let services = Services::new(id, place.clone(), Origin::Submitted);
+        let services = Services::new(id, place.clone(), Origin::Submitted, None);
         let (view, barrier) = (view(), Barrier::new(THREADS));
         thread::scope(|scope| {
             for _ in 0..THREADS {
