--- a/crates/node/src/traffic/calls.rs
+++ b/crates/node/src/traffic/calls.rs
@@ -5,6 +5,7 @@
 //! system's own header fields no request carries an id, so no call is recognised.
 
 use std::{
+    collections::HashMap,
     net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
@@ -132,8 +133,15 @@
                 .cloned()
                 .collect::<Vec<KindCalls>>()
         };
+        if learned.is_empty() {
+            return;
+        }
+        let names = route_names(view);
         for it in &learned {
-            log_kind(now, route_name(view, it.kind), it);
+            // The route may no longer exist; then its kind stands for it.
+            let name = names.get(&it.kind.0).copied();
+            let name = name.map_or_else(|| it.kind.0.to_string(), str::to_owned);
+            log_kind(now, name, it);
         }
     }
 
@@ -247,11 +255,10 @@
     }
 }
 
-/// Returns the name of the route whose requests are of `kind`, or the kind itself if the route no longer exists.
-fn route_name(view: &View, kind: Kind) -> String {
-    let routes = &view.table.spec().routes;
-    let found = routes.iter().find(|it| Kind::of(&it.name) == kind);
-    found.map_or_else(|| kind.0.to_string(), |it| it.name.to_string())
+/// Returns the names of the routes by the kind of their requests.
+fn route_names(view: &View) -> HashMap<u32, &str> {
+    let routes = view.table.spec().routes.iter();
+    routes.map(|it| (Kind::of(&it.name).0, &*it.name)).collect()
 }
 
 fn log_kind(now: Ms, route: String, kind: &KindCalls) {
