--- a/crates/kernel/src/admission/pacer.rs
+++ b/crates/kernel/src/admission/pacer.rs
@@ -12,8 +12,14 @@
 /// Maximum time by which short answers overdraw the bucket, in ms. Beyond it long answers would stop beside many short
 /// ones.
 const OVERDRAFT_MS: f64 = 50.0;
+/// Least size of the parts of a long answer, in bytes. A short answer waits for one part at most on a connection.
+const PART_BYTES: usize = 8 * 1024;
+/// Time that a part takes of the link where that is more than [`PART_BYTES`], in ms. Smaller parts only cost work there.
+const PART_MS: f64 = 1.0;
+/// Longest time after which a waiting answer asks again, in ms.
+const RETRY_MS: u64 = 10;
 /// Time after which an answer that does not ask again loses its turn, in ms: its receiver may be slower than the link.
-const TURN_MS: u64 = 10;
+const TURN_MS: u64 = 2 * RETRY_MS;
 /// Bytes per ms of a link of one Mbit/s.
 const BYTES_PER_MBIT: f64 = 125.0;
 
@@ -59,6 +65,12 @@
         }
     }
 
+    /// Returns the largest part of a long answer to take tokens for at once, in bytes; `None` if nothing is paced.
+    pub fn part_bytes(&self) -> Option<usize> {
+        let rate = self.rate?;
+        Some(PART_BYTES.max((rate * PART_MS) as usize))
+    }
+
     /// Takes tokens for the next `bytes` of a long answer, or has it wait in its turn. The bucket may be overdrawn by one
     /// part of an answer.
     pub fn take(&mut self, now: Ms, turn: Turn, bytes: u64) -> Take {
@@ -75,7 +87,7 @@
         }
         self.waiting.insert(turn, now);
         let wait = (-self.tokens / rate).max(0.0) as u64 + 1;
-        Take::Wait(wait.min(TURN_MS))
+        Take::Wait(wait.min(RETRY_MS))
     }
 
     /// Draws the bytes of a short answer, which is sent at once.
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -21,6 +21,7 @@
 mod link_budget;
 mod once;
 mod owner;
+mod paced;
 pub mod peers;
 mod plan;
 pub mod pool;
@@ -103,6 +104,8 @@
     standing_log: StandingLog,
     /// Memory budget for request bodies that the entry buffers for retries.
     buffered: Budget,
+    /// Memory budget for answers that wait for the link.
+    answer_buffer: Budget,
     origin: Origin,
     dialect: Dialect,
     /// Service of the upstream beside this node.
@@ -126,11 +129,16 @@
 const TICK: Duration = Duration::from_millis(10);
 /// Ticks between two prunings of idle connections.
 const PRUNE_TICKS: u64 = 1_000;
+/// Bandwidth of a link that is not known, in Mbit/s.
+const UNKNOWN_LINK: f64 = 0.0;
 /// Maximum number of claim requests in flight; each may cost a write to the platform's table.
 const CLAIMS_MAX: usize = 64;
 /// Maximum total size of the request bodies that the entry buffers for retries, in bytes.
 const BUFFERED_TOTAL: usize = 8 * 1024 * 1024;
 
+/// Maximum total size of the answers buffered for the link, in bytes: more than the promises of a slow link.
+const ANSWERS_TOTAL: usize = 4 * 1024 * 1024;
+
 /// Components and settings of [`Traffic`].
 pub struct Parts {
     /// This node's id.
@@ -184,7 +192,10 @@
             control,
             gate: Gate::new(clock.clone(), origin),
             link: LinkBudget::new(link),
-            answers: AnswerBudget::new(clock.clone(), link),
+            answers: match origin {
+                Origin::Imported => AnswerBudget::new(clock.clone(), link),
+                Origin::Submitted => AnswerBudget::new(clock.clone(), UNKNOWN_LINK),
+            },
             clock,
             upstream,
             peers: Peers::default(),
@@ -203,6 +214,10 @@
             request_log: RequestLog::default(),
             standing_log: StandingLog::default(),
             buffered: Budget::new(BUFFERED_TOTAL),
+            answer_buffer: match origin {
+                Origin::Imported => Budget::new(ANSWERS_TOTAL),
+                Origin::Submitted => Budget::new(0),
+            },
             draining: AtomicBool::new(false),
             stopping: watch::Sender::new(false),
             suspects: Arc::new(Semaphore::new(1)),
--- a/crates/node/src/traffic/answer.rs
+++ b/crates/node/src/traffic/answer.rs
@@ -119,7 +119,8 @@
             };
         }
         let traffic = self.clone();
-        let body = body::pump(incoming, job.limit, limit, move |end| match end {
+        let buffer = self.0.answer_buffer.clone();
+        let body = body::pump(incoming, job.limit, limit, buffer, move |end| match end {
             End::Whole => traffic.complete(run, lease),
             End::Failed(fault) => drop(traffic.incomplete(run, fault)),
             End::Dropped => drop((run, lease)),
--- a/crates/node/src/traffic/answer_link.rs
+++ b/crates/node/src/traffic/answer_link.rs
@@ -15,6 +15,7 @@
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use laburnum_edge::Clock;
 use laburnum_kernel::{
+    Ms,
     admission::{
         answers::{AnswerLink, AnswerRequest, Promise},
         kinds::Kind,
@@ -23,6 +24,8 @@
     refusal::Refusal,
 };
 
+use super::paced::LinkPacer;
+
 /// Account of the link's bandwidth for answers, shared by the traffic threads; cheap to clone.
 #[derive(Clone, Debug)]
 pub struct AnswerBudget(Arc<Shared>);
@@ -31,6 +34,7 @@
 struct Shared {
     clock: Clock,
     link: Mutex<AnswerLink>,
+    pacer: LinkPacer,
     refused: AtomicU64,
 }
 
@@ -39,6 +43,8 @@
 pub struct Promised {
     budget: AnswerBudget,
     kind: Kind,
+    /// Time up to which the answer is in time.
+    due: Ms,
     promise: Promise,
 }
 
@@ -46,6 +52,7 @@
     /// Creates the account of a link of `mbps` Mbit/s; zero if its speed is unknown.
     pub fn new(clock: Clock, mbps: f64) -> AnswerBudget {
         AnswerBudget(Arc::new(Shared {
+            pacer: LinkPacer::new(clock.clone(), mbps),
             clock,
             link: Mutex::new(AnswerLink::new(mbps)),
             refused: AtomicU64::new(0),
@@ -59,6 +66,7 @@
             Ok(promise) => Ok(Promised {
                 budget: self.clone(),
                 kind: request.kind,
+                due: request.goal,
                 promise,
             }),
             Err(refusal) => {
@@ -68,11 +76,11 @@
         }
     }
 
-    /// Returns `body` so that its bytes count as sent on the link when they are read. For answers of other nodes that
-    /// this node forwards to callers.
-    pub fn forwarded(&self, body: Body) -> Body {
+    /// Returns `body` paced, so that its bytes count as sent on the link when they are read. For answers of other nodes
+    /// that this node forwards to callers, who have use for them until `due`.
+    pub fn forwarded(&self, body: Body, due: Ms) -> Body {
         Body::new(Counted {
-            inner: body,
+            inner: self.0.pacer.pace(body, due),
             account: Account::Forwarded(self.clone()),
         })
     }
@@ -124,7 +132,7 @@
         };
         answer.map(|inner| {
             Body::new(Counted {
-                inner,
+                inner: self.budget.0.pacer.pace(inner, self.due),
                 account: Account::Promised(self, measured),
             })
         })
--- a/crates/node/src/traffic/body.rs
+++ b/crates/node/src/traffic/body.rs
@@ -311,27 +311,35 @@
     (Body::new(body), count)
 }
 
-/// Maximum number of frames buffered between an upstream and a slow reader.
+/// Number of frames buffered between an upstream and a slow reader without taking a share of the budget.
 const PUMP_FRAMES: usize = 4;
+/// Maximum number of frames buffered with shares of the budget.
+const PUMP_FRAMES_MAX: usize = 64;
 
 /// Returns a body that is read by a separate task, so that `ended` is called by the deadline even if the reader
 /// stalls.
 ///
 /// HTTP/2 flow control stops polling the body of a stalled reader, so its own timer would not run and the
-/// reader would occupy a slot of the upstream.
-pub fn pump<B, F>(inner: B, limit: u64, deadline: Instant, ended: F) -> Body
+/// reader would occupy a slot of the upstream. For the same reason frames that wait for the link are buffered as far as
+/// `budget` allows.
+pub fn pump<B, F>(inner: B, limit: u64, deadline: Instant, budget: Budget, ended: F) -> Body
 where
     B: HttpBody<Data = Bytes> + Unpin + Send + 'static,
     F: FnOnce(End) + Unpin + Send + 'static,
 {
     let hint = inner.size_hint();
     let mut body = Bounded::new(inner, limit, deadline, ended);
-    let (sender, frames) = mpsc::channel(PUMP_FRAMES);
+    let (sender, frames) = mpsc::channel(PUMP_FRAMES_MAX);
     tokio::spawn(async move {
         let work = async {
             while let Some(frame) = body.frame().await {
                 let last = frame.is_err();
-                if sender.send(PumpItem::Frame(frame)).await.is_err() || last {
+                let share = buffer_share(&sender, &budget, &frame).await;
+                let item = PumpItem::Frame {
+                    frame,
+                    _share: share,
+                };
+                if sender.send(item).await.is_err() || last {
                     return;
                 }
             }
@@ -348,13 +356,36 @@
     Body::new(PumpedBody { frames, hint })
 }
 
+/// Takes a share of the budget for `frame` if [`PUMP_FRAMES`] are buffered, or waits until fewer are.
+async fn buffer_share(
+    sender: &mpsc::Sender<PumpItem>,
+    budget: &Budget,
+    frame: &Result<Frame<Bytes>, BoxError>,
+) -> Option<Share> {
+    let free = PUMP_FRAMES_MAX - PUMP_FRAMES + 1;
+    if sender.capacity() >= free {
+        return None;
+    }
+    let data = frame.as_ref().ok().and_then(Frame::data_ref);
+    let share = budget.take(data.map_or(0, |it| it.len() as u64));
+    if share.is_none() {
+        // Fails only if the reader is gone, which the next send reports.
+        let _ = sender.reserve_many(free).await;
+    }
+    share
+}
+
 struct PumpedBody {
     frames: mpsc::Receiver<PumpItem>,
     hint: SizeHint,
 }
 
 enum PumpItem {
-    Frame(Result<Frame<Bytes>, BoxError>),
+    Frame {
+        frame: Result<Frame<Bytes>, BoxError>,
+        /// Part of the budget that it takes until it is read.
+        _share: Option<Share>,
+    },
     End,
 }
 
@@ -367,7 +398,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
         self.frames.poll_recv(cx).map(|it| match it {
-            Some(PumpItem::Frame(frame)) => Some(frame),
+            Some(PumpItem::Frame { frame, .. }) => Some(frame),
             Some(PumpItem::End) => None,
             None => Some(Err(BodyFault::Cut.into())),
         })
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -369,7 +369,7 @@
                 self.0.proofs.prove(&mut request, endpoint.traffic);
                 match self.0.peers.send(endpoint.traffic, request, deadline).await {
                     peers::Sent::Answered(response) => {
-                        response.map(|it| self.0.answers.forwarded(Body::new(it)))
+                        response.map(|it| self.0.answers.forwarded(Body::new(it), plan.goal))
                     }
                     peers::Sent::Unsent => {
                         flight.ended(Outcome::Failed);
