--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -20,6 +20,7 @@
     service::TowerToHyperService,
 };
 use laburnum_kernel::routing::Limits;
+use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Notify, watch},
@@ -51,6 +52,9 @@
     pub streams: u32,
     /// HTTP/2 stream window for request bodies, in bytes. Default: 64 KiB.
     pub window: u32,
+    /// Maximum of the bytes that a connection's socket holds unsent, so that short answers overtake long ones. Default:
+    /// unlimited.
+    pub unsent: u32,
 }
 
 impl Bounds {
@@ -80,6 +84,7 @@
             stall_time: 10_000,
             streams: 256,
             window: STREAM_WINDOW,
+            unsent: u32::MAX,
         }
     }
 }
@@ -171,6 +176,7 @@
                 open,
                 header_time: Duration::from_millis(bounds.header_time),
                 stall_time: Duration::from_millis(bounds.stall_time),
+                unsent: bounds.unsent,
                 faults: self.faults.clone(),
                 stop: stopped.clone(),
             };
@@ -210,6 +216,7 @@
     open: OpenConnection,
     header_time: Duration,
     stall_time: Duration,
+    unsent: u32,
     faults: Arc<Faults>,
     stop: watch::Receiver<bool>,
 }
@@ -225,6 +232,10 @@
     {
         // Disables Nagle's algorithm, which only adds latency here.
         let _ = stream.set_nodelay(true);
+        if self.unsent < u32::MAX {
+            // Without it the socket buffers more than a slow link carries in a second.
+            let _ = SockRef::from(&stream).set_tcp_notsent_lowat(self.unsent);
+        }
         let peer = ConnectionPeer::default();
         let open = Arc::new(self.open);
         let service = service_fn({
