Nodes tell each other of their links in a field of their own

Cause: two numbers at the end of the outlook made it unreadable for nodes of the last landing, whose entries would have chosen without any outlook while a rolling update lasts; they ignore a field that they do not know. Measured: kernel tests ranks, placement, answers, pacer pass.

--- a/crates/kernel/src/admission/ranks.rs
+++ b/crates/kernel/src/admission/ranks.rs
@@ -46,8 +46,6 @@
 const SHORT_WAIT_DIVISOR: u64 = 12;
 /// Least share of the rate limit that a rank gets beside more urgent ones.
 const STARVED_SHARE: f64 = 0.125;
-/// Numbers of an outlook besides those of the link.
-const OUTLOOK_NUMBERS: usize = 2 + 2 * RANKS;
 /// Interval of the check of waiting requests, in ms.
 const REVIEW_INTERVAL_MS: u64 = 20;
 
@@ -86,9 +84,16 @@
     pub wait: [u16; RANKS],
     /// Mean service time, in ms.
     pub service: [u16; RANKS],
-    /// Time until the answers promised before are through the host's link, in ms.
-    pub link: u16,
-    /// Bandwidth of the host's link for answers, in bytes per ms; zero if unknown, as with older nodes.
+    /// State of the host's link; nodes send it apart from the rest.
+    pub link: LinkOutlook,
+}
+
+/// Expected time of large answers on a host's link; sent back with each answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LinkOutlook {
+    /// Time until the answers promised before are through, in ms.
+    pub pending: u16,
+    /// Bandwidth for answers, in bytes per ms; zero if unknown, as with nodes that do not send it.
     pub rate: u32,
 }
 
@@ -536,7 +541,7 @@
 /// The text is not a valid [`Outlook`].
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error(
-    "outlook {0:?} is not valid: use free/slots, then waits and service times by rank, then the time and rate of the link; update both nodes"
+    "outlook {0:?} is not valid: use free/slots, then waits and service times by rank; update both nodes"
 )]
 pub struct BadOutlook(pub String);
 
@@ -547,10 +552,7 @@
         for it in pairs {
             write!(f, "/{it}")?;
         }
-        match self.rate {
-            0 => Ok(()),
-            rate => write!(f, "/{}/{rate}", self.link),
-        }
+        Ok(())
     }
 }
 
@@ -559,15 +561,7 @@
 
     fn from_str(text: &str) -> Result<Outlook, BadOutlook> {
         let bad = || BadOutlook(text.chars().take(80).collect());
-        let texts: Vec<&str> = text.split('/').collect();
-        // An older node sends no numbers of the link.
-        let (texts, link, rate) = match texts.as_slice() {
-            [rest @ .., link, rate] if rest.len() == OUTLOOK_NUMBERS => (rest, *link, *rate),
-            it => (it, "0", "0"),
-        };
-        let link = link.parse().map_err(|_| bad())?;
-        let rate = rate.parse().map_err(|_| bad())?;
-        let parts: Result<Vec<u16>, _> = texts.iter().map(|it| it.parse()).collect();
+        let parts: Result<Vec<u16>, _> = text.split('/').map(str::parse).collect();
         let parts = parts.map_err(|_| bad())?;
         let [free, slots, rest @ ..] = parts.as_slice() else {
             return Err(bad());
@@ -578,8 +572,33 @@
             slots: *slots,
             wait: wait.try_into().map_err(|_| bad())?,
             service: service.try_into().map_err(|_| bad())?,
-            link,
-            rate,
+            link: LinkOutlook::default(),
         })
     }
 }
+
+/// The text is not a valid [`LinkOutlook`].
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("state of a link {0:?} is not valid: use pending/rate, such as 40/1137; update both nodes")]
+pub struct BadLinkOutlook(pub String);
+
+impl fmt::Display for LinkOutlook {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.pending, self.rate)
+    }
+}
+
+impl FromStr for LinkOutlook {
+    type Err = BadLinkOutlook;
+
+    fn from_str(text: &str) -> Result<LinkOutlook, BadLinkOutlook> {
+        let parse = || {
+            let (pending, rate) = text.split_once('/')?;
+            Some(LinkOutlook {
+                pending: pending.parse().ok()?,
+                rate: rate.parse().ok()?,
+            })
+        };
+        parse().ok_or_else(|| BadLinkOutlook(text.chars().take(40).collect()))
+    }
+}
--- a/crates/kernel/src/pick/placement.rs
+++ b/crates/kernel/src/pick/placement.rs
@@ -448,11 +448,11 @@
     /// those of the outlook, less what the link has carried since, and those requested since. Zero if `size` is zero or the
     /// outlook does not state the link's rate.
     fn link_time(&self, now: Ms, size: f64) -> f64 {
-        let Some((at, outlook)) = self.outlook.filter(|it| size > 0.0 && it.1.rate > 0) else {
+        let Some((at, outlook)) = self.outlook.filter(|it| size > 0.0 && it.1.link.rate > 0) else {
             return 0.0;
         };
-        let left = f64::from(outlook.link) - now.since(at) as f64;
-        left.max(0.0) + (self.bytes_since + size) / f64::from(outlook.rate)
+        let left = f64::from(outlook.link.pending) - now.since(at) as f64;
+        left.max(0.0) + (self.bytes_since + size) / f64::from(outlook.link.rate)
     }
 
     fn service(&self, now: Ms, expected: &Expected) -> f64 {
--- a/crates/node/src/traffic/answer_link.rs
+++ b/crates/node/src/traffic/answer_link.rs
@@ -19,7 +19,7 @@
     admission::{
         answers::{AnswerLink, AnswerRequest, Promise},
         kinds::Kind,
-        ranks::Outlook,
+        ranks::LinkOutlook,
     },
     refusal::Refusal,
 };
@@ -85,14 +85,13 @@
         })
     }
 
-    /// Adds the state of the link to `outlook`.
-    pub fn outlook(&self, outlook: Outlook) -> Outlook {
+    /// Returns the state of the link.
+    pub fn outlook(&self) -> LinkOutlook {
         let now = self.0.clock.now();
         let mut link = self.lock();
-        Outlook {
-            link: u16::try_from(link.pending_ms(now)).unwrap_or(u16::MAX),
+        LinkOutlook {
+            pending: u16::try_from(link.pending_ms(now)).unwrap_or(u16::MAX),
             rate: link.rate() as u32,
-            ..outlook
         }
     }
 
--- a/crates/node/src/traffic/headers.rs
+++ b/crates/node/src/traffic/headers.rs
@@ -1,7 +1,11 @@
 //! Header fields of the request path, and functions that read, set and strip them.
 
 use http::{HeaderMap, HeaderName, HeaderValue, Response, header};
-use laburnum_kernel::{admission::Load, refusal::Refusal, standing::Report};
+use laburnum_kernel::{
+    admission::{Load, ranks::Outlook},
+    refusal::Refusal,
+    standing::Report,
+};
 
 use super::services::Feedback;
 
@@ -36,6 +40,8 @@
 pub const QUEUE: HeaderName = HeaderName::from_static("laburnum-queue");
 /// Between nodes: expected waiting times of further requests, by priority.
 pub const OUTLOOK: HeaderName = HeaderName::from_static("laburnum-outlook");
+/// Between nodes: state of the link of the owner's host, as `pending/rate`.
+pub const LINK: HeaderName = HeaderName::from_static("laburnum-link");
 /// Between nodes: load of the upstream as `running/waiting/limit`.
 pub const LOAD: HeaderName = HeaderName::from_static("laburnum-load");
 /// Between nodes: what the upstream says about itself in its answers; from entries what they remember of it, from owners
@@ -146,9 +152,13 @@
 
 /// Reads the load information in an owner's answer.
 pub fn owner_feedback(headers: &HeaderMap) -> Feedback {
-    let outlook = headers.get(OUTLOOK).and_then(|it| it.to_str().ok());
-    if let Some(outlook) = outlook.and_then(|it| it.parse().ok()) {
-        return Feedback::Outlook(outlook);
+    let text = |name: HeaderName| headers.get(name).and_then(|it| it.to_str().ok());
+    if let Some(outlook) = text(OUTLOOK).and_then(|it| it.parse::<Outlook>().ok()) {
+        let link = text(LINK).and_then(|it| it.parse().ok());
+        return Feedback::Outlook(Outlook {
+            link: link.unwrap_or_default(),
+            ..outlook
+        });
     }
     load(headers).map_or(Feedback::Nothing, Feedback::Load)
 }
@@ -180,7 +190,7 @@
     let headers = response.headers_mut();
     [
         SERVICE, REQUEST, LOAD, DEADLINE, BUDGET, ATTEMPT, REPEAT, PRIORITY, GOAL, KIND, OUTLOOK,
-        STANDING,
+        LINK, STANDING,
     ]
     .iter()
     .for_each(|it| {
--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -46,8 +46,8 @@
     dialect::Dialect,
     gate::{Slot, SlotRequest, UpstreamState},
     headers::{
-        self, ATTEMPT, BUDGET, DEADLINE, GOAL, KIND, LOAD, NEVER, OUTLOOK, PRIORITY, QUEUE, REPEAT,
-        REQUEST, SERVICE, SHORT, STANDING,
+        self, ATTEMPT, BUDGET, DEADLINE, GOAL, KIND, LINK, LOAD, NEVER, OUTLOOK, PRIORITY, QUEUE,
+        REPEAT, REQUEST, SERVICE, SHORT, STANDING,
     },
     link_budget::{self, Reservation},
     pool::{Lease, Sent, Unavailable, Usage},
@@ -150,8 +150,11 @@
         match self.0.gate.feedback() {
             Feedback::Load(load) => headers::insert_text(headers, LOAD, &load.to_string()),
             Feedback::Outlook(it) => {
-                let outlook = self.0.answers.outlook(it);
-                headers::insert_text(headers, OUTLOOK, &outlook.to_string());
+                headers::insert_text(headers, OUTLOOK, &it.to_string());
+                let link = self.0.answers.outlook();
+                if link.rate > 0 {
+                    headers::insert_text(headers, LINK, &link.to_string());
+                }
             }
             Feedback::Nothing => {}
         }
