--- a/crates/kernel/src/admission/answers.rs
+++ b/crates/kernel/src/admission/answers.rs
@@ -15,8 +15,8 @@
 
 /// Share of the link for answers. The rest carries the headers, control traffic and acknowledgements.
 const SHARE: f64 = 0.7;
-/// Maximum time that the link needs for the promised answers once they are ready, in ms. Short answers wait behind those
-/// that are already in the network.
+/// Maximum time that an answer waits for the link once it is ready, in ms. A request whose answer would wait longer is
+/// better sent to another host.
 const BACKLOG_MS: u64 = 500;
 /// Maximum time that the link needs for what was handed to it for the link to count as idle, in ms: some short answers.
 const IDLE_MS: f64 = 20.0;
@@ -73,18 +73,20 @@
     /// Promises the expected bytes of the answer if the link can send them in time. Small answers need no promise and
     /// are always admitted, as is any answer on an idle link, so that an expectation that is too high corrects itself.
     pub fn admit(&mut self, now: Ms, request: AnswerRequest) -> Result<Promise, Refusal> {
-        let bytes = match self.sizes.expect(now, request.kind) {
+        let (bytes, deviation) = match self.sizes.expect(now, request.kind) {
             Expected::Small => return Ok(Promise::default()),
             Expected::Stale(bytes) => return Ok(self.promise(bytes)),
-            Expected::Large(bytes) => bytes,
+            Expected::Large { mean, deviation } => (mean, deviation),
         };
         self.drain(now);
         let Some(rate) = self.rate else {
             return Ok(self.promise(bytes));
         };
         let is_idle = self.promised == 0 && self.queued <= IDLE_MS * rate;
-        let own = (bytes as f64 / rate) as u64;
-        let through = ((self.pending() + bytes as f64) / rate) as u64;
+        // Half of the answers are longer than the mean, while the sum of those promised is close to that of the means.
+        let likely = (bytes + deviation) as f64;
+        let own = (likely / rate) as u64;
+        let through = ((self.pending() + likely) / rate) as u64;
         let longest = longest(now, request, own);
         if !is_idle && through > longest {
             return Err(Refusal::after(Reason::LinkFull, through - longest));
--- a/crates/kernel/src/admission/sizes.rs
+++ b/crates/kernel/src/admission/sizes.rs
@@ -23,9 +23,14 @@
 pub enum Expected {
     /// Unknown, or up to [`UNGATED_MAX_BYTES`].
     Small,
-    /// Larger, in bytes.
-    Large(u64),
-    /// Larger, but the last sample is old; returned for one request at a time, which is to measure the size again.
+    /// Larger.
+    Large {
+        /// Mean size, in bytes.
+        mean: u64,
+        /// Mean deviation from it, in bytes.
+        deviation: u64,
+    },
+    /// Larger, by a mean in bytes, but the last sample is old; returned for one request at a time, which is to measure the size again.
     Stale(u64),
 }
 
@@ -55,7 +60,10 @@
             return Expected::Small;
         }
         if now < it.stale_from {
-            return Expected::Large(bytes);
+            return Expected::Large {
+                mean: bytes,
+                deviation: it.deviation as u64,
+            };
         }
         it.stale_from = now + REMEASURE_MS;
         Expected::Stale(bytes)
@@ -67,12 +75,6 @@
         Some(it.mean).filter(|it| *it as u64 > UNGATED_MAX_BYTES)
     }
 
-    /// Returns the mean deviation of the sizes of `kind`, in bytes; zero if nothing is known.
-    pub fn deviation(&self, kind: Kind) -> f64 {
-        let found = self.stats.iter().find(|it| it.kind == kind);
-        found.map_or(0.0, |it| it.deviation)
-    }
-
     /// Records an answer of `bytes` to a request of `kind`. Nothing is learned of requests without a kind.
     pub fn record(&mut self, now: Ms, kind: Kind, bytes: u64) {
         if kind == Kind::default() {
