--- a/crates/node/src/traffic/answer_link.rs
+++ b/crates/node/src/traffic/answer_link.rs
@@ -119,16 +119,20 @@
 impl Promised {
     /// Sets the promise to the length of `answer`, which releases it as it is sent.
     pub fn attach(mut self, answer: Response<Body>) -> Response<Body> {
+        // The upstream's failures are short, and a few of them would make a kind with large answers count as small.
+        let failed = answer.status().is_server_error();
         let length = answer.body().size_hint().exact();
         if let Some(length) = length {
             let now = self.budget.0.clock.now();
             let mut link = self.budget.lock();
-            link.record(now, self.kind, length);
             link.resize(&mut self.promise, length);
+            if !failed {
+                link.record(now, self.kind, length);
+            }
         }
         let measured = match length {
-            Some(_) => Measured::ByHeader,
-            None => Measured::Bytes(0),
+            None if !failed => Measured::Bytes(0),
+            _ => Measured::Done,
         };
         answer.map(|inner| {
             Body::new(Counted {
@@ -167,8 +171,8 @@
 
 /// How the size of an answer is learned.
 enum Measured {
-    /// Its header stated it.
-    ByHeader,
+    /// Not at all, or it was learned from the header.
+    Done,
     /// By counting; the number of bytes so far.
     Bytes(u64),
 }
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -483,9 +483,12 @@
             return Response::from_parts(parts, body);
         }
         let (body, length) = body::count_bytes(body);
+        let failed = parts.status.is_server_error();
         let body = Bounded::new(body, limit, deadline, move |end| match end {
             End::Whole => {
-                flight.record_size(length.load(Ordering::Relaxed));
+                if !failed {
+                    flight.record_size(length.load(Ordering::Relaxed));
+                }
                 flight.answered();
             }
             End::Failed(_) => flight.ended(Outcome::Failed),
