--- a/crates/kernel/src/calls/learned.rs
+++ b/crates/kernel/src/calls/learned.rs
@@ -45,7 +45,7 @@
     pub failed: f64,
     /// Mean duration of the calls that ran, in ms.
     pub millis: f64,
-    /// End of the last call.
+    /// End of the last call, or the begin of the first one until it ends.
     pub last: Ms,
     /// Number of calls that ran.
     ran: u64,
--- a/crates/kernel/src/pick/placement.rs
+++ b/crates/kernel/src/pick/placement.rs
@@ -117,7 +117,7 @@
 
 /// What a request is expected to take, wherever it goes.
 #[derive(Clone, Copy, Debug)]
-struct Expected {
+struct Demand {
     rank: usize,
     /// Typical service time of the rank over all endpoints, in ms.
     service: f64,
@@ -236,7 +236,7 @@
         if let Some(own) = own.filter(|it| may_try && it.needs_trial(now)) {
             return Choice::Probe(own.endpoint.clone());
         }
-        let expected = Expected {
+        let demand = Demand {
             rank,
             service: self.typical_service(rank),
             size: self.sizes.large(request.kind).unwrap_or_default(),
@@ -244,7 +244,7 @@
         let mut best: [Option<(f64, &Member)>; 2] = [None, None];
         for member in untried().filter(|it| it.usable(now, lane)) {
             let cost =
-                member.expected_time(now, &expected) * rng.random_range(1.0 - JITTER..1.0 + JITTER);
+                member.expected_time(now, &demand) * rng.random_range(1.0 - JITTER..1.0 + JITTER);
             let current = &mut best[usize::from(member.distance != Distance::Zone)];
             if current.is_none_or(|(least, _)| cost < least) {
                 *current = Some((cost, member));
@@ -255,7 +255,7 @@
         let left = request.goal.since(now);
         let within = |cost: f64, percent: u64| cost <= (left * percent / 100) as f64;
         if let (true, [Some((near, _)), _]) = (probes, best) {
-            let cost = own.map(|it| (it.expected_time(now, &expected), it));
+            let cost = own.map(|it| (it.expected_time(now, &demand), it));
             let longest = (OWN_HOST_FACTOR * near).max(near + (left / NOTICED_DIVISOR) as f64);
             if let Some((cost, it)) = cost
                 && within(cost, NEAR_GOAL_PERCENT)
@@ -463,15 +463,15 @@
         now.since(self.last_sent) >= TRIAL_INTERVAL_MS
     }
 
-    /// Returns the expected time from sending a request like `expected` to its answer, in ms.
-    fn expected_time(&self, now: Ms, expected: &Expected) -> f64 {
+    /// Returns the expected time from sending a request with `demand` to its answer, in ms.
+    fn expected_time(&self, now: Ms, demand: &Demand) -> f64 {
         let hop = match self.distance {
             Distance::Zone => 0.0,
             Distance::Region => ZONE_HOP_MS,
             Distance::OtherRegion => REGION_HOP_MS,
         };
-        let run = self.wait(now, expected.rank) + self.service(now, expected);
-        hop + run + self.link_time(now, expected.size) + FAULT_COST_MS * self.fault_rate(now)
+        let run = self.wait(now, demand.rank) + self.service(now, demand);
+        hop + run + self.link_time(now, demand.size) + FAULT_COST_MS * self.fault_rate(now)
     }
 
     /// Returns the time that a large answer of `size` bytes needs on the link of the endpoint's host, in ms: behind
@@ -486,13 +486,13 @@
         (ahead - now.since(at) as f64).max(0.0) + size / rate
     }
 
-    fn service(&self, now: Ms, expected: &Expected) -> f64 {
+    fn service(&self, now: Ms, demand: &Demand) -> f64 {
         let Some((at, outlook)) = self.outlook else {
             return UNKNOWN_SERVICE_MS;
         };
         let weight = 0.5f64.powf(now.since(at) as f64 / SERVICE_HALF_LIFE_MS);
-        let own = f64::from(outlook.service[expected.rank]);
-        expected.service + weight * (own - expected.service)
+        let own = f64::from(outlook.service[demand.rank]);
+        demand.service + weight * (own - demand.service)
     }
 
     /// Returns the expected wait of a request of `rank`, in ms: that of the outlook, discounted by age, plus that
--- a/crates/kernel/src/retry/budget.rs
+++ b/crates/kernel/src/retry/budget.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::Ms;
 
-/// Cost of one retry in tokens: whole percents of a success add up exactly.
+/// Cost of one retry in tokens, so that a success earns its percentage in whole tokens.
 const RETRY_COST: f64 = 100.0;
 /// Maximum number of tokens of a budget that grows with successes.
 const CAP: f64 = 10.0 * RETRY_COST;
@@ -13,7 +13,8 @@
 /// Share of the bounded ratio that the entries use. Calls of a request that runs twice arrive as retries too, unseen by
 /// the budget of the service that they go to.
 const RATIO_SHARE: f64 = 0.75;
-/// Share of the bounded extra that refills the budgets over a window. The other half covers what they hold when it begins.
+/// Share of the bounded extra that refills the budgets over a window. The other half is the most that they hold together when
+/// it begins.
 const EXTRA_SHARE: f64 = 0.5;
 
 /// Bound on the retries that all nodes together send to one service: in any window at most `ratio` times its requests and
--- a/crates/node/src/traffic/plan.rs
+++ b/crates/node/src/traffic/plan.rs
@@ -106,8 +106,8 @@
         headers::strip_internal(&mut headers);
         headers.remove(header::HOST);
         let customer = self.identify(view, known_since, route, &mut headers)?;
-        let customers = customer.as_ref().and_then(|it| it.priority);
-        let priority = customers.unwrap_or(route.priority);
+        let own_priority = customer.as_ref().and_then(|it| it.priority);
+        let priority = own_priority.unwrap_or(route.priority);
         let name = route.target(&mut rand::rng()).clone();
         let Some(found) = view.services.get(&name) else {
             // Not expected: a valid table only names services that it holds, and so does the view.
@@ -122,7 +122,7 @@
             inherited,
         } = self.urgency(peer, &headers, &name, (priority, goal));
         // The priority of a customer goes before any other.
-        let urgent = customers.unwrap_or(urgent);
+        let urgent = own_priority.unwrap_or(urgent);
         let decision = RouteDecision {
             route: route.name.clone(),
             service: name.clone(),
