A limited upstream that looks slow gets a request each turn from its own host

Change: where a limit is named, the trial comes each turn of it, and needs no requests elsewhere. Test: limited_upstream_that_looks_slow_gets_a_request_each_turn (kernel, no network; five of 22 turns with the interval before, by arithmetic).

--- a/crates/kernel/src/pick/placement.rs
+++ b/crates/kernel/src/pick/placement.rs
@@ -232,8 +232,8 @@
                 .filter(|it| it.endpoint.exposure == exposure && !tried.contains(&it.endpoint.node))
         };
         let own = untried().find(|it| it.endpoint.node == self.own && it.usable(now, lane));
-        let may_try = tried.is_empty() && self.elsewhere >= TRIAL_REQUESTS;
-        if let Some(own) = own.filter(|it| may_try && it.needs_trial(now)) {
+        let needs_trial = |it: &&Member| tried.is_empty() && it.needs_trial(now, self.elsewhere);
+        if let Some(own) = own.filter(needs_trial) {
             return Choice::Probe(own.endpoint.clone());
         }
         let demand = Demand {
@@ -439,6 +439,11 @@
     }
 }
 
+/// Returns the time between two turns within `limit`, in ms; of very low limits no more than an outlook is valid.
+fn turn_ms(limit: Rate) -> f64 {
+    1.0 / limit.per_ms().max(1.0 / OUTLOOK_MAX_AGE_MS)
+}
+
 /// Returns the rendezvous hash of an entry and an endpoint.
 fn pair_hash(entry: NodeId, endpoint: NodeId) -> u64 {
     hash64(&[
@@ -458,9 +463,14 @@
             .is_some_and(|(at, _)| now.since(at) <= OUTLOOK_RECENT_MS)
     }
 
-    /// Returns whether this entry has sent it nothing for so long that the outlook may no longer hold.
-    fn needs_trial(&self, now: Ms) -> bool {
-        now.since(self.last_sent) >= TRIAL_INTERVAL_MS
+    /// Returns whether this entry has sent it nothing for so long that the outlook may no longer hold, and `elsewhere`
+    /// requests to others. One that is only limited gets a request each turn: it is as quick as the others.
+    fn needs_trial(&self, now: Ms, elsewhere: u32) -> bool {
+        let idle = now.since(self.last_sent);
+        match self.limit {
+            Some(limit) => idle as f64 >= turn_ms(limit),
+            None => idle >= TRIAL_INTERVAL_MS && elsewhere >= TRIAL_REQUESTS,
+        }
     }
 
     /// Returns the expected time from sending a request with `demand` to its answer, in ms.
@@ -506,8 +516,7 @@
         let slots = f64::from(outlook.slots.max(1));
         let queued = f64::from(self.sent_since) - f64::from(outlook.free);
         let mean = outlook.service.iter().copied().map(f64::from).sum::<f64>() / RANKS as f64;
-        let turn = |limit: Rate| 1.0 / limit.per_ms().max(1.0 / OUTLOOK_MAX_AGE_MS);
-        let turn = self.limit.map_or(0.0, turn).max(mean / slots);
+        let turn = self.limit.map_or(0.0, turn_ms).max(mean / slots);
         weight * f64::from(outlook.wait[rank]) + queued.max(0.0) * turn
     }
 
--- a/crates/kernel/tests/placement.rs
+++ b/crates/kernel/tests/placement.rs
@@ -220,6 +220,35 @@
     assert!((5..=20).contains(&tried), "{tried}");
 }
 
+/// Guards against a limited upstream that gets a small part of its limit, because its few answers make it look slower than
+/// others that have room.
+#[test]
+fn limited_upstream_that_looks_slow_gets_a_request_each_turn() {
+    let mut placement = placement_beside_first();
+    report_outlook(&mut placement, 1, 0, 120);
+    report_outlook(&mut placement, 2, 0, 2);
+    report_outlook(&mut placement, 3, 0, 2);
+    let limited = Standing {
+        limit: Some(Rate::from_millis(2_200)),
+        leaving: false,
+    };
+    placement.record_standing(NOW, id(1), limited);
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let mut tried = 0;
+    for now in (0..10_000).step_by(50).map(|it| NOW + it) {
+        let (Choice::Send(it) | Choice::Probe(it)) =
+            placement.place(now, &mut rng, ranked(now), &[])
+        else {
+            panic!("refused at {now:?}");
+        };
+        placement.started(now, it.node);
+        let service = if it.node == id(1) { 120 } else { 2 };
+        report_outlook_at(&mut placement, now, it.node, service);
+        tried += u32::from(it.node == id(1));
+    }
+    assert!((15..=25).contains(&tried), "{tried} of 22");
+}
+
 /// Guards against an entry with few requests that sends all of them to an endpoint that looks bad, as each comes after the
 /// interval between two trials.
 #[test]
