--- a/crates/kernel/src/admission/answers.rs
+++ b/crates/kernel/src/admission/answers.rs
@@ -13,7 +13,9 @@
     refusal::{Reason, Refusal},
 };
 
-/// Share of the link for answers. The rest carries the headers, control traffic and acknowledgements.
+/// Share of the link for answers. The rest carries the headers, control traffic and acknowledgements. Bytes handed to
+/// connections drain at this share too: at the rate of the whole link, as much would be admitted as is sent, and a queue would
+/// never become shorter.
 const SHARE: f64 = 0.7;
 /// Maximum time that an answer waits for the link once it is ready, in ms. A request whose answer would wait longer is
 /// better sent to another host.
@@ -158,7 +160,7 @@
 
     fn drain(&mut self, now: Ms) {
         let elapsed = now.since(self.updated) as f64;
-        let carried = self.rate.map_or(self.queued, |it| it / SHARE * elapsed);
+        let carried = self.rate.map_or(self.queued, |it| it * elapsed);
         self.queued = (self.queued - carried).max(0.0);
         self.updated = self.updated.max(now);
     }
