--- a/crates/kernel/examples/answers/fleet.rs
+++ b/crates/kernel/examples/answers/fleet.rs
@@ -127,7 +127,7 @@
             return;
         };
         let lane = Lane::of(Class::Interactive, job.request.kind);
-        self.placement.finished(now, *node, lane, outcome, None);
+        self.placement.finished(now, *node, lane, outcome);
     }
 
     pub fn learn(&mut self, now: Ms, kind: Kind, bytes: u64) {
--- a/crates/kernel/examples/quota.rs
+++ b/crates/kernel/examples/quota.rs
@@ -3,6 +3,9 @@
 //!
 //! Run with `cargo run --release -p laburnum-kernel --example quota -- <hosts>`.
 
+#[path = "support/demand.rs"]
+mod support;
+
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc};
 
 use laburnum_kernel::{
@@ -10,27 +13,15 @@
     customer::Quota,
     quota::{Account, Answer, Purse, QuotaSettings, Share, Take},
 };
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use support::{Demand, Pattern, RUN_MS, STEP_MS, busiest_window};
 
-const STEP_MS: u64 = 10;
-const RUN_MS: u64 = 60_000;
 /// Time from an ask to its answer, in ms.
 const ROUND_TRIP_MS: u64 = 10;
 /// Interval at which entries tell each other their demand, and its age on arrival, in ms.
 const TOLD_MS: u64 = 1_000;
 
-/// How requests reach the entries.
-#[derive(Clone, Copy, Debug)]
-enum Pattern {
-    /// Spread over all entries, at 0.6 of the quota.
-    Even,
-    /// All at one entry, another one every two seconds, at 0.6 of the quota.
-    Moving,
-    /// Spread over all entries, at five times the quota.
-    Hot,
-}
-
 #[derive(Clone, Copy, Debug)]
 enum Way {
     Split,
@@ -52,7 +43,7 @@
         "{hosts} hosts; quota per second; pattern; way: served of what is owed, excess in the worst window, messages/s"
     );
     for (rate, burst) in [(480, 100), (24, 12), (3, 3)] {
-        for pattern in [Pattern::Even, Pattern::Moving, Pattern::Hot] {
+        for pattern in Pattern::ALL {
             for way in [Way::Split, Way::Shares, Way::Tokens] {
                 let quota = Quota {
                     rate: rate * 1_000,
@@ -73,16 +64,19 @@
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let mut outcome = Outcome::default();
     let mut entries = Entries::new(hosts, quota, way);
+    let demand = Demand {
+        pattern,
+        hosts,
+        rate: quota.rate as f64 / 1_000.0,
+        hot: 5.0,
+    };
     for now in (0..RUN_MS)
         .step_by(STEP_MS as usize)
         .map(|it| Ms(1_000_000 + it))
     {
         entries.step(now, &mut outcome);
         for host in 0..hosts {
-            let expected = demand(pattern, now, host, hosts, quota) * STEP_MS as f64 / 1_000.0;
-            let certain = expected as u64;
-            let count = certain + u64::from(rng.random_bool(expected - certain as f64));
-            for _ in 0..count {
+            for _ in 0..demand.arrivals(&mut rng, now, host) {
                 outcome.asked += 1;
                 entries.request(now, host, &mut outcome);
             }
@@ -91,19 +85,6 @@
     outcome
 }
 
-/// Returns the requests per second at an entry.
-fn demand(pattern: Pattern, now: Ms, host: usize, hosts: usize, quota: Quota) -> f64 {
-    let rate = quota.rate as f64 / 1_000.0;
-    match pattern {
-        Pattern::Even => 0.6 * rate / hosts as f64,
-        Pattern::Hot => 5.0 * rate / hosts as f64,
-        Pattern::Moving => {
-            let chosen = (now.0 / 2_000 * 7) as usize % hosts;
-            if host == chosen { 0.6 * rate } else { 0.0 }
-        }
-    }
-}
-
 /// The entries of a fleet and, for [`Way::Tokens`], the holder.
 struct Entries {
     way: Way,
@@ -216,12 +197,5 @@
     let limits = QuotaSettings::default();
     let whole = quota.rate * limits.window / 1_000_000 + quota.burst;
     let allowed = (whole * (1_000 + limits.overage) / 1_000 + limits.extra) as i64;
-    let (mut first, mut most) = (0, 0);
-    for (last, at) in ran.iter().enumerate() {
-        while at.since(ran[first]) >= limits.window {
-            first += 1;
-        }
-        most = most.max((last - first + 1) as i64);
-    }
-    most - allowed
+    busiest_window(ran, limits.window) as i64 - allowed
 }
--- a/crates/kernel/examples/rate_limit.rs
+++ b/crates/kernel/examples/rate_limit.rs
@@ -3,12 +3,15 @@
 //!
 //! Run with `cargo run --release -p laburnum-kernel --example rate_limit -- <hosts>`.
 
+#[path = "support/demand.rs"]
+mod support;
+
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc};
 
 use laburnum_kernel::{
     Ms, NodeId,
     admission::{
-        Finish, Offer,
+        Basis, Finish, Offer,
         kinds::Kind,
         ranks::{RankedRequest, Ranks, WaitLimit},
     },
@@ -17,11 +20,10 @@
     quota::{Account, Answer, Purse, QuotaSettings, Share, Take},
     standing::Rate,
 };
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use support::{Demand, Pattern, RUN_MS, STEP_MS, busiest_window};
 
-const STEP_MS: u64 = 10;
-const RUN_MS: u64 = 60_000;
 const BEGIN: Ms = Ms(1_000_000);
 /// Time from an ask to its answer, in ms.
 const ROUND_TRIP_MS: u64 = 10;
@@ -32,17 +34,6 @@
 /// Longest time for which an entry keeps away after a refusal, in ms.
 const HOLD_MAX_MS: u64 = 1_000;
 
-/// How requests reach the entries.
-#[derive(Clone, Copy, Debug)]
-enum Pattern {
-    /// Spread over all entries, at 0.6 of the limit.
-    Even,
-    /// All at one entry, another one every two seconds, at 0.6 of the limit.
-    Moving,
-    /// Spread over all entries, at four times the limit.
-    Hot,
-}
-
 #[derive(Clone, Copy, Debug)]
 enum Way {
     Owner,
@@ -64,7 +55,7 @@
         "{hosts} hosts; limit per second; pattern; way: served of what fits, excess in the worst window, messages/s"
     );
     for limit in [29.2, 2.2] {
-        for pattern in [Pattern::Even, Pattern::Moving, Pattern::Hot] {
+        for pattern in Pattern::ALL {
             for way in [Way::Owner, Way::Shares, Way::Tokens] {
                 let outcome = run(hosts, limit, pattern, way);
                 let fits = limit * RUN_MS as f64 / 1_000.0;
@@ -81,13 +72,16 @@
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let mut outcome = Outcome::default();
     let mut fleet = Fleet::new(hosts, limit, way);
+    let demand = Demand {
+        pattern,
+        hosts,
+        rate: limit,
+        hot: 4.0,
+    };
     for now in (0..RUN_MS).step_by(STEP_MS as usize).map(|it| BEGIN + it) {
         fleet.step(now, &mut outcome);
         for host in 0..hosts {
-            let expected = demand(pattern, now, host, hosts, limit) * STEP_MS as f64 / 1_000.0;
-            let certain = expected as u64;
-            let count = certain + u64::from(rng.random_bool(expected - certain as f64));
-            for _ in 0..count {
+            for _ in 0..demand.arrivals(&mut rng, now, host) {
                 outcome.asked += 1;
                 fleet.request(now, host, &mut outcome);
             }
@@ -96,18 +90,6 @@
     outcome
 }
 
-/// Returns the requests per second at an entry.
-fn demand(pattern: Pattern, now: Ms, host: usize, hosts: usize, limit: f64) -> f64 {
-    match pattern {
-        Pattern::Even => 0.6 * limit / hosts as f64,
-        Pattern::Hot => 4.0 * limit / hosts as f64,
-        Pattern::Moving => {
-            let chosen = (now.0 / 2_000 * 7) as usize % hosts;
-            if host == chosen { 0.6 * limit } else { 0.0 }
-        }
-    }
-}
-
 /// The entries of a fleet, and what counts for each way.
 struct Fleet {
     way: Way,
@@ -245,19 +227,12 @@
     let mut ranks = Ranks::new(12);
     ranks.set_phase(now, Phase::Ready, &mut Vec::new());
     let limit = Rate::from_millis((limit * 1_000.0) as u64);
-    ranks.set_limit(now, Some(limit), &mut Vec::new());
+    ranks.set_limit(now, Some(limit), Basis::Answer, &mut Vec::new());
     ranks
 }
 
 /// Returns by how many requests the worst window exceeds one and a half times the limit and five; below zero if it doesn't.
 fn excess(ran: &VecDeque<Ms>, limit: f64) -> i64 {
     let allowed = (limit * WINDOW_MS as f64 / 1_000.0 * 1.5 + 5.0) as i64;
-    let (mut first, mut most) = (0, 0);
-    for (last, at) in ran.iter().enumerate() {
-        while at.since(ran[first]) >= WINDOW_MS {
-            first += 1;
-        }
-        most = most.max((last - first + 1) as i64);
-    }
-    most - allowed
+    busiest_window(ran, WINDOW_MS) as i64 - allowed
 }
--- a/crates/kernel/src/admission.rs
+++ b/crates/kernel/src/admission.rs
@@ -25,6 +25,8 @@
 pub use load::{BadLoad, Load};
 
 use limit::Limit;
+pub use pace::Basis;
+
 use pace::Pace;
 pub(crate) use queue::{CLASSES, index as class_index};
 use queue::{Entry, Queue, index};
@@ -257,7 +259,7 @@
 
     /// Sets the rate limit that the upstream names.
     pub fn set_rate_limit(&mut self, now: Ms, limit: Option<Rate>, out: &mut Vec<Wake>) {
-        self.pace.set(now, limit);
+        self.pace.set(now, limit, Basis::Answer);
         self.dispatch(now, out);
     }
 
--- a/crates/kernel/src/admission/answers.rs
+++ b/crates/kernel/src/admission/answers.rs
@@ -6,6 +6,7 @@
 
 use super::{
     kinds::Kind,
+    link::bytes_per_ms,
     sizes::{Expected, Sizes},
 };
 use crate::{
@@ -25,8 +26,6 @@
 /// Maximum time that the link is taken to need for answers without a promise, in ms. Those to callers on the same host are
 /// handed over faster than the link carries, and never use it.
 const UNPROMISED_MAX_MS: f64 = 600.0;
-/// Bytes per ms of a link of one Mbit/s.
-const BYTES_PER_MBIT: f64 = 125.0;
 
 /// Accounts for the answers that a link has to carry.
 #[derive(Debug)]
@@ -67,7 +66,7 @@
     /// Creates the account of a link of `mbps` Mbit/s; zero if its speed is unknown, which admits everything.
     pub fn new(mbps: f64) -> AnswerLink {
         AnswerLink {
-            rate: (mbps > 0.0).then_some(mbps * BYTES_PER_MBIT * SHARE),
+            rate: (mbps > 0.0).then_some(bytes_per_ms(mbps) * SHARE),
             sizes: Sizes::default(),
             promised: 0,
             queued: 0.0,
@@ -99,6 +98,11 @@
         Ok(self.promise(bytes))
     }
 
+    /// Returns whether answers to requests of `kind` are large, as far as is known.
+    pub fn is_large(&self, kind: Kind) -> bool {
+        self.sizes.large(kind).is_some()
+    }
+
     /// Sets a promise to the true length of its answer.
     pub fn resize(&mut self, promise: &mut Promise, bytes: u64) {
         self.promised = self.promised - promise.bytes + bytes;
--- a/crates/kernel/src/admission/kinds.rs
+++ b/crates/kernel/src/admission/kinds.rs
@@ -102,26 +102,19 @@
 
     /// Returns the mean number of slots held by the kinds whose rank and mean service time match `predicate`.
     pub(super) fn mean_slots(&self, predicate: impl Fn(usize, f64) -> bool) -> f64 {
-        let kinds = self
-            .stats
-            .iter()
-            .filter(|it| predicate(it.rank, it.service));
-        kinds.map(|it| it.mean_slots).sum()
+        self.matching(predicate).map(|it| it.mean_slots).sum()
     }
 
     /// Returns the mean rate of starts of the kinds whose rank and mean service time match `predicate`, per ms.
     pub(super) fn start_rate(&self, predicate: impl Fn(usize, f64) -> bool) -> f64 {
-        let kinds = self
-            .stats
-            .iter()
-            .filter(|it| predicate(it.rank, it.service));
         // Little's law: a kind that holds `mean_slots` slots starts `mean_slots / service` requests per ms.
-        kinds.map(|it| it.mean_slots / it.service.max(1.0)).sum()
+        let rates = self.matching(predicate);
+        rates.map(|it| it.mean_slots / it.service.max(1.0)).sum()
     }
 
     /// Returns the mean service time over all kinds, weighted by their request rates, in ms.
     pub(super) fn mean_service(&self) -> f64 {
-        let held: f64 = self.stats.iter().map(|it| it.mean_slots).sum();
+        let held = self.mean_slots(|_, _| true);
         if held < 0.1 {
             return INITIAL_SERVICE_MS;
         }
@@ -154,6 +147,11 @@
         }
     }
 
+    fn matching(&self, predicate: impl Fn(usize, f64) -> bool) -> impl Iterator<Item = &KindStats> {
+        let stats = self.stats.iter();
+        stats.filter(move |it| predicate(it.rank, it.service))
+    }
+
     /// Returns the index for a new kind. At the maximum it replaces the least recently used kind without running
     /// requests.
     fn allocate(&mut self, kind: Kind, rank: usize) -> Option<usize> {
--- a/crates/kernel/src/admission/link.rs
+++ b/crates/kernel/src/admission/link.rs
@@ -21,12 +21,17 @@
 /// Smallest window, in bytes: a packet or two.
 const WINDOW_MIN: f64 = 2.0 * 1024.0;
 
+/// Returns the bytes that a link of `mbps` Mbit/s carries per ms.
+pub fn bytes_per_ms(mbps: f64) -> f64 {
+    mbps * 125.0
+}
+
 /// Returns the flow-control window of one stream on a link of `mbps` Mbit/s, in bytes.
 ///
 /// A sender transmits this much of a body before it learns that the body is refused. Callers retry refused bodies, so a
 /// large window lets them fill the link that the admitted ones leave free.
 pub fn stream_window(mbps: f64) -> u32 {
-    (mbps * 125.0 * WINDOW_MS).max(WINDOW_MIN) as u32
+    (bytes_per_ms(mbps) * WINDOW_MS).max(WINDOW_MIN) as u32
 }
 
 /// Limits the admitted bodies of one link.
@@ -42,7 +47,7 @@
     /// Creates the gate of a link of `mbps` Mbit/s.
     pub fn new(mbps: f64) -> LinkGate {
         LinkGate {
-            bytes_per_ms: (mbps * 125.0 * SHARE).max(1.0),
+            bytes_per_ms: (bytes_per_ms(mbps) * SHARE).max(1.0),
             pending: 0,
         }
     }
--- a/crates/kernel/src/admission/pace.rs
+++ b/crates/kernel/src/admission/pace.rs
@@ -31,27 +31,17 @@
 
 /// Who named a limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Basis {
+pub enum Basis {
     /// The upstream, in an answer.
     Answer,
-    /// Another node, which may remember an older limit.
+    /// Another node, which may remember an older and much higher limit: until an answer names one, requests start one at a
+    /// time.
     Memory,
 }
 
 impl Pace {
-    /// Sets the limit that an answer named. A new one begins without a token: the upstream has just had a request, and
-    /// others may still run.
-    pub(super) fn set(&mut self, now: Ms, limit: Option<Rate>) {
-        self.replace(now, limit, Basis::Answer);
-    }
-
-    /// Sets the limit that another node remembers. Until an answer names one, requests start one at a time: the memory may
-    /// be that of a much higher limit.
-    pub(super) fn adopt(&mut self, now: Ms, limit: Option<Rate>) {
-        self.replace(now, limit, Basis::Memory);
-    }
-
-    fn replace(&mut self, now: Ms, limit: Option<Rate>, basis: Basis) {
+    /// Sets the limit. A new one begins without a token: the upstream has just had a request, and others may still run.
+    pub(super) fn set(&mut self, now: Ms, limit: Option<Rate>, basis: Basis) {
         self.bucket = limit.map(|limit| {
             let rate = limit.per_ms().max(TRIAL_RATE);
             let level = self.bucket.map_or(0.0, |it| it.level(now));
--- a/crates/kernel/src/admission/pacer.rs
+++ b/crates/kernel/src/admission/pacer.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 
+use super::link::bytes_per_ms;
 use crate::clock::Ms;
 
 /// Share of the link for answers. With all of it, a queue in the network would never become shorter.
@@ -20,8 +21,6 @@
 const RETRY_MS: u64 = 10;
 /// Time after which an answer that does not ask again loses its turn, in ms: its receiver may be slower than the link.
 const TURN_MS: u64 = 2 * RETRY_MS;
-/// Bytes per ms of a link of one Mbit/s.
-const BYTES_PER_MBIT: f64 = 125.0;
 
 /// Token bucket of one link. Long answers draw from it in the order of their turns; short ones never wait.
 #[derive(Debug)]
@@ -56,7 +55,7 @@
 impl Pacer {
     /// Creates the full bucket of a link of `mbps` Mbit/s; zero if its speed is unknown, which lets everything pass.
     pub fn new(mbps: f64) -> Pacer {
-        let rate = (mbps > 0.0).then_some(mbps * BYTES_PER_MBIT * SHARE);
+        let rate = (mbps > 0.0).then_some(bytes_per_ms(mbps) * SHARE);
         Pacer {
             rate,
             tokens: rate.unwrap_or_default() * BURST_MS,
--- a/crates/kernel/src/admission/ranks.rs
+++ b/crates/kernel/src/admission/ranks.rs
@@ -13,7 +13,7 @@
 use super::{
     Finish, Offer, Permit, Ticket, Wake,
     kinds::{Key, Kind, Kinds},
-    pace::Pace,
+    pace::{Basis, Pace},
 };
 use crate::{
     clock::Ms,
@@ -236,16 +236,9 @@
         self.dispatch(now, out);
     }
 
-    /// Sets the rate limit that the upstream names.
-    pub fn set_limit(&mut self, now: Ms, limit: Option<Rate>, out: &mut Vec<Wake>) {
-        self.pace.set(now, limit);
-        self.refuse_unservable(now, out);
-        self.dispatch(now, out);
-    }
-
-    /// Sets the rate limit that another node remembers, until the upstream itself names one.
-    pub fn adopt_limit(&mut self, now: Ms, limit: Option<Rate>, out: &mut Vec<Wake>) {
-        self.pace.adopt(now, limit);
+    /// Sets the rate limit of the upstream, as `basis` knows it.
+    pub fn set_limit(&mut self, now: Ms, limit: Option<Rate>, basis: Basis, out: &mut Vec<Wake>) {
+        self.pace.set(now, limit, basis);
         self.refuse_unservable(now, out);
         self.dispatch(now, out);
     }
--- a/crates/kernel/src/admission/sizes.rs
+++ b/crates/kernel/src/admission/sizes.rs
@@ -1,7 +1,7 @@
 //! Sizes of answers by kind of request.
 
 use super::{kinds::Kind, link::UNGATED_MAX_BYTES};
-use crate::clock::Ms;
+use crate::{clock::Ms, utils::evict};
 
 /// Maximum number of kinds with known sizes.
 const KINDS_MAX: usize = 32;
@@ -30,7 +30,8 @@
         /// Mean deviation from it, in bytes.
         deviation: u64,
     },
-    /// Larger, by a mean in bytes, but the last sample is old; returned for one request at a time, which is to measure the size again.
+    /// Larger, by a mean in bytes, but the last sample is old; returned for one request at a time, which is to measure the
+    /// size again.
     Stale(u64),
 }
 
@@ -94,27 +95,21 @@
 
     fn find_or_insert(&mut self, now: Ms, kind: Kind) -> &mut SizeStats {
         let found = self.stats.iter().position(|it| it.kind == kind);
-        let idx = found.unwrap_or_else(|| self.allocate(now, kind));
-        &mut self.stats[idx]
-    }
-
-    fn allocate(&mut self, now: Ms, kind: Kind) -> usize {
-        let new = SizeStats {
-            kind,
-            mean: 0.0,
-            deviation: 0.0,
-            samples: 0,
-            last_used: now,
-            stale_from: now,
+        let idx = match found {
+            Some(it) => it,
+            None => {
+                evict(&mut self.stats, KINDS_MAX, |it| it.last_used);
+                self.stats.push(SizeStats {
+                    kind,
+                    mean: 0.0,
+                    deviation: 0.0,
+                    samples: 0,
+                    last_used: now,
+                    stale_from: now,
+                });
+                self.stats.len() - 1
+            }
         };
-        if self.stats.len() < KINDS_MAX {
-            self.stats.push(new);
-            return self.stats.len() - 1;
-        }
-        let oldest = self.stats.iter().enumerate();
-        let oldest = oldest.min_by_key(|(_, it)| it.last_used);
-        let idx = oldest.map_or(0, |(idx, _)| idx);
-        self.stats[idx] = new;
-        idx
+        &mut self.stats[idx]
     }
 }
--- a/crates/kernel/src/calls/learned.rs
+++ b/crates/kernel/src/calls/learned.rs
@@ -1,7 +1,7 @@
 //! What is learned of the calls of each kind of run.
 
 use super::CallEnd;
-use crate::{admission::kinds::Kind, clock::Ms, id::Name};
+use crate::{admission::kinds::Kind, clock::Ms, id::Name, utils::evict};
 
 /// Maximum number of kinds of runs.
 pub const KINDS_MAX: usize = 32;
@@ -148,17 +148,6 @@
     }
 }
 
-/// Makes room for one more item by removing the least recently used one.
-fn evict<T>(items: &mut Vec<T>, max: usize, last_used: impl Fn(&T) -> Ms) {
-    if items.len() < max {
-        return;
-    }
-    let oldest = items.iter().enumerate().min_by_key(|(_, it)| last_used(it));
-    if let Some((idx, _)) = oldest {
-        items.swap_remove(idx);
-    }
-}
-
 /// Adds the sample with number `count`, from 1, to a mean.
 fn add_sample(mean: &mut f64, count: u64, sample: f64) {
     let gain = (1.0 / count as f64).max(GAIN);
--- a/crates/kernel/src/pick/placement.rs
+++ b/crates/kernel/src/pick/placement.rs
@@ -105,8 +105,6 @@
     outlook: Option<(Ms, Outlook)>,
     /// Number of requests sent since the last outlook.
     sent_since: u32,
-    /// Time of the last request from this entry.
-    last_sent: Ms,
     /// Expected bytes of the large answers to the requests sent since the last outlook.
     bytes_since: f64,
     /// Time of the last update and share of failed outcomes.
@@ -171,7 +169,6 @@
                     stats: EndpointStats::warm(),
                     outlook: None,
                     sent_since: 0,
-                    last_sent: Ms(0),
                     bytes_since: 0.0,
                     fault_rate: (Ms(0), 0.0),
                     limit: None,
@@ -241,15 +238,8 @@
             service: self.typical_service(rank),
             size: self.sizes.large(request.kind).unwrap_or_default(),
         };
-        let mut best: [Option<(f64, &Member)>; 2] = [None, None];
-        for member in untried().filter(|it| it.usable(now, lane)) {
-            let cost =
-                member.expected_time(now, &demand) * rng.random_range(1.0 - JITTER..1.0 + JITTER);
-            let current = &mut best[usize::from(member.distance != Distance::Zone)];
-            if current.is_none_or(|(least, _)| cost < least) {
-                *current = Some((cost, member));
-            }
-        }
+        let usable = untried().filter(|it| it.usable(now, lane));
+        let best = cheapest(now, rng, &demand, usable);
         let near = untried().filter(|it| it.distance == Distance::Zone && it.usable(now, lane));
         let probes = tried.len() < PROBES_MAX && near.count() > PROBES_MAX;
         let left = request.goal.since(now);
@@ -305,7 +295,6 @@
         if let Some(it) = self.member(node) {
             it.stats.started(now);
             it.sent_since += 1;
-            it.last_sent = now;
         }
     }
 
@@ -332,22 +321,12 @@
         }
     }
 
-    /// Records the end of an attempt at `node`, with the outlook reported in its answer.
-    pub fn finished(
-        &mut self,
-        now: Ms,
-        node: NodeId,
-        lane: impl Into<Lane>,
-        outcome: Outcome,
-        outlook: Option<Outlook>,
-    ) {
+    /// Records the end of an attempt at `node`.
+    pub fn finished(&mut self, now: Ms, node: NodeId, lane: impl Into<Lane>, outcome: Outcome) {
         let lane = lane.into();
         let counted = self.without_body_refusal(lane, outcome);
         let all_stats = self.members.iter().map(|it| &it.stats);
         let may_eject = outcome == Outcome::Failed && may_eject(now, all_stats);
-        if let Some(outlook) = outlook {
-            self.record_outlook(now, node, outlook);
-        }
         let Some(it) = self.member(node) else {
             return;
         };
@@ -444,6 +423,24 @@
     1.0 / limit.per_ms().max(1.0 / OUTLOOK_MAX_AGE_MS)
 }
 
+/// Returns the members of the own zone and of others with the least expected time for `demand`, with that time in ms.
+fn cheapest<'a>(
+    now: Ms,
+    rng: &mut impl Rng,
+    demand: &Demand,
+    members: impl Iterator<Item = &'a Member>,
+) -> [Option<(f64, &'a Member)>; 2] {
+    let mut best: [Option<(f64, &Member)>; 2] = [None, None];
+    for member in members {
+        let cost = member.expected_time(now, demand) * rng.random_range(1.0 - JITTER..1.0 + JITTER);
+        let current = &mut best[usize::from(member.distance != Distance::Zone)];
+        if current.is_none_or(|(least, _)| cost < least) {
+            *current = Some((cost, member));
+        }
+    }
+    best
+}
+
 /// Returns the rendezvous hash of an entry and an endpoint.
 fn pair_hash(entry: NodeId, endpoint: NodeId) -> u64 {
     hash64(&[
@@ -466,7 +463,7 @@
     /// Returns whether this entry has sent it nothing for so long that the outlook may no longer hold, and `elsewhere`
     /// requests to others. One that is only limited gets a request each turn: it is as quick as the others.
     fn needs_trial(&self, now: Ms, elsewhere: u32) -> bool {
-        let idle = now.since(self.last_sent);
+        let idle = now.since(self.stats.last_sent());
         match self.limit {
             Some(limit) => idle as f64 >= turn_ms(limit),
             None => idle >= TRIAL_INTERVAL_MS && elsewhere >= TRIAL_REQUESTS,
--- a/crates/kernel/src/pick/stats.rs
+++ b/crates/kernel/src/pick/stats.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// Returns the time of the last request, zero if there was none.
+    pub fn last_sent(&self) -> Ms {
+        self.last_sent
+    }
+
     pub fn started(&mut self, now: Ms) {
         self.last_sent = now;
         self.inflight += 1;
--- a/crates/kernel/src/utils.rs
+++ b/crates/kernel/src/utils.rs
@@ -2,7 +2,7 @@
 
 use std::hash::Hash;
 
-use crate::id::NodeId;
+use crate::{clock::Ms, id::NodeId};
 
 /// Returns the first 8 bytes of the BLAKE3 hash of `parts`, each preceded by its length.
 pub fn hash64(parts: &[&[u8]]) -> u64 {
@@ -64,3 +64,14 @@
 
 /// Maximum number of characters of a decimal number.
 const DECIMAL_MAX: usize = 32;
+
+/// Makes room for one more of at most `max` items by removing the least recently used one.
+pub(crate) fn evict<T>(items: &mut Vec<T>, max: usize, last_used: impl Fn(&T) -> Ms) {
+    if items.len() < max {
+        return;
+    }
+    let oldest = items.iter().enumerate().min_by_key(|(_, it)| last_used(it));
+    if let Some((idx, _)) = oldest {
+        items.swap_remove(idx);
+    }
+}
--- a/crates/kernel/tests/calls.rs
+++ b/crates/kernel/tests/calls.rs
@@ -1,36 +1,14 @@
 //! Calls of running requests: recognition by id, inherited urgency, bounds of the tables.
 
-use laburnum_kernel::{
-    Ms, Name,
-    admission::kinds::Kind,
-    calls::{CALLS_MAX, CallEnd, ID_MAX_BYTES, RUNS_MAX, Run, RunEnd, Runs, inherit},
+#[path = "common/calls.rs"]
+mod common;
+
+use common::{NOW, archive, is_call, run};
+use laburnum_kernel::calls::{
+    CALLS_MAX, CallEnd, ID_MAX_BYTES, RUNS_MAX, Run, RunEnd, Runs, inherit,
 };
 use test_case::test_case;
 
-const NOW: Ms = Ms(10_000);
-
-fn run(priority: u8) -> Run {
-    Run {
-        kind: Kind(7),
-        priority,
-        goal: NOW + 200,
-        deadline: NOW + 1_000,
-    }
-}
-
-fn service(name: &str) -> Name {
-    name.parse().expect("a name")
-}
-
-fn archive() -> Name {
-    service("archive")
-}
-
-/// Returns whether `id` is recognised as a call.
-fn is_call(runs: &mut Runs, now: Ms, id: &str) -> bool {
-    runs.call(now, id, &archive()).is_some()
-}
-
 #[test]
 fn call_names_its_run_by_the_part_before_the_last_dot() {
     let mut runs = Runs::default();
--- a/crates/kernel/tests/calls_learned.rs
+++ b/crates/kernel/tests/calls_learned.rs
@@ -1,9 +1,12 @@
 //! Calls of running requests: what is learned of each kind of run, and the tables under random load.
 
+#[path = "common/calls.rs"]
+mod common;
+
 use std::collections::HashMap;
 
+use common::{NOW, archive, is_call, run, service};
 use laburnum_kernel::{
-    Ms, Name,
     admission::kinds::Kind,
     calls::{CALLED_MAX, CALLS_MAX, CallEnd, KINDS_MAX, RUNS_MAX, Run, RunEnd, RunKey, Runs},
 };
@@ -11,30 +14,6 @@
 use rand_chacha::ChaCha8Rng;
 use test_case::test_case;
 
-const NOW: Ms = Ms(10_000);
-
-fn run(priority: u8) -> Run {
-    Run {
-        kind: Kind(7),
-        priority,
-        goal: NOW + 200,
-        deadline: NOW + 1_000,
-    }
-}
-
-fn service(name: &str) -> Name {
-    name.parse().expect("a name")
-}
-
-fn archive() -> Name {
-    service("archive")
-}
-
-/// Returns whether `id` is recognised as a call.
-fn is_call(runs: &mut Runs, now: Ms, id: &str) -> bool {
-    runs.call(now, id, &archive()).is_some()
-}
-
 #[test]
 fn calls_of_a_kind_are_learned() {
     let mut runs = Runs::default();
--- a/crates/kernel/tests/placement.rs
+++ b/crates/kernel/tests/placement.rs
@@ -45,21 +45,21 @@
     }
 }
 
+/// Creates a placement of the entry `own` in the zone `nasr`, with endpoints 1 to 3 in these zones.
+fn placement_of(own: NodeId, zones: [&str; 3]) -> Placement {
+    let place = Place {
+        region: "cairo".parse().expect("a name"),
+        zone: "nasr".parse().expect("a name"),
+    };
+    let mut placement = Placement::new(own, place);
+    let endpoints: Vec<Endpoint> = (1..).zip(zones).map(|it| endpoint(it.0, it.1)).collect();
+    placement.refresh(&endpoints);
+    placement
+}
+
 /// Creates a placement with endpoints 1 and 2 in its own zone and 3 in another.
 fn placement() -> Placement {
-    let mut placement = Placement::new(
-        id(999),
-        Place {
-            region: "cairo".parse().expect("a name"),
-            zone: "nasr".parse().expect("a name"),
-        },
-    );
-    placement.refresh(&[
-        endpoint(1, "nasr"),
-        endpoint(2, "nasr"),
-        endpoint(3, "giza"),
-    ]);
-    placement
+    placement_of(id(999), ["nasr", "nasr", "giza"])
 }
 
 fn ranked(now: Ms) -> RankedRequest {
@@ -80,28 +80,13 @@
         service: [service; RANKS],
         ..Outlook::default()
     };
-    finish(
-        placement,
-        number,
-        Outcome::Answered { latency: 60 },
-        Some(outlook),
-    );
+    placement.record_outlook(NOW, id(number), outlook);
+    finish(placement, number, Outcome::Answered { latency: 60 });
 }
 
-fn report_outlook_at(placement: &mut Placement, now: Ms, node: NodeId, service: u16) {
-    let outlook = Outlook {
-        free: 3,
-        slots: 6,
-        service: [service; RANKS],
-        ..Outlook::default()
-    };
-    let outcome = Outcome::Answered { latency: 60 };
-    placement.finished(now, node, Class::Background, outcome, Some(outlook));
-}
-
-fn finish(placement: &mut Placement, number: u16, outcome: Outcome, outlook: Option<Outlook>) {
+fn finish(placement: &mut Placement, number: u16, outcome: Outcome) {
     placement.started(NOW, id(number));
-    placement.finished(NOW, id(number), Class::Background, outcome, outlook);
+    placement.finished(NOW, id(number), Class::Background, outcome);
 }
 
 /// Returns how often each of the endpoints 1 to 3 is chosen.
@@ -131,7 +116,7 @@
         placement.started(NOW, id(number));
         let outcome = Outcome::Refused(refusal);
         let lane = Lane::of(Class::Background, petition);
-        placement.finished(NOW, id(number), lane, outcome, None);
+        placement.finished(NOW, id(number), lane, outcome);
     }
     let mut rng = ChaCha8Rng::seed_from_u64(5);
     let mut choose = |now, kind| placement.place(now, &mut rng, ranked(kind), &[]);
@@ -178,100 +163,119 @@
     assert_eq!(count_choices(&placement, &[])[2], 0);
 }
 
-/// Returns a placement like [`placement`] of the entry on the host of endpoint 1, with a third endpoint of the zone.
-fn placement_beside_first() -> Placement {
-    let place = Place {
-        region: "cairo".parse().expect("a name"),
-        zone: "nasr".parse().expect("a name"),
-    };
-    let mut placement = Placement::new(id(1), place);
-    placement.refresh(&[
-        endpoint(1, "nasr"),
-        endpoint(2, "nasr"),
-        endpoint(3, "nasr"),
-    ]);
+/// Service times of the endpoint on the own host and of the others, in ms.
+struct Services {
+    own: u16,
+    others: u16,
+}
+
+/// Creates a placement of the entry on the host of endpoint 1, with three endpoints of its zone that all were asked.
+fn placement_beside_first(services: &Services) -> Placement {
+    let mut placement = placement_of(id(1), ["nasr"; 3]);
+    report_outlook(&mut placement, 1, 0, services.own);
+    report_outlook(&mut placement, 2, 0, services.others);
+    report_outlook(&mut placement, 3, 0, services.others);
     placement
 }
 
-/// Guards against an upstream that once looked bad and gets nothing for good while others have room: only its own answers
-/// show that it has recovered.
-#[test]
-fn upstream_that_looked_bad_is_tried_by_its_own_host() {
-    let mut placement = placement_beside_first();
-    report_outlook(&mut placement, 1, 0, 900);
-    report_outlook(&mut placement, 2, 0, 60);
-    report_outlook(&mut placement, 3, 0, 60);
-    assert_eq!(count_choices(&placement, &[])[0], 0);
+/// Sends a request at each of `times`; returns when the endpoint on the own host got one.
+fn own_requests(
+    placement: &mut Placement,
+    services: &Services,
+    times: impl Iterator<Item = u64>,
+) -> Vec<Ms> {
     let mut rng = ChaCha8Rng::seed_from_u64(5);
-    let (mut tried, mut last) = (0, NOW);
-    for now in (0..20_000).step_by(50).map(|it| NOW + it) {
+    let mut own = Vec::new();
+    for now in times.map(|it| NOW + it) {
         let choice = placement.place(now, &mut rng, ranked(now), &[]);
         let (Choice::Send(it) | Choice::Probe(it)) = choice else {
             panic!("refused at {now:?}");
         };
+        let service = match it.node == id(1) {
+            true => services.own,
+            false => services.others,
+        };
+        let outlook = Outlook {
+            free: 3,
+            slots: 6,
+            service: [service; RANKS],
+            ..Outlook::default()
+        };
         placement.started(now, it.node);
-        let service = if it.node == id(1) { 900 } else { 60 };
-        report_outlook_at(&mut placement, now, it.node, service);
+        placement.record_outlook(now, it.node, outlook);
+        let outcome = Outcome::Answered { latency: 60 };
+        placement.finished(now, it.node, Class::Background, outcome);
         if it.node == id(1) {
-            assert!(tried == 0 || now.since(last) >= 2_000, "{now:?}");
-            (tried, last) = (tried + 1, now);
+            own.push(now);
         }
     }
-    assert!((5..=20).contains(&tried), "{tried}");
+    own
+}
+
+/// Returns whether the endpoint `number` is chosen at one of `times`.
+fn is_chosen(
+    placement: &Placement,
+    number: u16,
+    tried: &[NodeId],
+    mut times: impl Iterator<Item = u64>,
+) -> bool {
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    times.any(|it| {
+        let now = NOW + it;
+        match placement.place(now, &mut rng, ranked(now), tried) {
+            Choice::Send(it) | Choice::Probe(it) => it.node == id(number),
+            Choice::Refuse(it) => panic!("refused: {it:?}"),
+        }
+    })
+}
+
+/// Guards against an upstream that once looked bad and gets nothing for good while others have room: only its own answers
+/// show that it has recovered.
+#[test]
+fn upstream_that_looked_bad_is_tried_by_its_own_host() {
+    let services = Services {
+        own: 900,
+        others: 60,
+    };
+    let mut placement = placement_beside_first(&services);
+    assert_eq!(count_choices(&placement, &[])[0], 0);
+    let tried = own_requests(&mut placement, &services, (0..20_000).step_by(50));
+    assert!((5..=20).contains(&tried.len()), "{tried:?}");
+    assert!(
+        tried.windows(2).all(|it| it[1].since(it[0]) >= 2_000),
+        "{tried:?}"
+    );
 }
 
 /// Guards against a limited upstream that gets a small part of its limit, because its few answers make it look slower than
 /// others that have room.
 #[test]
 fn limited_upstream_that_looks_slow_gets_a_request_each_turn() {
-    let mut placement = placement_beside_first();
-    report_outlook(&mut placement, 1, 0, 120);
-    report_outlook(&mut placement, 2, 0, 2);
-    report_outlook(&mut placement, 3, 0, 2);
+    let services = Services {
+        own: 120,
+        others: 2,
+    };
+    let mut placement = placement_beside_first(&services);
     let limited = Standing {
         limit: Some(Rate::from_millis(2_200)),
         leaving: false,
     };
     placement.record_standing(NOW, id(1), limited);
-    let mut rng = ChaCha8Rng::seed_from_u64(5);
-    let mut tried = 0;
-    for now in (0..10_000).step_by(50).map(|it| NOW + it) {
-        let (Choice::Send(it) | Choice::Probe(it)) =
-            placement.place(now, &mut rng, ranked(now), &[])
-        else {
-            panic!("refused at {now:?}");
-        };
-        placement.started(now, it.node);
-        let service = if it.node == id(1) { 120 } else { 2 };
-        report_outlook_at(&mut placement, now, it.node, service);
-        tried += u32::from(it.node == id(1));
-    }
-    assert!((15..=25).contains(&tried), "{tried} of 22");
+    let tried = own_requests(&mut placement, &services, (0..10_000).step_by(50));
+    assert!((15..=25).contains(&tried.len()), "{tried:?} of 22");
 }
 
 /// Guards against an entry with few requests that sends all of them to an endpoint that looks bad, as each comes after the
 /// interval between two trials.
 #[test]
 fn entry_with_few_requests_tries_a_bad_endpoint_rarely() {
-    let mut placement = placement_beside_first();
-    report_outlook(&mut placement, 1, 0, 900);
-    report_outlook(&mut placement, 2, 0, 60);
-    report_outlook(&mut placement, 3, 0, 60);
-    let mut rng = ChaCha8Rng::seed_from_u64(5);
-    let mut tried = 0;
-    for number in 0..200 {
-        let now = NOW + number * 3_000;
-        let (Choice::Send(it) | Choice::Probe(it)) =
-            placement.place(now, &mut rng, ranked(now), &[])
-        else {
-            panic!("refused");
-        };
-        placement.started(now, it.node);
-        let service = if it.node == id(1) { 900 } else { 60 };
-        report_outlook_at(&mut placement, now, it.node, service);
-        tried += u32::from(it.node == id(1));
-    }
-    assert!((1..=30).contains(&tried), "{tried}");
+    let services = Services {
+        own: 900,
+        others: 60,
+    };
+    let mut placement = placement_beside_first(&services);
+    let tried = own_requests(&mut placement, &services, (0..600_000).step_by(3_000));
+    assert!((1..=30).contains(&tried.len()), "{tried:?}");
 }
 
 /// Guards against a slow endpoint that looks typical because there are only two.
@@ -280,12 +284,8 @@
     let mut placement = placement();
     report_outlook(&mut placement, 1, 0, 60);
     report_outlook(&mut placement, 2, 0, 900);
-    let mut rng = ChaCha8Rng::seed_from_u64(5);
-    let mut is_chosen = |now| match placement.place(now, &mut rng, ranked(now), &[id(3)]) {
-        Choice::Send(it) | Choice::Probe(it) => it.node == id(2),
-        Choice::Refuse(it) => panic!("refused: {it:?}"),
-    };
-    assert!((60_000..90_000).step_by(50).any(|it| is_chosen(NOW + it)));
+    let late = (60_000..90_000).step_by(50);
+    assert!(is_chosen(&placement, 2, &[id(3)], late));
 }
 
 /// Guards against a refusal of a large body that holds back the requests of its route that have none.
@@ -297,7 +297,7 @@
         placement.started(NOW, id(number));
         let outcome = Outcome::Refused(Refusal::after(Reason::LinkFull, 300));
         let lane = Lane::of(Class::Background, route);
-        placement.finished(NOW, id(number), lane, outcome, None);
+        placement.finished(NOW, id(number), lane, outcome);
     }
     let request = RankedRequest {
         kind: route,
@@ -315,13 +315,9 @@
     report_outlook(&mut placement, 1, 0, 60);
     report_outlook(&mut placement, 2, 0, 900);
     report_outlook(&mut placement, 3, 0, 60);
-    let mut rng = ChaCha8Rng::seed_from_u64(5);
-    let mut is_chosen = |now| match placement.place(now, &mut rng, ranked(now), &[]) {
-        Choice::Send(it) | Choice::Probe(it) => it.node == id(2),
-        Choice::Refuse(it) => panic!("refused: {it:?}"),
-    };
-    assert!(!(0..10_000).step_by(50).any(|it| is_chosen(NOW + it)));
-    assert!((60_000..90_000).step_by(50).any(|it| is_chosen(NOW + it)));
+    assert!(!is_chosen(&placement, 2, &[], (0..10_000).step_by(50)));
+    let late = (60_000..90_000).step_by(50);
+    assert!(is_chosen(&placement, 2, &[], late));
 }
 
 #[test]
@@ -340,7 +336,7 @@
     report_outlook(&mut placement, 2, 0, 60);
     for _ in 0..10 {
         let refusal = Refusal::after(Reason::Shed, 0);
-        finish(&mut placement, 1, Outcome::Refused(refusal), None);
+        finish(&mut placement, 1, Outcome::Refused(refusal));
     }
     assert_eq!(count_choices(&placement, &[])[0], 0);
 }
@@ -544,12 +540,8 @@
         },
         ..Outlook::default()
     };
-    finish(
-        placement,
-        number,
-        Outcome::Answered { latency: 60 },
-        Some(outlook),
-    );
+    placement.record_outlook(NOW, id(number), outlook);
+    finish(placement, number, Outcome::Answered { latency: 60 });
 }
 
 /// Returns how often each of the endpoints 1 to 3 is chosen for a request of `kind`.
@@ -611,13 +603,8 @@
     report_link(&mut placement, 2, 0);
     placement.started(NOW, id(1));
     let refusal = Refusal::after(Reason::LinkFull, 200);
-    placement.finished(
-        NOW,
-        id(1),
-        Lane::Kind(large),
-        Outcome::Refused(refusal),
-        None,
-    );
+    let outcome = Outcome::Refused(refusal);
+    placement.finished(NOW, id(1), Lane::Kind(large), outcome);
     assert_eq!(count_kind(&placement, large)[0], 0);
     assert!(count_kind(&placement, Kind::of("lookup"))[0] > 0);
 }
--- a/crates/kernel/tests/placement_fleet.rs
+++ b/crates/kernel/tests/placement_fleet.rs
@@ -205,7 +205,8 @@
     fn report(&mut self, at: usize, request: &Request, outcome: Outcome) {
         let outlook: Outlook = self.owners[at].ranks.outlook();
         let entry = &mut self.entries[request.entry];
-        entry.finished(self.now, id(at), Class::Background, outcome, Some(outlook));
+        entry.record_outlook(self.now, id(at), outlook);
+        entry.finished(self.now, id(at), Class::Background, outcome);
     }
 
     fn finish(&mut self, at: usize) {
--- a/crates/kernel/tests/ranks.rs
+++ b/crates/kernel/tests/ranks.rs
@@ -5,7 +5,7 @@
 use laburnum_kernel::{
     Ms,
     admission::{
-        Finish, Offer, Permit, Ticket, Wake,
+        Basis, Finish, Offer, Permit, Ticket, Wake,
         kinds::Kind,
         ranks::{LinkOutlook, Outlook, RANKS, RankedRequest, Ranks, STARVATION_MS, WaitLimit},
     },
@@ -413,7 +413,7 @@
 fn small_rate_limit_goes_to_the_most_urgent() {
     let mut ranks = ranks(12);
     let limit = Rate::from_millis(2_200);
-    ranks.set_limit(NOW, Some(limit), &mut Vec::new());
+    ranks.set_limit(NOW, Some(limit), Basis::Answer, &mut Vec::new());
     let (mut urgent, mut others) = (0, 0);
     let mut tickets = HashMap::new();
     for now in (0..60_000).step_by(20).map(|it| NOW + it) {
@@ -443,7 +443,8 @@
 fn rate_limit_bounds_starts_and_waits() {
     let mut ranks = ranks(12);
     let mut running = Vec::new();
-    ranks.set_limit(NOW, Some(Rate::from_millis(10_000)), &mut Vec::new());
+    let limit = Some(Rate::from_millis(10_000));
+    ranks.set_limit(NOW, limit, Basis::Answer, &mut Vec::new());
     let now = NOW + 1_000;
     for _ in 0..2 {
         running.push(run(ranks.offer(now, ranked(now, 2, 500, 2_000))));
@@ -457,7 +458,7 @@
     assert_eq!(started(&wakes), []);
     ranks.tick(now + 100, &mut wakes);
     assert_eq!(started(&wakes), [waiting]);
-    ranks.set_limit(now + 100, None, &mut Vec::new());
+    ranks.set_limit(now + 100, None, Basis::Answer, &mut Vec::new());
     running.push(run(ranks.offer(now + 100, ranked(now, 2, 500, 2_000))));
     assert_eq!(running.len(), 3);
 }
@@ -501,7 +502,8 @@
 #[test]
 fn unsent_request_gives_its_turn_back() {
     let mut ranks = ranks(12);
-    ranks.set_limit(NOW, Some(Rate::from_millis(1_000)), &mut Vec::new());
+    let limit = Some(Rate::from_millis(1_000));
+    ranks.set_limit(NOW, limit, Basis::Answer, &mut Vec::new());
     let now = NOW + 1_000;
     let permit = run(ranks.offer(now, ranked(now, 2, 500, 2_000)));
     ranks.done(now, permit, Finish::Unsent, &mut Vec::new());
@@ -514,14 +516,14 @@
 fn remembered_limit_lets_one_request_start_at_a_time() {
     let mut ranks = ranks(12);
     let limit = Some(Rate::from_millis(60_000));
-    ranks.adopt_limit(NOW, limit, &mut Vec::new());
+    ranks.set_limit(NOW, limit, Basis::Memory, &mut Vec::new());
     let now = NOW + 1_000;
     let first = run(ranks.offer(now, ranked(now, 2, 500, 2_000)));
     let second = wait(ranks.offer(now, ranked(now, 2, 500, 2_000)));
     let mut wakes = Vec::new();
     ranks.tick(now + 50, &mut wakes);
     assert_eq!(started(&wakes), []);
-    ranks.set_limit(now + 60, limit, &mut wakes);
+    ranks.set_limit(now + 60, limit, Basis::Answer, &mut wakes);
     assert_eq!(started(&wakes), [second]);
     ranks.done(now + 60, first, Finish::Answered, &mut Vec::new());
 }
--- a/crates/kernel/tests/standing_fleet.rs
+++ b/crates/kernel/tests/standing_fleet.rs
@@ -5,7 +5,7 @@
 use laburnum_kernel::{
     Ms, NodeId,
     admission::{
-        Finish, Offer, Permit, Ticket, Wake,
+        Basis, Finish, Offer, Permit, Ticket, Wake,
         kinds::Kind,
         ranks::{RankedRequest, Ranks, WaitLimit},
     },
@@ -243,7 +243,8 @@
         let owner = &mut self.owners[at];
         let remembered = report.filter(|it| it.start == tag(at));
         if let Some(changed) = remembered.and_then(|it| owner.observed.adopt(it.standing)) {
-            owner.ranks.adopt_limit(self.now, changed.limit, &mut wakes);
+            let (limit, basis) = (changed.limit, Basis::Memory);
+            owner.ranks.set_limit(self.now, limit, basis, &mut wakes);
         }
         match owner.ranks.offer(self.now, ranked) {
             Offer::Run(permit) => self.start(at, permit, request),
@@ -285,7 +286,8 @@
         let entry = &mut self.entries[request.entry];
         let outlook = owner.ranks.outlook();
         let placement = &mut entry.placement;
-        placement.finished(self.now, id(at), Class::Background, outcome, Some(outlook));
+        placement.record_outlook(self.now, id(at), outlook);
+        placement.finished(self.now, id(at), Class::Background, outcome);
         if entry.cut.contains(&at) {
             return;
         }
@@ -317,7 +319,8 @@
                 leaving: false,
             };
             if let Some(changed) = owner.observed.observe(now, it.sent, statement) {
-                owner.ranks.set_limit(now, changed.limit, &mut wakes);
+                let (limit, basis) = (changed.limit, Basis::Answer);
+                owner.ranks.set_limit(now, limit, basis, &mut wakes);
             }
             owner
                 .ranks
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -137,8 +137,8 @@
 
 /// Interval at which the admission queue and the upstream's phase are updated.
 const TICK: Duration = Duration::from_millis(10);
-/// Ticks between two prunings of idle connections.
-const PRUNE_TICKS: u64 = 1_000;
+/// Ticks between two prunings of idle connections, and two log entries of what was learned of calls.
+const SLOW_TICKS: u64 = 1_000;
 /// Bandwidth of a link that is not known, in Mbit/s.
 const UNKNOWN_LINK: f64 = 0.0;
 /// Maximum number of claim requests in flight; each may cost a write to the platform's table.
@@ -251,9 +251,9 @@
                 traffic.update_gate(&view);
                 traffic.0.gate.tick();
                 traffic.update_rollout(&view);
-                traffic.log_calls(&view);
-                if count.is_multiple_of(PRUNE_TICKS) {
+                if count.is_multiple_of(SLOW_TICKS) {
                     traffic.0.peers.prune();
+                    traffic.log_calls(&view);
                 }
             }
         });
--- a/crates/node/src/traffic/answer.rs
+++ b/crates/node/src/traffic/answer.rs
@@ -125,7 +125,7 @@
         let status = parts.status;
         let buffer = self.0.answer_buffer.clone();
         let body = body::pump(incoming, job.limit, limit, buffer, move |end| match end {
-            End::Whole => traffic.complete(run, lease, status),
+            End::Whole(_) => traffic.complete(run, lease, status),
             End::Failed(fault) => drop(traffic.incomplete(run, fault)),
             End::Dropped => drop((run, lease)),
         });
--- a/crates/node/src/traffic/answer_link.rs
+++ b/crates/node/src/traffic/answer_link.rs
@@ -59,6 +59,11 @@
         }))
     }
 
+    /// Returns whether answers to requests of `kind` are large, as far as is known.
+    pub fn is_large(&self, kind: Kind) -> bool {
+        self.lock().is_large(kind)
+    }
+
     /// Promises bandwidth for the answer of `request`, or refuses the request if the link cannot send it in time.
     pub fn promise(&self, request: AnswerRequest) -> Result<Promised, Refusal> {
         let admitted = self.lock().admit(self.0.clock.now(), request);
--- a/crates/node/src/traffic/body.rs
+++ b/crates/node/src/traffic/body.rs
@@ -4,10 +4,7 @@
 use std::{
     future::Future,
     pin::Pin,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll},
     time::Duration,
 };
@@ -117,8 +114,8 @@
 /// How a body ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
-    /// Read whole.
-    Whole,
+    /// Read whole; its length, in bytes.
+    Whole(u64),
     /// Failed.
     Failed(BodyFault),
     /// Dropped by its reader.
@@ -129,7 +126,9 @@
 /// `ended` once with the result.
 pub struct Bounded<B, F: FnOnce(End)> {
     inner: B,
-    left: u64,
+    limit: u64,
+    /// Bytes that have arrived.
+    read: u64,
     /// Declared bytes that have not arrived yet.
     missing: Option<u64>,
     timer: Pin<Box<Sleep>>,
@@ -142,7 +141,8 @@
         Bounded {
             missing: inner.size_hint().exact(),
             inner,
-            left: limit,
+            limit,
+            read: 0,
             timer: Box::pin(tokio::time::sleep_until(deadline)),
             ended: Some(ended),
         }
@@ -174,7 +174,8 @@
             Some(Err(_)) => self.fail(BodyFault::Cut),
             None if self.missing.is_some_and(|it| it > 0) => self.fail(BodyFault::Cut),
             None => {
-                self.end(End::Whole);
+                let read = self.read;
+                self.end(End::Whole(read));
                 Poll::Ready(None)
             }
         }
@@ -193,7 +194,10 @@
 impl<B, F: FnOnce(End)> Bounded<B, F> {
     fn count(&mut self, frame: &Frame<Bytes>) -> Result<(), BodyFault> {
         let length = frame.data_ref().map_or(0, |it| it.len() as u64);
-        self.left = self.left.checked_sub(length).ok_or(BodyFault::TooLong)?;
+        self.read += length;
+        if self.read > self.limit {
+            return Err(BodyFault::TooLong);
+        }
         if let Some(missing) = &mut self.missing {
             *missing = missing.checked_sub(length).ok_or(BodyFault::Cut)?;
         }
@@ -216,7 +220,7 @@
     fn drop(&mut self) {
         // Many readers stop at the last declared byte without polling for the end.
         let end = match self.missing {
-            Some(0) => End::Whole,
+            Some(0) => End::Whole(self.read),
             _ => End::Dropped,
         };
         self.end(end);
@@ -295,22 +299,6 @@
     }
 }
 
-/// Returns `body` with its declared length, or with the number of its bytes read so far if it declares none.
-pub fn count_bytes(body: Body) -> (Body, Arc<AtomicU64>) {
-    // A mapped body loses its length, by which truncation is detected.
-    if let Some(length) = body.size_hint().exact() {
-        return (body, Arc::new(AtomicU64::new(length)));
-    }
-    let count = Arc::new(AtomicU64::new(0));
-    let counter = count.clone();
-    let body = body.map_frame(move |frame| {
-        let length = frame.data_ref().map_or(0, |it| it.len() as u64);
-        counter.fetch_add(length, Ordering::Relaxed);
-        frame
-    });
-    (Body::new(body), count)
-}
-
 /// Number of frames buffered between an upstream and a slow reader without taking a share of the budget.
 const PUMP_FRAMES: usize = 4;
 /// Maximum number of frames buffered with shares of the budget.
--- a/crates/node/src/traffic/calls.rs
+++ b/crates/node/src/traffic/calls.rs
@@ -28,9 +28,6 @@
     headers::{self, NOT_RUN, OUTCOME, RAN},
 };
 
-/// Interval at which what was learned is written to the log, in ms.
-const LOG_INTERVAL_MS: u64 = 10_000;
-
 /// The runs at the upstream beside this node; cheap to clone.
 #[derive(Clone, Debug)]
 pub(super) struct Calls(Arc<Shared>);
@@ -44,6 +41,7 @@
 #[derive(Debug, Default)]
 struct State {
     runs: Runs,
+    /// Time at which what was learned was written to the log last.
     logged: Ms,
 }
 
@@ -118,14 +116,11 @@
         self.0.calls.lock().runs.totals()
     }
 
-    /// Writes what was learned of the calls of each kind of run to the log, at most every [`LOG_INTERVAL_MS`].
+    /// Writes what was learned of the calls of each kind of run that made some since the last time to the log.
     pub(super) fn log_calls(&self, view: &View) {
         let now = self.now();
         let learned = {
             let mut state = self.0.calls.lock();
-            if now.since(state.logged) < LOG_INTERVAL_MS {
-                return;
-            }
             let since = std::mem::replace(&mut state.logged, now);
             let kinds = state.runs.learned().kinds().iter();
             kinds
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -3,7 +3,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, OnceLock, atomic::Ordering},
+    sync::{Arc, OnceLock},
     time::Duration,
 };
 
@@ -490,12 +490,11 @@
             flight.answered();
             return Response::from_parts(parts, body);
         }
-        let (body, length) = body::count_bytes(body);
         let teaches = parts.status.is_success();
         let body = Bounded::new(body, limit, deadline, move |end| match end {
-            End::Whole => {
+            End::Whole(length) => {
                 if teaches {
-                    flight.record_size(length.load(Ordering::Relaxed));
+                    flight.record_size(length);
                 }
                 flight.answered();
             }
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -9,7 +9,7 @@
 use laburnum_kernel::{
     Ms,
     admission::{
-        Admission, AdmissionSettings, Finish, Offer, Permit, Request, Ticket, Wake,
+        Admission, AdmissionSettings, Basis, Finish, Offer, Permit, Request, Ticket, Wake,
         ranks::{RankedRequest, Ranks},
     },
     document::Class,
@@ -70,6 +70,15 @@
     pub start: Option<StartTag>,
 }
 
+/// What an owner sends along with an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GateStatus {
+    /// Load of the upstream.
+    pub feedback: Feedback,
+    /// What the upstream says about itself, with its start; `None` if the upstream is gone or reports no instance.
+    pub report: Option<Report>,
+}
+
 /// Admission counters at one moment, in requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Gauges {
@@ -124,7 +133,7 @@
         let before = state.upstream;
         if before.start != upstream.start || upstream.phase == Phase::Gone {
             state.observed = Observed::default();
-            state.policy.set_limit(now, None, &mut wakes);
+            state.policy.set_limit(now, None, Basis::Answer, &mut wakes);
         }
         let leaving = state.observed.standing().leaving;
         let upstream = match leaving {
@@ -153,9 +162,7 @@
         }
         let now = self.clock.now();
         let changed = state.observed.observe(now, sent, statement)?;
-        let mut wakes = Vec::new();
-        state.policy.set_limit(now, changed.limit, &mut wakes);
-        state.apply_leaving(now, changed, wakes);
+        state.apply_standing(now, changed, Basis::Answer);
         Some(changed)
     }
 
@@ -167,17 +174,18 @@
         }
         let now = self.clock.now();
         let changed = state.observed.adopt(report.standing)?;
-        let mut wakes = Vec::new();
-        state.policy.adopt_limit(now, changed.limit, &mut wakes);
-        state.apply_leaving(now, changed, wakes);
+        state.apply_standing(now, changed, Basis::Memory);
         Some(changed)
     }
 
-    /// Returns what the upstream says about itself, with its start; `None` if the upstream is gone or reports no instance.
-    pub fn report(&self) -> Option<Report> {
+    /// Returns what is sent along with answers.
+    pub fn status(&self) -> GateStatus {
         let state = self.lock();
         let standing = state.observed.standing();
-        state.upstream.start.map(|start| Report { start, standing })
+        GateStatus {
+            feedback: state.policy.feedback(),
+            report: state.upstream.start.map(|start| Report { start, standing }),
+        }
     }
 
     /// Returns what the upstream says about itself.
@@ -241,10 +249,7 @@
 
     /// Returns the load information that is sent along with answers.
     pub fn feedback(&self) -> Feedback {
-        match &self.lock().policy {
-            Policy::Shares(it) => Feedback::Load(it.load()),
-            Policy::Ranks(it) => Feedback::Outlook(it.outlook()),
-        }
+        self.lock().policy.feedback()
     }
 
     /// Returns the numbers of running and waiting requests and the limit.
@@ -284,6 +289,13 @@
 }
 
 impl Policy {
+    fn feedback(&self) -> Feedback {
+        match self {
+            Policy::Shares(it) => Feedback::Load(it.load()),
+            Policy::Ranks(it) => Feedback::Outlook(it.outlook()),
+        }
+    }
+
     /// Applies `to`; returns the state that is in force from now on.
     fn update(
         &mut self,
@@ -315,18 +327,11 @@
         }
     }
 
-    fn set_limit(&mut self, now: Ms, limit: Option<Rate>, out: &mut Vec<Wake>) {
-        match self {
-            Policy::Shares(it) => it.set_rate_limit(now, limit, out),
-            Policy::Ranks(it) => it.set_limit(now, limit, out),
-        }
-    }
-
-    fn adopt_limit(&mut self, now: Ms, limit: Option<Rate>, out: &mut Vec<Wake>) {
+    fn set_limit(&mut self, now: Ms, limit: Option<Rate>, basis: Basis, out: &mut Vec<Wake>) {
         match self {
             // Upstreams of submitted documents report no instance, so that nothing is remembered of them.
             Policy::Shares(it) => it.set_rate_limit(now, limit, out),
-            Policy::Ranks(it) => it.adopt_limit(now, limit, out),
+            Policy::Ranks(it) => it.set_limit(now, limit, basis, out),
         }
     }
 
@@ -374,8 +379,10 @@
 }
 
 impl State {
-    /// Drains the upstream if it leaves, and delivers `wakes`.
-    fn apply_leaving(&mut self, now: Ms, it: Standing, mut wakes: Vec<Wake>) {
+    /// Applies the limit of the upstream, and drains it if it leaves.
+    fn apply_standing(&mut self, now: Ms, it: Standing, basis: Basis) {
+        let mut wakes = Vec::new();
+        self.policy.set_limit(now, it.limit, basis, &mut wakes);
         if it.leaving {
             let before = self.upstream;
             self.upstream.phase = Phase::Draining;
--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -44,7 +44,7 @@
     body::{self, BodyFault, Bounded, End, ReclaimableBody},
     denial::Denial,
     dialect::Dialect,
-    gate::{Slot, SlotRequest, UpstreamState},
+    gate::{GateStatus, Slot, SlotRequest, UpstreamState},
     headers::{
         self, ATTEMPT, BUDGET, DEADLINE, GOAL, KIND, LINK, LOAD, NEVER, OUTLOOK, PRIORITY, QUEUE,
         REPEAT, REQUEST, SERVICE, SHORT, STANDING,
@@ -147,7 +147,8 @@
             }
         };
         let headers = response.headers_mut();
-        match self.0.gate.feedback() {
+        let GateStatus { feedback, report } = self.0.gate.status();
+        match feedback {
             Feedback::Load(load) => headers::insert_text(headers, LOAD, &load.to_string()),
             Feedback::Outlook(it) => {
                 headers::insert_text(headers, OUTLOOK, &it.to_string());
@@ -159,7 +160,6 @@
             Feedback::Nothing => {}
         }
         // An entry that remembers a limit is also told that there is none any more.
-        let report = self.0.gate.report();
         if let Some(report) = report.filter(|it| remembered || it.standing != Standing::default()) {
             headers::insert_text(headers, STANDING, &report.to_string());
         }
@@ -347,9 +347,14 @@
         let Some(ranked) = ranked else {
             return Ok(None);
         };
+        // The time to run only matters to large answers, and looks at all waiting requests.
+        let run = match self.0.answers.is_large(ranked.kind) {
+            true => self.0.gate.expected_run(ranked),
+            false => 0,
+        };
         let request = AnswerRequest {
             kind: ranked.kind,
-            run: self.0.gate.expected_run(ranked),
+            run,
             goal: ranked.goal,
             deadline: ranked.deadline,
         };
@@ -668,7 +673,8 @@
     let broken = Arc::new(AtomicBool::new(false));
     let broken_flag = broken.clone();
     let body = Bounded::new(incoming, limit, deadline, move |end| {
-        broken_flag.store(end != End::Whole, Ordering::SeqCst);
+        let is_whole = matches!(end, End::Whole(_));
+        broken_flag.store(!is_whole, Ordering::SeqCst);
         drop(reserved);
     });
     Ok(Payload::Streamed(
--- a/crates/node/src/traffic/services.rs
+++ b/crates/node/src/traffic/services.rs
@@ -143,7 +143,7 @@
                 it.finished(now, node, class, outcome, Some(load));
             }
             (Chooser::Picker(it), _) => it.finished(now, node, class, outcome, None),
-            (Chooser::Placement(it), _) => it.finished(now, node, lane, outcome, None),
+            (Chooser::Placement(it), _) => it.finished(now, node, lane, outcome),
         }
     }
 }
