Log tells when an upstream says that it leaves, and ignored heartbeats

The log of the incident could not tell an upstream that left from one that fell silent, nor a late heartbeat from a new one. The start of a process and the recall of an upstream were logged before.

--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -215,8 +215,20 @@
     pub fn heartbeat(&self, mut it: Heartbeat) -> Result<(), Closed> {
         let now = self.0.clock.now();
         let verdict = lock(&self.0.instances).heartbeat(now, &it.start, it.sequence);
+        let draining = it.announcement.phase == Phase::Draining;
+        if verdict != Verdict::Stale && draining && self.phase() != Phase::Draining {
+            log_leaving(&it.start, "heartbeat");
+        }
         match verdict {
-            Verdict::Stale => return Ok(()),
+            Verdict::Stale => {
+                let pairs = [
+                    ("id", it.start.id.to_string()),
+                    ("born", it.start.born.to_string()),
+                    ("sequence", it.sequence.to_string()),
+                ];
+                logs::event("heartbeat-ignored", &pairs);
+                return Ok(());
+            }
             Verdict::Present => {}
             // The successor must not inherit the phase of its predecessor: an upstream that drains never
             // becomes ready again.
@@ -289,6 +301,7 @@
 
     /// Withdraws the announcement of this start; requests in progress keep their connections.
     pub fn leave(&self, start: &Start) -> Result<(), Closed> {
+        log_leaving(start, "deregistration");
         match lock(&self.0.instances).leave(start) {
             Verdict::Present => self.withdraw(),
             Verdict::Successor | Verdict::Stale => Ok(()),
@@ -630,6 +643,17 @@
     }
 }
 
+/// Logs that a start of the upstream said that it leaves, and how.
+fn log_leaving(start: &Start, told: &str) {
+    let pairs = [
+        ("state", "leaving".to_owned()),
+        ("id", start.id.to_string()),
+        ("born", start.born.to_string()),
+        ("told", told.to_owned()),
+    ];
+    logs::event("upstream", &pairs);
+}
+
 fn event_of(phase: Phase) -> UpstreamEvent {
     match phase {
         Phase::Warming => UpstreamEvent::Warming,
