A late heartbeat brings back no upstream that left while its follower is silent

Callers' requests reached an upstream that had deregistered, when the upstream that followed it at the host sent nothing for 1.9 s and a late heartbeat arrived. Replaced starts may come back then, so that a live upstream recovers from a late heartbeat of a dead one; starts that left were kept in the same list.

--- a/crates/kernel/src/instance.rs
+++ b/crates/kernel/src/instance.rs
@@ -8,9 +8,12 @@
 
 use crate::clock::Ms;
 
-/// Maximum number of stored instances that left or were replaced.
+/// Maximum number of stored starts that were replaced.
 const RETIRED_MAX: usize = 16;
 
+/// Maximum number of stored starts that leave. Late heartbeats are seconds old, and an upstream is not replaced that often.
+const LEAVING_MAX: usize = 32;
+
 /// Time without a heartbeat of the present instance after which a retired one may replace it, in ms. It is longer than
 /// the heartbeat interval of 1.5 s, so that a live instance recovers after a late heartbeat of a dead one.
 pub const SILENCE_MS: u64 = 1_900;
@@ -26,12 +29,15 @@
     Stale,
 }
 
-/// The present instance and those that left or were replaced.
+/// The present instance, those that were replaced and those that leave.
 #[derive(Debug, Default)]
 pub struct Instances {
     present: Option<Present>,
     /// Newest last.
     retired: VecDeque<Start>,
+    /// Starts that said that they leave, newest last. Unlike a replaced start, none of them may come back: its node has
+    /// promised that it gets no more requests.
+    leaving: VecDeque<Start>,
 }
 
 /// One start of an upstream.
@@ -53,9 +59,10 @@
 impl Instances {
     /// Decides on a heartbeat of `start`; `sequence` increases with each call of one start.
     pub fn heartbeat(&mut self, now: Ms, start: &Start, sequence: u64) -> Verdict {
-        let is_retired = self.is_retired(start);
+        let is_leaving = self.is_leaving(start);
+        let is_retired = covers(&self.retired, start);
         let Some(it) = &mut self.present else {
-            if is_retired {
+            if is_leaving || is_retired {
                 return Verdict::Stale;
             }
             self.replace(now, start, sequence);
@@ -69,7 +76,7 @@
             return Verdict::Present;
         }
         let earlier = it.start.id == start.id && start.born < it.start.born;
-        if earlier || is_retired && now.since(it.last_heartbeat) < SILENCE_MS {
+        if earlier || is_leaving || is_retired && now.since(it.last_heartbeat) < SILENCE_MS {
             return Verdict::Stale;
         }
         self.replace(now, start, sequence);
@@ -81,20 +88,36 @@
         let leaves = |it: &Start| it.id == start.id && (start.born == 0 || it.born <= start.born);
         match self.present.take_if(|it| leaves(&it.start)) {
             Some(it) => {
-                self.retire(it.start);
+                self.mark_leaving(&it.start);
+                self.mark_leaving(start);
                 Verdict::Present
             }
             None => {
-                self.retire(start.clone());
+                self.mark_leaving(start);
                 Verdict::Stale
             }
         }
     }
 
-    /// Returns whether this start, or a later one of its id, left or was replaced.
-    fn is_retired(&self, start: &Start) -> bool {
-        let mut retired = self.retired.iter();
-        retired.any(|it| it.id == start.id && start.born <= it.born)
+    /// Records that `start` leaves. It stays the present one if it is, as an upstream that drains still answers requests.
+    pub fn mark_leaving(&mut self, start: &Start) {
+        if self.is_leaving(start) {
+            return;
+        }
+        if self.leaving.len() == LEAVING_MAX {
+            self.leaving.pop_front();
+        }
+        self.leaving.push_back(start.clone());
+    }
+
+    /// Returns whether this start, or a later one of its id, said that it leaves.
+    pub fn is_leaving(&self, start: &Start) -> bool {
+        covers(&self.leaving, start)
+    }
+
+    /// Returns the present start.
+    pub fn present(&self) -> Option<&Start> {
+        self.present.as_ref().map(|it| &it.start)
     }
 
     fn replace(&mut self, now: Ms, start: &Start, sequence: u64) {
@@ -119,3 +142,10 @@
         self.retired.push_back(start);
     }
 }
+
+/// Returns whether `starts` has this start or a later one of its id.
+fn covers(starts: &VecDeque<Start>, start: &Start) -> bool {
+    starts
+        .iter()
+        .any(|it| it.id == start.id && start.born <= it.born)
+}
--- a/crates/kernel/tests/instance.rs
+++ b/crates/kernel/tests/instance.rs
@@ -116,3 +116,46 @@
         "another restart"
     );
 }
+
+/// Guards against a late heartbeat that brings back an upstream that left, once the one that followed it is silent.
+#[test]
+fn upstream_that_left_never_replaces_a_silent_follower() {
+    let mut instances = Instances::default();
+    instances.heartbeat(Ms(0), &id("a"), 1);
+    assert_eq!(instances.leave(&id("a")), Verdict::Present);
+    instances.heartbeat(Ms(100), &id("b"), 1);
+    let later = Ms(100 + 2 * SILENCE_MS);
+    assert_eq!(instances.heartbeat(later, &id("a"), 2), Verdict::Stale);
+}
+
+/// Guards against a draining upstream whose heartbeats displace the one that follows it at the host.
+#[test]
+fn draining_upstream_never_replaces_its_follower() {
+    let mut instances = Instances::default();
+    instances.heartbeat(Ms(0), &id("a"), 1);
+    instances.mark_leaving(&id("a"));
+    assert_eq!(
+        instances.heartbeat(Ms(100), &id("a"), 2),
+        Verdict::Present,
+        "it still answers"
+    );
+    instances.heartbeat(Ms(200), &id("b"), 1);
+    let later = Ms(200 + 2 * SILENCE_MS);
+    assert_eq!(instances.heartbeat(later, &id("a"), 3), Verdict::Stale);
+}
+
+/// Guards against a deregistration that reaches a process which has not met the upstream yet, and a late heartbeat.
+#[test]
+fn upstream_that_left_before_its_first_heartbeat_stays_away() {
+    let mut instances = Instances::default();
+    assert_eq!(instances.leave(&born("a", 1_000)), Verdict::Stale);
+    assert_eq!(
+        instances.heartbeat(Ms(10), &born("a", 1_000), 7),
+        Verdict::Stale
+    );
+    assert_eq!(
+        instances.heartbeat(Ms(20), &born("a", 5_000), 1),
+        Verdict::Successor,
+        "started again"
+    );
+}
