The leaving of an upstream is in the store before it is acknowledged

Callers' requests reached upstreams whose leaving their node had acknowledged, once the node was killed or restarted: the acknowledgement lived in its process. The next one read the saved heartbeat, whose deletion nobody waited for and which was never deleted if the row had not been read or its write not been answered; or it took a late heartbeat for a new one.

Each start that leaves has a row of its own now, written in one transaction with the deletion of the saved heartbeat. The call is answered with 200 once the store has confirmed it, and with 503 after 0.8 s otherwise; in either case the upstream gets no new requests from then on. A new process reads these rows before it uses an upstream; while it cannot, an upstream is used from its second heartbeat on. The saved heartbeat is only written, and only taken up, if no row says that its start has left, so that neither a stale read nor a write that the store carries out late brings an upstream back.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -30,7 +30,7 @@
     config::Config,
     control::{Control, ControlThread},
     metrics::{Metrics, Source},
-    recall,
+    recall::{Keeper, Kept},
     traffic::{
         Parts, Traffic,
         connections::OpenConnections,
@@ -140,10 +140,16 @@
         let metrics = Metrics::new()?;
         let guard = Guard::new(&config, faults.clone());
         let upstream = Upstream::start(handle.clone(), clock.clone(), config.pool, config.polling);
-        // The saved heartbeat costs a write per start of the upstream and a read per start of the node. Nodes
-        // that leave the source to watchers do without, to reduce the load on the store.
-        if config.origin == Origin::Imported && config.watch == Watch::Always {
-            tokio::spawn(recall::run(platform, node, upstream.clone()));
+        if config.origin == Origin::Imported {
+            // The saved heartbeat costs a write per start of the upstream. Nodes that leave the source to watchers do
+            // without, to reduce the load on the store.
+            let kept = match config.watch {
+                Watch::Always => Kept::Everything,
+                Watch::Fallback => Kept::Leaving,
+            };
+            upstream.expect_past();
+            let keeper = Keeper::new(platform, clock.clone(), node, &upstream, kept);
+            tokio::spawn(keeper.run(upstream.saved()));
         }
         let path = Traffic::start(Parts {
             node,
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -54,6 +54,10 @@
 const ANSWERED_WINDOW: u64 = 30_000;
 /// Maximum number of remembered answered requests; about 50 KB.
 const ANSWERED_MAX: usize = 2_048;
+/// Longest time for which a call waits until the leaving of its upstream is in the table: upstreams give up after 1 s.
+const RECORD_WAIT: Duration = Duration::from_millis(800);
+/// Maximum number of starts that leave and are kept for the next process.
+pub(crate) const LEAVING_MAX: usize = 32;
 /// Requests lost within this time before the upstream was found dead count as in flight when it died, in ms.
 const CRASH_WINDOW: u64 = 2_000;
 
@@ -68,8 +72,11 @@
     settings: PoolSettings,
     polling: Polling,
     instances: Mutex<Instances>,
-    /// Last heartbeat of the present start while the upstream is ready, saved for the node's next process.
-    saved: watch::Sender<Option<Heartbeat>>,
+    /// What is kept in the table for the node's next process.
+    saved: watch::Sender<Saved>,
+    /// Starts whose leaving is in the table.
+    recorded: watch::Sender<Vec<Start>>,
+    past: Mutex<Past>,
     active: ArcSwapOption<ActiveUpstream>,
     health: Mutex<Option<Health>>,
     running: Mutex<Requests>,
@@ -95,10 +102,50 @@
     pub start: Option<StartTag>,
     /// Connections to the upstream.
     pub pool: Arc<Pool>,
-    /// Whether this start said in an answer that it leaves.
+    /// Whether this start said that it leaves.
     leaving: Arc<AtomicBool>,
 }
 
+/// What a node keeps in the table about its upstream, for its next process.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Saved {
+    /// Last heartbeat of the present start while it is ready.
+    pub ready: Option<Heartbeat>,
+    /// Starts that leave, oldest first.
+    pub leaving: Vec<Start>,
+    /// Calls of upstreams that wait until their leaving is in the table. Each of them makes a failed write due again.
+    pub calls: u64,
+}
+
+/// Whether this process knows what earlier processes of its node acknowledged.
+#[derive(Debug)]
+enum Past {
+    /// It does, or nothing is kept.
+    Known,
+    /// The table has not been read yet. A first heartbeat is held back: it may be a late one of an upstream that left.
+    Unknown(Option<Heartbeat>),
+}
+
+/// How a call of the upstream is to be acknowledged.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Receipt {
+    /// At once.
+    Now,
+    /// Once [`Upstream::recorded`] confirms that the leaving of this start outlives the process.
+    Recorded(Start),
+}
+
+/// A handle that does not keep the upstream's state alive.
+#[derive(Clone, Debug)]
+pub struct WeakUpstream(Weak<Shared>);
+
+impl WeakUpstream {
+    /// Returns the upstream, unless its last handle was dropped.
+    pub fn upgrade(&self) -> Option<Upstream> {
+        self.0.upgrade().map(Upstream)
+    }
+}
+
 /// Requests in flight, requests whose connection broke recently, and requests answered recently.
 #[derive(Debug, Default)]
 struct Requests {
@@ -190,7 +237,9 @@
             settings,
             polling,
             instances: Mutex::default(),
-            saved: watch::Sender::new(None),
+            saved: watch::Sender::default(),
+            recorded: watch::Sender::default(),
+            past: Mutex::new(Past::Known),
             active: ArcSwapOption::empty(),
             health: Mutex::default(),
             running: Mutex::default(),
@@ -207,29 +256,30 @@
 
     /// Applies an announcement, new or repeated.
     pub fn announce(&self, it: Announcement) -> Result<(), Closed> {
-        let phase = self.known_phase(None, it.phase);
+        let phase = self.known_phase(it.phase);
         self.apply(Announcement { phase, ..it }, None)
     }
 
     /// Applies a heartbeat. Late and repeated ones, and those of a replaced process, are ignored.
-    pub fn heartbeat(&self, mut it: Heartbeat) -> Result<(), Closed> {
-        let now = self.0.clock.now();
-        let verdict = lock(&self.0.instances).heartbeat(now, &it.start, it.sequence);
+    pub fn heartbeat(&self, mut it: Heartbeat) -> Result<Receipt, Closed> {
         let draining = it.announcement.phase == Phase::Draining;
-        if verdict != Verdict::Stale && draining && self.phase() != Phase::Draining {
-            log_leaving(&it.start, "heartbeat");
+        if !draining && !self.is_admitted(&it) {
+            return Ok(Receipt::Now);
         }
-        match verdict {
-            Verdict::Stale => {
-                let pairs = [
-                    ("id", it.start.id.to_string()),
-                    ("born", it.start.born.to_string()),
-                    ("sequence", it.sequence.to_string()),
-                ];
-                logs::event("heartbeat-ignored", &pairs);
-                return Ok(());
+        let now = self.0.clock.now();
+        let verdict = {
+            let mut instances = lock(&self.0.instances);
+            if draining {
+                instances.mark_leaving(&it.start);
+            }
+            if instances.is_leaving(&it.start) {
+                it.announcement.phase = Phase::Draining;
             }
-            Verdict::Present => {}
+            instances.heartbeat(now, &it.start, it.sequence)
+        };
+        match verdict {
+            Verdict::Stale => log_ignored(&it),
+            Verdict::Present => self.apply_heartbeat(&it)?,
             // The successor must not inherit the phase of its predecessor: an upstream that drains never
             // becomes ready again.
             Verdict::Successor => {
@@ -239,12 +289,44 @@
                 ];
                 logs::event("upstream-instance", &pairs);
                 self.withdraw()?;
+                self.apply_heartbeat(&it)?;
             }
         }
-        let start = StartTag::from(&it.start);
-        it.announcement.phase = self.known_phase(Some(start), it.announcement.phase);
-        self.save(&it);
-        self.apply(it.announcement, Some(&it.start))
+        Ok(match draining {
+            true => self.record_leaving(&it.start, "heartbeat"),
+            false => Receipt::Now,
+        })
+    }
+
+    fn apply_heartbeat(&self, it: &Heartbeat) -> Result<(), Closed> {
+        if it.announcement.phase == Phase::Ready {
+            self.0.saved.send_if_modified(|saved| {
+                let same = saved.ready.as_ref().map(Heartbeat::content) == Some(it.content());
+                if !same {
+                    saved.ready = Some(it.clone());
+                }
+                !same
+            });
+        }
+        self.apply(it.announcement.clone(), Some(&it.start))
+    }
+
+    /// Returns whether the ready upstream of a heartbeat may be used.
+    ///
+    /// Until the table was read, a heartbeat may be a late one of an upstream whose leaving an earlier process
+    /// acknowledged. A live upstream sends another one soon.
+    fn is_admitted(&self, it: &Heartbeat) -> bool {
+        let mut past = lock(&self.0.past);
+        let Past::Unknown(held) = &mut *past else {
+            return true;
+        };
+        let is_later = |held: &Heartbeat| held.start == it.start && held.sequence < it.sequence;
+        let is_present = lock(&self.0.instances).present() == Some(&it.start);
+        if is_present || held.as_ref().is_some_and(is_later) {
+            return true;
+        }
+        *held = Some(it.clone());
+        false
     }
 
     /// Applies the heartbeat that the node's previous process saved, unless the upstream has announced itself
@@ -254,58 +336,143 @@
             return Ok(());
         }
         logs::event("upstream-recalled", &[("id", it.start.id.to_string())]);
-        self.heartbeat(it)
+        self.heartbeat(it).map(drop)
+    }
+
+    /// Holds first heartbeats back until [`Upstream::learn`] tells what earlier processes acknowledged.
+    pub fn expect_past(&self) {
+        *lock(&self.0.past) = Past::Unknown(None);
+    }
+
+    /// Applies what the table says: the leaving of these starts was acknowledged.
+    pub fn learn(&self, left: &[Start]) -> Result<(), Closed> {
+        self.note_recorded(left);
+        let present = {
+            let mut instances = lock(&self.0.instances);
+            left.iter().for_each(|it| instances.mark_leaving(it));
+            let present = instances.present().cloned();
+            present.filter(|it| instances.is_leaving(it))
+        };
+        for it in left {
+            self.keep_leaving(it);
+        }
+        if let Some(it) = present {
+            log_leaving(&it, "table");
+            self.leave(&it)?;
+        }
+        let past = std::mem::replace(&mut *lock(&self.0.past), Past::Known);
+        match past {
+            Past::Unknown(Some(held)) => self.heartbeat(held).map(drop),
+            Past::Unknown(None) | Past::Known => Ok(()),
+        }
     }
 
     /// Records that `upstream` said in an answer that it leaves. From then on it counts as draining, whatever phase its
     /// announcements tell: some upstreams never announce that they leave.
     pub fn mark_leaving(&self, upstream: &ActiveUpstream) {
         let is_marked = upstream.leaving.swap(true, Ordering::SeqCst);
-        let is_present = self
-            .active()
-            .is_some_and(|it| Arc::ptr_eq(&it.leaving, &upstream.leaving));
-        if is_marked || !is_present {
+        if is_marked || !self.is_present(upstream) {
             return;
         }
-        self.0
-            .saved
-            .send_if_modified(|saved| saved.take().is_some());
+        let present = lock(&self.0.instances).present().cloned();
+        if let Some(it) = present.filter(|it| Some(&it.id) == upstream.instance.as_ref()) {
+            lock(&self.0.instances).mark_leaving(&it);
+            self.record_leaving(&it, "answer");
+        }
         self.observe(Observation::Report(Phase::Draining));
     }
 
-    /// Returns the phase of an upstream that announces `phase`.
-    fn known_phase(&self, start: Option<StartTag>, phase: Phase) -> Phase {
-        let leaves = |it: &ActiveUpstream| it.start == start && it.leaving.load(Ordering::SeqCst);
+    /// Returns whether requests may be sent to `upstream`: it is the present one and did not say that it leaves.
+    pub fn takes_requests(&self, upstream: &ActiveUpstream) -> bool {
+        !upstream.is_leaving() && self.is_present(upstream)
+    }
+
+    fn is_present(&self, upstream: &ActiveUpstream) -> bool {
+        self.active()
+            .is_some_and(|it| Arc::ptr_eq(&it.leaving, &upstream.leaving))
+    }
+
+    /// Returns the phase of an upstream without an instance that announces `phase`.
+    fn known_phase(&self, phase: Phase) -> Phase {
         match self.active() {
-            Some(it) if leaves(&it) => Phase::Draining,
+            Some(it) if it.start.is_none() && it.is_leaving() => Phase::Draining,
             _ => phase,
         }
     }
 
-    /// Returns a receiver of the heartbeat to save for the node's next process.
-    pub fn saved(&self) -> watch::Receiver<Option<Heartbeat>> {
+    /// Returns a receiver of what to keep for the node's next process.
+    pub fn saved(&self) -> watch::Receiver<Saved> {
         self.0.saved.subscribe()
     }
 
-    fn save(&self, it: &Heartbeat) {
-        let ready = it.announcement.phase == Phase::Ready;
-        self.0.saved.send_if_modified(|saved| {
-            let same = saved.as_ref().map(Heartbeat::content) == Some(it.content());
-            if same || (saved.is_none() && !ready) {
-                return false;
+    /// Returns a handle that does not keep the state alive.
+    pub fn downgrade(&self) -> WeakUpstream {
+        WeakUpstream(Arc::downgrade(&self.0))
+    }
+
+    /// Notes that the leaving of these starts is in the table.
+    pub fn note_recorded(&self, starts: &[Start]) {
+        self.0.recorded.send_modify(|recorded| {
+            for it in starts {
+                push_bounded(recorded, it);
             }
-            *saved = ready.then(|| it.clone());
-            true
         });
     }
 
+    /// Waits until the leaving of `start` is in the table; returns false if it is not in time.
+    ///
+    /// An acknowledgement that only this process remembers ends with the process: the next one would send requests to the
+    /// upstream again.
+    pub async fn recorded(&self, start: &Start) -> bool {
+        let mut recorded = self.0.recorded.subscribe();
+        let waiting = recorded.wait_for(|it| it.contains(start));
+        matches!(timeout(RECORD_WAIT, waiting).await, Ok(Ok(_)))
+    }
+
+    /// Has the leaving of `start` written to the table, if anything is kept there.
+    fn record_leaving(&self, start: &Start, told: &str) -> Receipt {
+        if self.keep_leaving(start) {
+            log_leaving(start, told);
+        }
+        match self.0.saved.receiver_count() {
+            0 => Receipt::Now,
+            _ => Receipt::Recorded(start.clone()),
+        }
+    }
+
+    /// Adds `start` to what is kept; returns whether it was news.
+    fn keep_leaving(&self, start: &Start) -> bool {
+        let mut is_news = false;
+        self.0.saved.send_modify(|saved| {
+            let leaves = |it: &Heartbeat| it.start.id == start.id && it.start.born <= start.born;
+            saved.ready.take_if(|it| leaves(it));
+            is_news = push_bounded(&mut saved.leaving, start);
+            saved.calls += 1;
+        });
+        is_news
+    }
+
     /// Withdraws the announcement of this start; requests in progress keep their connections.
-    pub fn leave(&self, start: &Start) -> Result<(), Closed> {
-        log_leaving(start, "deregistration");
-        match lock(&self.0.instances).leave(start) {
-            Verdict::Present => self.withdraw(),
-            Verdict::Successor | Verdict::Stale => Ok(()),
+    pub fn leave(&self, start: &Start) -> Result<Receipt, Closed> {
+        let (verdict, start) = {
+            let mut instances = lock(&self.0.instances);
+            let present = instances.present().filter(|it| it.id == start.id);
+            let born = match (start.born, present) {
+                (0, Some(it)) => it.born,
+                // An upstream that starts again under this id is born later.
+                (0, None) => self.0.clock.now().0,
+                (born, _) => born,
+            };
+            let start = Start {
+                id: start.id.clone(),
+                born,
+            };
+            (instances.leave(&start), start)
+        };
+        if verdict == Verdict::Present {
+            self.withdraw()?;
         }
+        Ok(self.record_leaving(&start, "deregistration"))
     }
 
     /// Handles an answer of another instance at the upstream's address: nothing is sent there until the next
@@ -340,6 +507,10 @@
                 (Arc::new(pool), Arc::default())
             }
         };
+        // Requests that wait for this start are not sent any more.
+        if start.is_some() && it.phase == Phase::Draining {
+            leaving.store(true, Ordering::SeqCst);
+        }
         let active = ActiveUpstream {
             service: it.service.clone(),
             slots: it.slots,
@@ -369,7 +540,7 @@
         *lock(&self.0.health) = None;
         self.0
             .saved
-            .send_if_modified(|saved| saved.take().is_some());
+            .send_if_modified(|saved| saved.ready.take().is_some());
         self.0
             .control
             .send_event(Event::Upstream(UpstreamEvent::Gone))
@@ -557,6 +728,13 @@
     }
 }
 
+impl ActiveUpstream {
+    /// Returns whether this start said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+}
+
 impl Run {
     /// Returns the request's fingerprint.
     pub fn fingerprint(&self) -> Fingerprint {
@@ -643,6 +821,28 @@
     }
 }
 
+/// Adds `start` to a bounded list, unless it is there; returns whether it was not.
+fn push_bounded(starts: &mut Vec<Start>, start: &Start) -> bool {
+    if starts.contains(start) {
+        return false;
+    }
+    if starts.len() == LEAVING_MAX {
+        starts.remove(0);
+    }
+    starts.push(start.clone());
+    true
+}
+
+/// Logs a heartbeat that was late or repeated, or of a start that left or was replaced.
+fn log_ignored(it: &Heartbeat) {
+    let pairs = [
+        ("id", it.start.id.to_string()),
+        ("born", it.start.born.to_string()),
+        ("sequence", it.sequence.to_string()),
+    ];
+    logs::event("heartbeat-ignored", &pairs);
+}
+
 /// Logs that a start of the upstream said that it leaves, and how.
 fn log_leaving(start: &Start, told: &str) {
     let pairs = [
