Requests that wait for an upstream are refused when it leaves or is replaced

A request that waited for a slot was sent to an upstream that had left, if another one followed at the host before the gate's next turn: the gate saw only a ready upstream and woke the waiting requests for the start that they were meant for. The gate refuses them when the start changes, and the owner looks once more before each send whether the upstream is the present one and has not said that it leaves. An acknowledged leaving also counts in what entries are told and remember, as one said in an answer does. waiting_requests_are_refused_when_another_upstream_follows timed out before; slow_body_is_not_sent_to_an_upstream_that_left passed before and stays as a guard.

--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -130,7 +130,15 @@
         }
         let now = self.clock.now();
         let mut wakes = Vec::new();
-        let before = state.upstream;
+        let mut before = state.upstream;
+        if before.start != upstream.start {
+            // Waiting requests are meant for the start that was replaced.
+            let gone = UpstreamState {
+                phase: Phase::Gone,
+                ..before
+            };
+            before = state.policy.update(now, before, gone, &mut wakes);
+        }
         if before.start != upstream.start || upstream.phase == Phase::Gone {
             state.observed = Observed::default();
             state.policy.set_limit(now, None, Basis::Answer, &mut wakes);
--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -30,7 +30,7 @@
     retry::{Deadline, Tree},
     routing,
     settings::Origin,
-    standing::Standing,
+    standing::{Report, Standing},
     view::ServiceView,
 };
 use tokio::time::{Instant, timeout, timeout_at};
@@ -203,7 +203,8 @@
         };
         let queue = view.services.get(&own.service);
         let active = self.0.upstream.active();
-        let phase = match self.draining() {
+        let leaving = active.as_ref().filter(|it| it.is_leaving());
+        let phase = match self.draining() || leaving.is_some() {
             true => Phase::Draining,
             false => own.phase,
         };
@@ -211,8 +212,18 @@
             phase,
             slots: own.slots,
             queue: queue.map_or(0, |it| it.document.limits.queue as usize),
-            start: active.and_then(|it| it.start),
+            start: active.as_ref().and_then(|it| it.start),
         });
+        // Entries are told with each answer, and tell it to the next process of this node.
+        if let Some(start) = leaving.and_then(|it| it.start) {
+            self.0.gate.adopt(Report {
+                start,
+                standing: Standing {
+                    limit: None,
+                    leaving: true,
+                },
+            });
+        }
     }
 
     pub(super) fn count_owned(&self) -> OwnedGuard {
@@ -505,6 +516,12 @@
                 Ok(lease) => lease,
                 Err(fault) => return Err(self.no_connection(run.slot, fault)),
             };
+            // The upstream may have left during the waits above, and another one may follow it at this host.
+            if !self.0.upstream.takes_requests(&job.upstream) {
+                lease.return_unused();
+                run.slot.finish(Finish::Unsent);
+                return Err(left(&job.upstream));
+            }
             // The claim may have expired during the waits above, and a second attempt may hold it by now.
             if self.now() >= window.start {
                 lease.return_unused();
@@ -692,6 +709,14 @@
     Denial::Refused(Refusal::new(reason))
 }
 
+/// Returns the denial for a job whose upstream left or was replaced before any byte of it was sent.
+fn left(upstream: &ActiveUpstream) -> Denial {
+    match upstream.is_leaving() {
+        true => Denial::Refused(Refusal::after(Reason::Draining, DRAINING_MS)),
+        false => not_ready(),
+    }
+}
+
 fn not_ready() -> Denial {
     Denial::Refused(Refusal::after(Reason::NotReady, NOT_READY_MS))
 }
