--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -147,7 +147,7 @@
                 Watch::Always => Kept::Everything,
                 Watch::Fallback => Kept::Leaving,
             };
-            upstream.expect_past();
+            upstream.await_records();
             let keeper = Keeper::new(platform, clock.clone(), node, &upstream, kept);
             tokio::spawn(keeper.run(upstream.saved()));
         }
--- a/crates/node/src/recall.rs
+++ b/crates/node/src/recall.rs
@@ -235,7 +235,7 @@
         let left: Vec<Start> = left.into_iter().map(|it| it.1).collect();
         if let Some(upstream) = self.upstream.upgrade() {
             // A closed control thread needs no update.
-            let _ = upstream.learn(&left);
+            let _ = upstream.apply_records(&left);
         }
         self.is_read = true;
         self.era = self.platform.era();
@@ -365,7 +365,7 @@
             // An earlier process acknowledged its leaving, and this one read the table before that.
             Outcome::Refused => {
                 if let Some(upstream) = self.upstream.upgrade() {
-                    let _ = upstream.learn(std::slice::from_ref(&it.start));
+                    let _ = upstream.apply_records(std::slice::from_ref(&it.start));
                 }
                 self.recorded.push(it.start);
             }
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -76,7 +76,7 @@
     saved: watch::Sender<Saved>,
     /// Starts whose leaving is in the table.
     recorded: watch::Sender<Vec<Start>>,
-    past: Mutex<Past>,
+    records: Mutex<Records>,
     active: ArcSwapOption<ActiveUpstream>,
     health: Mutex<Option<Health>>,
     running: Mutex<Requests>,
@@ -117,13 +117,13 @@
     pub calls: u64,
 }
 
-/// Whether this process knows what earlier processes of its node acknowledged.
+/// Whether this process has read what earlier processes of its node recorded.
 #[derive(Debug)]
-enum Past {
-    /// It does, or nothing is kept.
-    Known,
-    /// The table has not been read yet. A first heartbeat is held back: it may be a late one of an upstream that left.
-    Unknown(Option<Heartbeat>),
+enum Records {
+    /// It has, or nothing is recorded.
+    Read,
+    /// Not yet. A first heartbeat is held back: it may be a late one of an upstream that left.
+    Unread(Option<Heartbeat>),
 }
 
 /// How a call of the upstream is to be acknowledged.
@@ -239,7 +239,7 @@
             instances: Mutex::default(),
             saved: watch::Sender::default(),
             recorded: watch::Sender::default(),
-            past: Mutex::new(Past::Known),
+            records: Mutex::new(Records::Read),
             active: ArcSwapOption::empty(),
             health: Mutex::default(),
             running: Mutex::default(),
@@ -316,17 +316,20 @@
     /// Until the table was read, a heartbeat may be a late one of an upstream whose leaving an earlier process
     /// acknowledged. A live upstream sends another one soon.
     fn is_admitted(&self, it: &Heartbeat) -> bool {
-        let mut past = lock(&self.0.past);
-        let Past::Unknown(held) = &mut *past else {
+        let mut records = lock(&self.0.records);
+        let Records::Unread(held) = &mut *records else {
             return true;
         };
-        let is_later = |held: &Heartbeat| held.start == it.start && held.sequence < it.sequence;
-        let is_present = lock(&self.0.instances).present() == Some(&it.start);
-        if is_present || held.as_ref().is_some_and(is_later) {
+        if lock(&self.0.instances).present() == Some(&it.start) {
             return true;
         }
-        *held = Some(it.clone());
-        false
+        match held {
+            Some(held) if held.start == it.start => held.sequence < it.sequence,
+            _ => {
+                *held = Some(it.clone());
+                false
+            }
+        }
     }
 
     /// Applies the heartbeat that the node's previous process saved, unless the upstream has announced itself
@@ -339,13 +342,13 @@
         self.heartbeat(it).map(drop)
     }
 
-    /// Holds first heartbeats back until [`Upstream::learn`] tells what earlier processes acknowledged.
-    pub fn expect_past(&self) {
-        *lock(&self.0.past) = Past::Unknown(None);
+    /// Holds first heartbeats back until [`Upstream::apply_records`] tells what earlier processes acknowledged.
+    pub fn await_records(&self) {
+        *lock(&self.0.records) = Records::Unread(None);
     }
 
     /// Applies what the table says: the leaving of these starts was acknowledged.
-    pub fn learn(&self, left: &[Start]) -> Result<(), Closed> {
+    pub fn apply_records(&self, left: &[Start]) -> Result<(), Closed> {
         self.note_recorded(left);
         let present = {
             let mut instances = lock(&self.0.instances);
@@ -360,10 +363,10 @@
             log_leaving(&it, "table");
             self.leave(&it)?;
         }
-        let past = std::mem::replace(&mut *lock(&self.0.past), Past::Known);
-        match past {
-            Past::Unknown(Some(held)) => self.heartbeat(held).map(drop),
-            Past::Unknown(None) | Past::Known => Ok(()),
+        let records = std::mem::replace(&mut *lock(&self.0.records), Records::Read);
+        match records {
+            Records::Unread(Some(held)) => self.heartbeat(held).map(drop),
+            Records::Unread(None) | Records::Read => Ok(()),
         }
     }
 
