Leaving upstreams in a module of their own; a call is applied whole

A deregistration that came between the verdict on a heartbeat and its effect would have been undone by it: the upstream was announced again. Found by reading; the calls of a host are handled by one thread at present.

--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -30,6 +30,12 @@
     time::{Instant, MissedTickBehavior, interval, timeout},
 };
 
+mod leaving;
+
+pub(crate) use leaving::LEAVING_MAX;
+use leaving::Records;
+pub use leaving::{Receipt, Saved, WeakUpstream};
+
 use crate::{
     control::{Closed, Control},
     logs,
@@ -54,10 +60,6 @@
 const ANSWERED_WINDOW: u64 = 30_000;
 /// Maximum number of remembered answered requests; about 50 KB.
 const ANSWERED_MAX: usize = 2_048;
-/// Longest time for which a call waits until the leaving of its upstream is in the table: upstreams give up after 1 s.
-const RECORD_WAIT: Duration = Duration::from_millis(800);
-/// Maximum number of starts that leave and are kept for the next process.
-pub(crate) const LEAVING_MAX: usize = 32;
 /// Requests lost within this time before the upstream was found dead count as in flight when it died, in ms.
 const CRASH_WINDOW: u64 = 2_000;
 
@@ -106,46 +108,6 @@
     leaving: Arc<AtomicBool>,
 }
 
-/// What a node keeps in the table about its upstream, for its next process.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Saved {
-    /// Last heartbeat of the present start while it is ready.
-    pub ready: Option<Heartbeat>,
-    /// Starts that leave, oldest first.
-    pub leaving: Vec<Start>,
-    /// Calls of upstreams that wait until their leaving is in the table. Each of them makes a failed write due again.
-    pub calls: u64,
-}
-
-/// Whether this process has read what earlier processes of its node recorded.
-#[derive(Debug)]
-enum Records {
-    /// It has, or nothing is recorded.
-    Read,
-    /// Not yet. A first heartbeat is held back: it may be a late one of an upstream that left.
-    Unread(Option<Heartbeat>),
-}
-
-/// How a call of the upstream is to be acknowledged.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Receipt {
-    /// At once.
-    Now,
-    /// Once [`Upstream::recorded`] confirms that the leaving of this start outlives the process.
-    Recorded(Start),
-}
-
-/// A handle that does not keep the upstream's state alive.
-#[derive(Clone, Debug)]
-pub struct WeakUpstream(Weak<Shared>);
-
-impl WeakUpstream {
-    /// Returns the upstream, unless its last handle was dropped.
-    pub fn upgrade(&self) -> Option<Upstream> {
-        self.0.upgrade().map(Upstream)
-    }
-}
-
 /// Requests in flight, requests whose connection broke recently, and requests answered recently.
 #[derive(Debug, Default)]
 struct Requests {
@@ -267,16 +229,15 @@
             return Ok(Receipt::Now);
         }
         let now = self.0.clock.now();
-        let verdict = {
-            let mut instances = lock(&self.0.instances);
-            if draining {
-                instances.mark_leaving(&it.start);
-            }
-            if instances.is_leaving(&it.start) {
-                it.announcement.phase = Phase::Draining;
-            }
-            instances.heartbeat(now, &it.start, it.sequence)
-        };
+        // Held until the verdict is applied: a deregistration that came in between would be undone.
+        let mut instances = lock(&self.0.instances);
+        if draining {
+            instances.mark_leaving(&it.start);
+        }
+        if instances.is_leaving(&it.start) {
+            it.announcement.phase = Phase::Draining;
+        }
+        let verdict = instances.heartbeat(now, &it.start, it.sequence);
         match verdict {
             Verdict::Stale => log_ignored(&it),
             Verdict::Present => self.apply_heartbeat(&it)?,
@@ -292,6 +253,7 @@
                 self.apply_heartbeat(&it)?;
             }
         }
+        drop(instances);
         Ok(match draining {
             true => self.record_leaving(&it.start, "heartbeat"),
             false => Receipt::Now,
@@ -311,27 +273,6 @@
         self.apply(it.announcement.clone(), Some(&it.start))
     }
 
-    /// Returns whether the ready upstream of a heartbeat may be used.
-    ///
-    /// Until the table was read, a heartbeat may be a late one of an upstream whose leaving an earlier process
-    /// acknowledged. A live upstream sends another one soon.
-    fn is_admitted(&self, it: &Heartbeat) -> bool {
-        let mut records = lock(&self.0.records);
-        let Records::Unread(held) = &mut *records else {
-            return true;
-        };
-        if lock(&self.0.instances).present() == Some(&it.start) {
-            return true;
-        }
-        match held {
-            Some(held) if held.start == it.start => held.sequence < it.sequence,
-            _ => {
-                *held = Some(it.clone());
-                false
-            }
-        }
-    }
-
     /// Applies the heartbeat that the node's previous process saved, unless the upstream has announced itself
     /// since.
     pub fn recall(&self, it: Heartbeat) -> Result<(), Closed> {
@@ -342,49 +283,6 @@
         self.heartbeat(it).map(drop)
     }
 
-    /// Holds first heartbeats back until [`Upstream::apply_records`] tells what earlier processes acknowledged.
-    pub fn await_records(&self) {
-        *lock(&self.0.records) = Records::Unread(None);
-    }
-
-    /// Applies what the table says: the leaving of these starts was acknowledged.
-    pub fn apply_records(&self, left: &[Start]) -> Result<(), Closed> {
-        self.note_recorded(left);
-        let present = {
-            let mut instances = lock(&self.0.instances);
-            left.iter().for_each(|it| instances.mark_leaving(it));
-            let present = instances.present().cloned();
-            present.filter(|it| instances.is_leaving(it))
-        };
-        for it in left {
-            self.keep_leaving(it);
-        }
-        if let Some(it) = present {
-            log_leaving(&it, "table");
-            self.leave(&it)?;
-        }
-        let records = std::mem::replace(&mut *lock(&self.0.records), Records::Read);
-        match records {
-            Records::Unread(Some(held)) => self.heartbeat(held).map(drop),
-            Records::Unread(None) | Records::Read => Ok(()),
-        }
-    }
-
-    /// Records that `upstream` said in an answer that it leaves. From then on it counts as draining, whatever phase its
-    /// announcements tell: some upstreams never announce that they leave.
-    pub fn mark_leaving(&self, upstream: &ActiveUpstream) {
-        let is_marked = upstream.leaving.swap(true, Ordering::SeqCst);
-        if is_marked || !self.is_present(upstream) {
-            return;
-        }
-        let present = lock(&self.0.instances).present().cloned();
-        if let Some(it) = present.filter(|it| Some(&it.id) == upstream.instance.as_ref()) {
-            lock(&self.0.instances).mark_leaving(&it);
-            self.record_leaving(&it, "answer");
-        }
-        self.observe(Observation::Report(Phase::Draining));
-    }
-
     /// Returns whether requests may be sent to `upstream`: it is the present one and did not say that it leaves.
     pub fn takes_requests(&self, upstream: &ActiveUpstream) -> bool {
         !upstream.is_leaving() && self.is_present(upstream)
@@ -403,81 +301,6 @@
         }
     }
 
-    /// Returns a receiver of what to keep for the node's next process.
-    pub fn saved(&self) -> watch::Receiver<Saved> {
-        self.0.saved.subscribe()
-    }
-
-    /// Returns a handle that does not keep the state alive.
-    pub fn downgrade(&self) -> WeakUpstream {
-        WeakUpstream(Arc::downgrade(&self.0))
-    }
-
-    /// Notes that the leaving of these starts is in the table.
-    pub fn note_recorded(&self, starts: &[Start]) {
-        self.0.recorded.send_modify(|recorded| {
-            for it in starts {
-                push_bounded(recorded, it);
-            }
-        });
-    }
-
-    /// Waits until the leaving of `start` is in the table; returns false if it is not in time.
-    ///
-    /// An acknowledgement that only this process remembers ends with the process: the next one would send requests to the
-    /// upstream again.
-    pub async fn recorded(&self, start: &Start) -> bool {
-        let mut recorded = self.0.recorded.subscribe();
-        let waiting = recorded.wait_for(|it| it.contains(start));
-        matches!(timeout(RECORD_WAIT, waiting).await, Ok(Ok(_)))
-    }
-
-    /// Has the leaving of `start` written to the table, if anything is kept there.
-    fn record_leaving(&self, start: &Start, told: &str) -> Receipt {
-        if self.keep_leaving(start) {
-            log_leaving(start, told);
-        }
-        match self.0.saved.receiver_count() {
-            0 => Receipt::Now,
-            _ => Receipt::Recorded(start.clone()),
-        }
-    }
-
-    /// Adds `start` to what is kept; returns whether it was news.
-    fn keep_leaving(&self, start: &Start) -> bool {
-        let mut is_news = false;
-        self.0.saved.send_modify(|saved| {
-            let leaves = |it: &Heartbeat| it.start.id == start.id && it.start.born <= start.born;
-            saved.ready.take_if(|it| leaves(it));
-            is_news = push_bounded(&mut saved.leaving, start);
-            saved.calls += 1;
-        });
-        is_news
-    }
-
-    /// Withdraws the announcement of this start; requests in progress keep their connections.
-    pub fn leave(&self, start: &Start) -> Result<Receipt, Closed> {
-        let (verdict, start) = {
-            let mut instances = lock(&self.0.instances);
-            let present = instances.present().filter(|it| it.id == start.id);
-            let born = match (start.born, present) {
-                (0, Some(it)) => it.born,
-                // An upstream that starts again under this id is born later.
-                (0, None) => self.0.clock.now().0,
-                (born, _) => born,
-            };
-            let start = Start {
-                id: start.id.clone(),
-                born,
-            };
-            (instances.leave(&start), start)
-        };
-        if verdict == Verdict::Present {
-            self.withdraw()?;
-        }
-        Ok(self.record_leaving(&start, "deregistration"))
-    }
-
     /// Handles an answer of another instance at the upstream's address: nothing is sent there until the next
     /// announcement.
     pub fn withdraw_replaced(&self) {
@@ -824,18 +647,6 @@
     }
 }
 
-/// Adds `start` to a bounded list, unless it is there; returns whether it was not.
-fn push_bounded(starts: &mut Vec<Start>, start: &Start) -> bool {
-    if starts.contains(start) {
-        return false;
-    }
-    if starts.len() == LEAVING_MAX {
-        starts.remove(0);
-    }
-    starts.push(start.clone());
-    true
-}
-
 /// Logs a heartbeat that was late or repeated, or of a start that left or was replaced.
 fn log_ignored(it: &Heartbeat) {
     let pairs = [
@@ -846,17 +657,6 @@
     logs::event("heartbeat-ignored", &pairs);
 }
 
-/// Logs that a start of the upstream said that it leaves, and how.
-fn log_leaving(start: &Start, told: &str) {
-    let pairs = [
-        ("state", "leaving".to_owned()),
-        ("id", start.id.to_string()),
-        ("born", start.born.to_string()),
-        ("told", told.to_owned()),
-    ];
-    logs::event("upstream", &pairs);
-}
-
 fn event_of(phase: Phase) -> UpstreamEvent {
     match phase {
         Phase::Warming => UpstreamEvent::Warming,
