A leaving is only acknowledged unrecorded where nothing is recorded

Whether a call waits for the store hung on the number of readers of what is to be kept, so that a keeper that ended would have lifted the promise. It hangs on the state of the records now.

--- a/crates/node/src/recall.rs
+++ b/crates/node/src/recall.rs
@@ -331,7 +331,7 @@
         writes.extend(oldest.map(|it| Write::Delete {
             key: self.key_of(it),
         }));
-        self.commit(Vec::new(), writes).await?;
+        self.write(writes).await?;
         self.recorded.drain(..surplus.min(self.recorded.len()));
         if !is_current {
             self.ready = ReadyRow::Absent;
@@ -374,11 +374,19 @@
     }
 
     async fn forget(&mut self) -> Result<(), Failed> {
-        self.commit(Vec::new(), vec![self.delete()]).await?;
+        self.write(vec![self.delete()]).await?;
         self.ready = ReadyRow::Absent;
         Ok(())
     }
 
+    /// Writes without a condition.
+    async fn write(&mut self, writes: Vec<Write>) -> Result<(), Failed> {
+        match self.commit(Vec::new(), writes).await? {
+            Outcome::Written => Ok(()),
+            Outcome::Refused => Err(Failed),
+        }
+    }
+
     async fn commit(&mut self, checks: Vec<Check>, writes: Vec<Write>) -> Result<Outcome, Failed> {
         match self
             .platform
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -201,7 +201,7 @@
             instances: Mutex::default(),
             saved: watch::Sender::default(),
             recorded: watch::Sender::default(),
-            records: Mutex::new(Records::Read),
+            records: Mutex::new(Records::Off),
             active: ArcSwapOption::empty(),
             health: Mutex::default(),
             running: Mutex::default(),
--- a/crates/node/src/upstream/leaving.rs
+++ b/crates/node/src/upstream/leaving.rs
@@ -34,7 +34,9 @@
 /// Whether this process has read what earlier processes of its node recorded.
 #[derive(Debug)]
 pub(super) enum Records {
-    /// It has, or nothing is recorded.
+    /// Nothing is recorded.
+    Off,
+    /// It has.
     Read,
     /// Not yet. A first heartbeat is held back: it may be a late one of an upstream that left.
     Unread(Option<Heartbeat>),
@@ -106,7 +108,7 @@
         let records = std::mem::replace(&mut *lock(&self.0.records), Records::Read);
         match records {
             Records::Unread(Some(held)) => self.heartbeat(held).map(drop),
-            Records::Unread(None) | Records::Read => Ok(()),
+            Records::Unread(None) | Records::Read | Records::Off => Ok(()),
         }
     }
 
@@ -117,9 +119,13 @@
         if is_marked || !self.is_present(upstream) {
             return;
         }
-        let present = lock(&self.0.instances).present().cloned();
-        if let Some(it) = present.filter(|it| Some(&it.id) == upstream.instance.as_ref()) {
-            lock(&self.0.instances).mark_leaving(&it);
+        let present = {
+            let mut instances = lock(&self.0.instances);
+            let present = instances.present().cloned();
+            let present = present.filter(|it| Some(&it.id) == upstream.instance.as_ref());
+            present.inspect(|it| instances.mark_leaving(it))
+        };
+        if let Some(it) = present {
             self.record_leaving(&it, "answer");
         }
         self.observe(Observation::Report(Phase::Draining));
@@ -175,14 +181,14 @@
         matches!(timeout(RECORD_WAIT, waiting).await, Ok(Ok(_)))
     }
 
-    /// Has the leaving of `start` written to the table, if anything is kept there.
+    /// Has the leaving of `start` written to the table, if anything is recorded there.
     pub(super) fn record_leaving(&self, start: &Start, told: &str) -> Receipt {
         if self.keep_leaving(start) {
             log_leaving(start, told);
         }
-        match self.0.saved.receiver_count() {
-            0 => Receipt::Now,
-            _ => Receipt::Recorded(start.clone()),
+        match &*lock(&self.0.records) {
+            Records::Off => Receipt::Now,
+            Records::Unread(_) | Records::Read => Receipt::Recorded(start.clone()),
         }
     }
 
