Records of leaving are read only when a heartbeat calls for them

The first heartbeat of a start needs no records, as it has not left before, and a saved heartbeat is taken up under the condition that its start has not left.

--- a/crates/node/src/recall.rs
+++ b/crates/node/src/recall.rs
@@ -91,8 +91,10 @@
 enum Next {
     /// Everything is kept.
     Wait,
-    /// Read the rows of the earlier process.
+    /// Read which starts left.
     Read,
+    /// Take up the ready upstream of the earlier process.
+    Recall,
     /// Record that these starts leave.
     Leave(Vec<Start>),
     /// Save the heartbeat of a ready upstream.
@@ -115,13 +117,15 @@
     leaving: String,
     upstream: WeakUpstream,
     kept: Kept,
-    /// Whether the rows of the earlier process have been read.
+    /// Whether the rows of starts that left have been read.
     is_read: bool,
+    /// Whether the row of a ready upstream has been read, if one is kept.
+    is_recalled: bool,
     ready: ReadyRow,
     /// Starts whose leaving is in the table, oldest first.
     recorded: Vec<Start>,
-    /// Era of the store when these rows were read or written.
-    era: Option<Era>,
+    /// Era of the store when a call last succeeded or rows were written again; `None` before the first call.
+    era: Option<Option<Era>>,
 }
 
 impl Keeper {
@@ -141,6 +145,7 @@
             upstream: upstream.downgrade(),
             kept,
             is_read: false,
+            is_recalled: kept == Kept::Leaving,
             ready: ReadyRow::Unknown,
             recorded: Vec::new(),
             era: None,
@@ -158,6 +163,7 @@
                     Err(_) => return,
                 },
                 Next::Read => self.read().await,
+                Next::Recall => self.recall().await,
                 Next::Leave(starts) => self.record(&newest, starts).await,
                 Next::Save(it) => self.save(it).await,
                 Next::Forget => self.forget().await,
@@ -178,11 +184,10 @@
 
     /// Returns the next step towards `saved`. Upstreams wait for the record of their leaving, so that it comes first.
     fn next(&mut self, saved: &Saved) -> Next {
-        let era = self.platform.era();
-        if self.is_read && era != self.era {
+        if self.is_restored() {
             // Rows that a restored store lacks are written again. One that it holds again is ignored for its era, so
             // that it need not be deleted.
-            self.era = era;
+            self.era = Some(self.platform.era());
             self.recorded.clear();
             self.ready = ReadyRow::Absent;
         }
@@ -191,9 +196,12 @@
         if !starts.is_empty() {
             return Next::Leave(starts);
         }
-        if !self.is_read {
+        if saved.is_asked && !self.is_read {
             return Next::Read;
         }
+        if !self.is_recalled {
+            return Next::Recall;
+        }
         match (&saved.ready, &self.ready, self.kept) {
             (_, _, Kept::Leaving) | (None, ReadyRow::Absent | ReadyRow::Earlier, _) => Next::Wait,
             (Some(it), ReadyRow::Holds(row), _) if it.content() == row.content() => Next::Wait,
@@ -207,7 +215,7 @@
         loop {
             match timeout(RESTORE_CHECK, saved.changed()).await {
                 Ok(changed) => return changed,
-                Err(_) if self.platform.era() != self.era => {
+                Err(_) if self.is_restored() => {
                     // All nodes lost their rows at the same time, so the writes are spread out.
                     let jitter = RESTORE_SPREAD.mul_f64(rand::rng().random());
                     sleep(jitter).await;
@@ -218,7 +226,12 @@
         }
     }
 
-    /// Reads what the earlier process left, and takes up its upstream.
+    /// Returns whether the store was restored since the last call that succeeded.
+    fn is_restored(&self) -> bool {
+        self.era.is_some_and(|it| it != self.platform.era())
+    }
+
+    /// Reads which starts of the upstream left.
     async fn read(&mut self) -> Result<(), Failed> {
         let op = TableOp::Scan {
             prefix: self.leaving.clone(),
@@ -238,16 +251,15 @@
             let _ = upstream.apply_records(&left);
         }
         self.is_read = true;
-        self.era = self.platform.era();
-        self.recorded.extend(left);
-        match self.kept {
-            Kept::Everything => self.read_ready().await,
-            Kept::Leaving => Ok(()),
-        }
+        self.era.get_or_insert(self.platform.era());
+        let left = left.into_iter().filter(|it| !self.recorded.contains(it));
+        let left: Vec<Start> = left.collect();
+        self.recorded.splice(0..0, left);
+        Ok(())
     }
 
-    /// Reads the row of a ready upstream and takes up the upstream.
-    async fn read_ready(&mut self) -> Result<(), Failed> {
+    /// Takes up the ready upstream that the earlier process saved, if any.
+    async fn recall(&mut self) -> Result<(), Failed> {
         let op = TableOp::Get {
             keys: vec![self.key.clone()],
         };
@@ -256,18 +268,21 @@
             // The next heartbeat brings the same information later.
             answer => return Err(failure("read", &answer)),
         };
+        self.is_recalled = true;
+        self.era.get_or_insert(self.platform.era());
         let Some(row) = rows.first() else {
             self.ready = ReadyRow::Absent;
             return Ok(());
         };
         self.ready = ReadyRow::Earlier;
-        self.recall(row).await;
+        self.take_up(row).await;
         Ok(())
     }
 
     /// Takes up the upstream of `row`, if the row is of this era and still there: reads may be stale by seconds.
-    async fn recall(&mut self, row: &Row) {
-        let Some((era, it)) = decode(&row.value).filter(|it| it.0 == self.era) else {
+    async fn take_up(&mut self, row: &Row) {
+        let is_current = |it: &(Option<Era>, Heartbeat)| Some(it.0) == self.era;
+        let Some((era, it)) = decode(&row.value).filter(is_current) else {
             return;
         };
         let op = TableOp::Commit {
@@ -345,7 +360,7 @@
 
     /// Saves the heartbeat of a ready upstream, unless the upstream has left.
     async fn save(&mut self, it: Heartbeat) -> Result<(), Failed> {
-        let value = match postcard::to_stdvec(&saved_heartbeat(&it, self.era)) {
+        let value = match postcard::to_stdvec(&saved_heartbeat(&it, self.platform.era())) {
             Ok(value) => value,
             // Without a row the next process waits for a heartbeat.
             Err(error) => {
@@ -393,7 +408,10 @@
             .table(TableOp::Commit { checks, writes })
             .await
         {
-            TableAnswer::Committed => Ok(Outcome::Written),
+            TableAnswer::Committed => {
+                self.era.get_or_insert(self.platform.era());
+                Ok(Outcome::Written)
+            }
             TableAnswer::Conflict(_) => Ok(Outcome::Refused),
             answer => {
                 // The write may have taken effect, or may do so later.
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -223,11 +223,16 @@
     }
 
     /// Applies a heartbeat. Late and repeated ones, and those of a replaced process, are ignored.
-    pub fn heartbeat(&self, mut it: Heartbeat) -> Result<Receipt, Closed> {
+    pub fn heartbeat(&self, it: Heartbeat) -> Result<Receipt, Closed> {
         let draining = it.announcement.phase == Phase::Draining;
-        if !draining && !self.is_admitted(&it) {
-            return Ok(Receipt::Now);
+        match draining || self.is_admitted(&it) {
+            true => self.handle_heartbeat(it),
+            false => Ok(Receipt::Now),
         }
+    }
+
+    fn handle_heartbeat(&self, mut it: Heartbeat) -> Result<Receipt, Closed> {
+        let draining = it.announcement.phase == Phase::Draining;
         let now = self.0.clock.now();
         // Held until the verdict is applied: a deregistration that came in between would be undone.
         let mut instances = lock(&self.0.instances);
@@ -274,13 +279,13 @@
     }
 
     /// Applies the heartbeat that the node's previous process saved, unless the upstream has announced itself
-    /// since.
+    /// since. The caller has made sure that its start has not left.
     pub fn recall(&self, it: Heartbeat) -> Result<(), Closed> {
         if self.active().is_some() {
             return Ok(());
         }
         logs::event("upstream-recalled", &[("id", it.start.id.to_string())]);
-        self.heartbeat(it).map(drop)
+        self.handle_heartbeat(it).map(drop)
     }
 
     /// Returns whether requests may be sent to `upstream`: it is the present one and did not say that it leaves.
--- a/crates/node/src/upstream/leaving.rs
+++ b/crates/node/src/upstream/leaving.rs
@@ -17,6 +17,8 @@
 
 /// Longest time for which a call waits until the leaving of its upstream is in the table: upstreams give up after 1 s.
 const RECORD_WAIT: Duration = Duration::from_millis(800);
+/// Sequence number of the first heartbeat of a start, which has not left before that.
+const FIRST_SEQUENCE: u64 = 1;
 /// Maximum number of starts that leave and are kept for the next process.
 pub(crate) const LEAVING_MAX: usize = 32;
 
@@ -29,6 +31,8 @@
     pub leaving: Vec<Start>,
     /// Calls of upstreams that wait until their leaving is in the table. Each of them makes a failed write due again.
     pub calls: u64,
+    /// Whether a heartbeat is held back until the records are read.
+    pub is_asked: bool,
 }
 
 /// Whether this process has read what earlier processes of its node recorded.
@@ -38,7 +42,8 @@
     Off,
     /// It has.
     Read,
-    /// Not yet. A first heartbeat is held back: it may be a late one of an upstream that left.
+    /// Not yet. The heartbeat of a start that has not just begun is held back: it may be a late one of an upstream that
+    /// left.
     Unread(Option<Heartbeat>),
 }
 
@@ -66,15 +71,20 @@
     /// Returns whether the ready upstream of a heartbeat may be used.
     ///
     /// Until the table was read, a heartbeat may be a late one of an upstream whose leaving an earlier process
-    /// acknowledged. A live upstream sends another one soon.
+    /// acknowledged. A live upstream sends another one soon. The table is only read when it matters, so that a fleet that
+    /// starts for the first time does not read it at all.
     pub(super) fn is_admitted(&self, it: &Heartbeat) -> bool {
         let mut records = lock(&self.0.records);
         let Records::Unread(held) = &mut *records else {
             return true;
         };
-        if lock(&self.0.instances).present() == Some(&it.start) {
+        let is_present = lock(&self.0.instances).present() == Some(&it.start);
+        if is_present || it.sequence <= FIRST_SEQUENCE {
             return true;
         }
+        self.0
+            .saved
+            .send_if_modified(|saved| !std::mem::replace(&mut saved.is_asked, true));
         match held {
             Some(held) if held.start == it.start => held.sequence < it.sequence,
             _ => {
