--- a/review/lib/harness.rs
+++ b/review/lib/harness.rs
@@ -495,6 +495,13 @@
         self.shared.1.notify_all();
     }
 
+    /// Returns the value of a row, if there is one.
+    pub fn row(&self, table: &str, key: &str) -> Option<String> {
+        let rows = self.shared.0.lock().unwrap();
+        let key = (table.to_owned(), String::new(), key.to_owned());
+        rows.rows.get(&key).map(|it| String::from_utf8_lossy(&it.0).into_owned())
+    }
+
     fn connection(&self, stream: TcpStream) {
         let Ok(mut writer) = stream.try_clone() else {
             return;
@@ -768,8 +775,21 @@
 
 /// Body of a heartbeat.
 pub fn heartbeat(address: SocketAddr, service: &str, zone: &str, slots: u16, state: &str, sequence: u64) -> String {
+    heartbeat_of("v1", address, service, zone, slots, state, sequence)
+}
+
+/// Body of a heartbeat of an endpoint whose software is of `version`.
+pub fn heartbeat_of(
+    version: &str,
+    address: SocketAddr,
+    service: &str,
+    zone: &str,
+    slots: u16,
+    state: &str,
+    sequence: u64,
+) -> String {
     format!(
-        "{{\"address\":\"{address}\",\"info\":{{\"service\":\"{service}\",\"version\":\"v1\",\"zone\":\"{zone}\",\
+        "{{\"address\":\"{address}\",\"info\":{{\"service\":\"{service}\",\"version\":\"{version}\",\"zone\":\"{zone}\",\
          \"slots\":{slots}}},\"status\":{{\"state\":\"{state}\",\"sequence\":{sequence},\"warmupLeft\":\"0ms\"}}}}"
     )
 }
