--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -24,8 +24,8 @@
 const ZONES: [&str; 2] = ["nasr-hall", "maadi-hall"];
 /// Machines of the service that calls, and of each version of the service that is rolled out.
 const CALLERS: usize = 3;
-const OLD: usize = 5;
-const NEW: usize = 5;
+const OLD: usize = 8;
+const NEW: usize = 8;
 /// `rollout_bad`, how `errors`: share = 0.5 of its requests fail. The order gives 30 s.
 const FAILING: f64 = 0.5;
 const DURATION_MS: u64 = 30_000;
