A connection to an upstream carries an attempt once

Cause: an answer was assigned to a send by the attempt's id. When an upstream rejects an attempt, the owner sends it again on the connection used last. A second copy of the rejection, late, names the same attempt and was taken for the answer to the second send, which the upstream runs. An answer without an id fitted every request on its connection.

Change: the pool remembers which attempts a connection has carried and leases another one for a second send. A connection whose answer named no attempt is not used again. An answer without a name is taken on a new connection only, and a rejection also from an upstream that never names the attempt in one.

Why it is enough: an attempt is sent on a connection once, so an answer on that connection that names it belongs to that send; any other answer is dropped with the connection as before, and the request ends as unknown.

--- a/crates/node/src/traffic/dialect.rs
+++ b/crates/node/src/traffic/dialect.rs
@@ -11,8 +11,9 @@
     standing::{NamedLimit, Statement},
 };
 
-use super::headers::{
-    self, DEADLINE, LEAVING, LIMIT, NOT_RUN, OUTCOME, PREFIX, REASON, RETRY_AFTER_MS,
+use super::{
+    headers::{self, DEADLINE, LEAVING, LIMIT, NOT_RUN, OUTCOME, PREFIX, REASON, RETRY_AFTER_MS},
+    pool::{Echo, Identity},
 };
 
 /// Header fields used with callers and upstreams.
@@ -76,17 +77,25 @@
         }
     }
 
-    /// Returns whether an upstream's answer belongs to the given request, by the echoed id.
+    /// Returns what identifies a request to the upstream.
+    pub fn identity(&self, request: &HeaderMap) -> Identity {
+        match self.id(request) {
+            Some(it) => Identity::of_attempt(it.as_bytes()),
+            None => Identity::Unnamed,
+        }
+    }
+
+    /// Returns whether an upstream's answer names the given request, or `None` if it names another one.
     ///
     /// An upstream may send an answer twice; the second copy would then be taken for the answer to the next
     /// request on the connection and disclosed to another caller.
-    pub fn answer_matches(&self, request: &HeaderMap, answer: &HeaderMap) -> bool {
-        match self {
-            Dialect::Own => true,
-            Dialect::Foreign(it) => match (request.get(&it.id), answer.get(&it.id)) {
-                (Some(sent), Some(echoed)) => sent == echoed,
-                _ => true,
-            },
+    pub fn echo(&self, request: &HeaderMap, answer: &HeaderMap) -> Option<Echo> {
+        let Dialect::Foreign(it) = self else {
+            return Some(Echo::Present);
+        };
+        match (request.get(&it.id), answer.get(&it.id)) {
+            (Some(sent), Some(echoed)) => (sent == echoed).then_some(Echo::Present),
+            (Some(_), None) | (None, _) => Some(Echo::Absent),
         }
     }
 
--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -510,7 +510,8 @@
             suspect,
         };
         let mut request = self.upstream_request(&job, job.payload.body());
-        let mut leased = pool.lease(limit).await;
+        let identity = self.0.dialect.identity(&job.headers);
+        let mut leased = pool.lease(identity, limit).await;
         for _ in 0..CONNECTIONS_MAX {
             let mut lease = match leased {
                 Ok(lease) => lease,
@@ -546,7 +547,7 @@
                     request = self.upstream_request(&job, job.payload.body());
                 }
             }
-            leased = pool.lease_fresh(limit).await;
+            leased = pool.lease_fresh(identity, limit).await;
         }
         run.slot.finish(Finish::Failed);
         Err(not_ready())
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -14,6 +14,7 @@
 use http::{HeaderMap, Request, Response};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
+use laburnum_kernel::utils::hash64;
 use tokio::{
     sync::{Notify, OwnedSemaphorePermit, Semaphore},
     task::AbortHandle,
@@ -56,6 +57,8 @@
     idle_limit: AtomicU64,
     /// Decaying maximum of the time until the first byte of an answer, in microseconds.
     slowest: AtomicU64,
+    /// The upstream has named the request in a rejection.
+    names_rejections: AtomicBool,
 }
 
 #[derive(Debug)]
@@ -70,9 +73,16 @@
     sender: http1::SendRequest<Body>,
     task: AbortHandle,
     usage: Usage,
+    carried: Vec<Carried>,
     _permit: Option<OwnedSemaphorePermit>,
 }
 
+impl Connection {
+    fn has_carried(&self, identity: Identity) -> bool {
+        identity != Identity::Unnamed && self.carried.iter().any(|it| it.identity == identity)
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -88,12 +98,55 @@
     Reused,
 }
 
+/// What identifies a request to the upstream and is echoed in its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Identity {
+    /// The header fields name nothing that is echoed.
+    Unnamed,
+    /// The hash of the attempt's id.
+    Attempt(u64),
+}
+
+impl Identity {
+    /// Returns the identity of the attempt with this id.
+    pub fn of_attempt(id: &[u8]) -> Identity {
+        Identity::Attempt(hash64(&[id]))
+    }
+}
+
+/// A request that a connection has carried and that may be sent again until its deadline.
+#[derive(Clone, Copy, Debug)]
+struct Carried {
+    identity: Identity,
+    until: Instant,
+}
+
+/// Whether an answer that arrives on a connection later can be told apart from the one that it gave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Echo {
+    /// The answer named its request, or requests have no ids.
+    Present,
+    /// The answer named no request: a second copy of it would fit every later one.
+    Absent,
+}
+
+/// Whether an answer says that its request was run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Statement {
+    /// It was run, or may have been.
+    Ran,
+    /// It was rejected without a run.
+    Rejected,
+}
+
 /// Exclusive use of one connection for one exchange.
 #[derive(Debug)]
 pub struct Lease {
     connection: Connection,
     pool: Arc<Pool>,
     started: Instant,
+    carried: Carried,
+    echo: Echo,
 }
 
 /// Reason why no connection is available. No byte of the request was sent.
@@ -125,6 +178,10 @@
 /// Silence after which a reused connection becomes suspect, as a multiple of the slowest recent answer. Something between
 /// the two ends may have lost track of an idle connection: the request then vanishes without an error.
 const SILENCE_FACTOR: u64 = 4;
+/// Maximum number of requests that a connection remembers; it is closed when it would have to remember more.
+const CARRIED_MAX: usize = 64;
+/// Time after its deadline for which a request is remembered: deadlines of two hosts differ by the time on the way.
+const CARRIED_MARGIN: Duration = Duration::from_secs(1);
 
 impl Pool {
     /// Creates an empty pool.
@@ -137,6 +194,7 @@
             idle: Mutex::default(),
             returned: Notify::new(),
             slowest: AtomicU64::new(0),
+            names_rejections: AtomicBool::new(false),
         }
     }
 
@@ -145,12 +203,25 @@
         self.address
     }
 
-    /// Leases a connection: the most recently used idle one, else a new one, else the first that is returned.
-    pub async fn lease(self: &Arc<Pool>, deadline: Instant) -> Result<Lease, Unavailable> {
+    /// Leases a connection for a request that may be sent until `deadline`: the most recently used idle one that has
+    /// not carried it, else a new one, else the first that is returned.
+    ///
+    /// An upstream may send an answer a second time. On a connection that carries one attempt twice, a second copy of
+    /// the first answer would be taken for the answer to the second send, since both name the same attempt.
+    pub async fn lease(
+        self: &Arc<Pool>,
+        identity: Identity,
+        deadline: Instant,
+    ) -> Result<Lease, Unavailable> {
+        let carried = Carried {
+            identity,
+            until: deadline + CARRIED_MARGIN,
+        };
         loop {
-            if let Some(connection) = self.take_idle() {
-                return Ok(self.new_lease(connection));
+            if let Some(connection) = self.take_idle(identity) {
+                return Ok(self.new_lease(connection, carried));
             }
+            self.free_permit();
             // An idle connection keeps its permit, so a caller that waits for a permit must also be notified of
             // returned connections. A notification without a waiter is kept for the next.
             let permit = tokio::select! {
@@ -159,43 +230,55 @@
                 () = self.returned.notified() => continue,
                 () = sleep_until(deadline) => return Err(Unavailable::Late),
             };
-            return self.open(deadline, permit.ok()).await;
+            return self.open(carried, deadline, permit.ok()).await;
         }
     }
 
-    /// Leases a new connection.
-    pub async fn lease_fresh(self: &Arc<Pool>, deadline: Instant) -> Result<Lease, Unavailable> {
-        if self.permits.available_permits() == 0 {
-            // Closes the oldest idle connection to free a permit.
-            self.lock().pop_front();
-        }
+    /// Leases a new connection for a request that may be sent until `deadline`.
+    pub async fn lease_fresh(
+        self: &Arc<Pool>,
+        identity: Identity,
+        deadline: Instant,
+    ) -> Result<Lease, Unavailable> {
+        self.free_permit();
+        let carried = Carried {
+            identity,
+            until: deadline + CARRIED_MARGIN,
+        };
         let permit = self.permits.clone().acquire_owned();
         let Ok(Ok(permit)) = timeout_at(deadline, permit).await else {
             return Err(Unavailable::Late);
         };
-        self.open(deadline, Some(permit)).await
+        self.open(carried, deadline, Some(permit)).await
     }
 
     /// Opens a connection outside the limit of the pool, for health checks only.
     pub async fn open_unpooled(self: &Arc<Pool>) -> Result<Lease, Unavailable> {
         let limit = Instant::now() + Duration::from_millis(self.settings.connect);
-        self.open(limit, None).await
+        let carried = Carried {
+            identity: Identity::Unnamed,
+            until: limit,
+        };
+        self.open(carried, limit, None).await
     }
 
     async fn open(
         self: &Arc<Pool>,
+        carried: Carried,
         deadline: Instant,
         permit: Option<OwnedSemaphorePermit>,
     ) -> Result<Lease, Unavailable> {
         let limit = Instant::now() + Duration::from_millis(self.settings.connect);
         let opening = timeout_at(limit.min(deadline), open(self.address));
         let (sender, task) = opening.await.map_err(|_| Unavailable::Late)??;
-        Ok(self.new_lease(Connection {
+        let connection = Connection {
             sender,
             task,
             usage: Usage::Fresh,
+            carried: Vec::new(),
             _permit: permit,
-        }))
+        };
+        Ok(self.new_lease(connection, carried))
     }
 
     /// Returns how long an exchange on a reused connection may be silent, out of `left`, before the connection
@@ -213,7 +296,14 @@
         self.lock().clear();
     }
 
-    fn take_idle(&self) -> Option<Connection> {
+    /// Closes the oldest idle connection if there is no permit for another one.
+    fn free_permit(&self) {
+        if self.permits.available_permits() == 0 {
+            self.lock().pop_front();
+        }
+    }
+
+    fn take_idle(&self, identity: Identity) -> Option<Connection> {
         let longest = Duration::from_millis(self.idle_limit.load(Ordering::Relaxed));
         let mut idle = self.lock();
         let now = Instant::now();
@@ -223,19 +313,24 @@
             .take_while(|it| now - it.since > longest)
             .count();
         idle.drain(..aged);
-        while let Some(it) = idle.pop_back() {
-            if it.connection.sender.is_ready() {
-                return Some(it.connection);
+        for idx in (0..idle.len()).rev() {
+            let connection = &idle[idx].connection;
+            if !connection.sender.is_ready() {
+                idle.remove(idx);
+            } else if !connection.has_carried(identity) {
+                return idle.remove(idx).map(|it| it.connection);
             }
         }
         None
     }
 
-    fn new_lease(self: &Arc<Pool>, connection: Connection) -> Lease {
+    fn new_lease(self: &Arc<Pool>, connection: Connection, carried: Carried) -> Lease {
         Lease {
             connection,
             pool: self.clone(),
             started: Instant::now(),
+            carried,
+            echo: Echo::Present,
         }
     }
 
@@ -323,8 +418,37 @@
         self.pool.returned.notify_one();
     }
 
-    /// Returns the connection to the pool after its answer was read whole.
+    /// Returns whether an answer belongs to the request that was sent last, by whether it names it.
+    ///
+    /// An answer that names no request is only taken on a new connection, where no earlier one can have led to it, and
+    /// from upstreams that leave the name out of their rejections.
+    pub fn accepts(&mut self, echo: Echo, statement: Statement) -> bool {
+        self.echo = echo;
+        let named = &self.pool.names_rejections;
+        match (echo, statement) {
+            (Echo::Present, Statement::Rejected) => {
+                named.store(true, Ordering::Relaxed);
+                true
+            }
+            (Echo::Present, Statement::Ran) => true,
+            (Echo::Absent, _) if self.connection.usage == Usage::Fresh => true,
+            (Echo::Absent, Statement::Rejected) => !named.load(Ordering::Relaxed),
+            (Echo::Absent, Statement::Ran) => false,
+        }
+    }
+
+    /// Returns the connection to the pool after its answer was read whole, or closes it if later answers on it could
+    /// not be told apart from that one.
     pub fn put_back(mut self) {
+        let carried = &mut self.connection.carried;
+        if self.carried.identity != Identity::Unnamed {
+            let now = Instant::now();
+            carried.retain(|it| it.until > now);
+            carried.push(self.carried);
+        }
+        if self.echo == Echo::Absent || carried.len() > CARRIED_MAX {
+            return;
+        }
         self.connection.usage = Usage::Reused;
         self.return_unused();
     }
