A submission is passed on to the committer once

Cause: a verdict between nodes names its submission, not the message that it answers. A late verdict on the first submission was taken for that on the second one, which the committer was about to accept.

Change: a node remembers the submissions that it has passed on and commits one that is submitted again itself, reading the log first. The message is unchanged, so that nodes of before and after understand each other.

Why it is enough: of each submission at most one forward can be answered, so a verdict other than "accepted" can only belong to that one; "accepted" is true whenever it comes. After a restart of the node the memory is gone: a verdict would have to be in flight for as long as the restart takes.

Evidence: accept::verdict_on_an_earlier_submission_answers_no_later_one failed on the code before in both cases (refused instead of accepted) and passes.

--- a/crates/kernel/src/accept/forward.rs
+++ b/crates/kernel/src/accept/forward.rs
@@ -29,6 +29,9 @@
     /// The last [`QUEUE_MAX`] messages received, by sender and attempt. A duplicate that arrives after the verdict
     /// must be ignored, or a refused submission could be accepted later.
     received: VecDeque<(NodeId, u64)>,
+    /// The last [`QUEUE_MAX`] submissions forwarded. A verdict names its submission only, so one that is submitted again
+    /// must not be forwarded again: a late verdict on the first forward would be taken for that on the second.
+    forwarded: VecDeque<SubmitId>,
 }
 
 #[derive(Debug)]
@@ -65,6 +68,18 @@
         true
     }
 
+    /// Records that `id` is forwarded. Returns whether it was not forwarded before.
+    fn is_first_forward(&mut self, id: SubmitId) -> bool {
+        if self.forwarded.contains(&id) {
+            return false;
+        }
+        if self.forwarded.len() >= QUEUE_MAX {
+            self.forwarded.pop_front();
+        }
+        self.forwarded.push_back(id);
+        true
+    }
+
     /// Returns a number that no other message of this node has, including earlier processes.
     fn next_attempt(&mut self, incarnation: u64) -> u64 {
         self.sent += 1;
@@ -165,6 +180,10 @@
         let why = format!("{count} submissions already wait on this node; submit again later");
         return origin.answer(cx, id, Verdict::Unavailable { why });
     }
+    if !state.accept.forwards.is_first_forward(id) {
+        let origins = vec![origin];
+        return commit::enqueue(cx, state, checked, origins, PriorWrite::Elsewhere, deadline);
+    }
     let attempt = state.accept.forwards.next_attempt(cx.settings.incarnation);
     let message = Message::Forward {
         submission,
--- a/crates/kernel/tests/accept.rs
+++ b/crates/kernel/tests/accept.rs
@@ -3,6 +3,8 @@
 #[path = "common/driver.rs"]
 mod driver;
 
+use std::{cell::RefCell, rc::Rc};
+
 use laburnum_kernel::{
     Event, Message, Ms, Revision, Seq, Settings, SubmitId,
     accept::{self, Call, Reply, Submission, Verdict},
@@ -12,7 +14,7 @@
 };
 use test_case::test_case;
 
-use driver::{CommitOutcome, Driver, delete, name, put};
+use driver::{CommitOutcome, Delivery, Driver, delete, name, put};
 
 const ID: SubmitId = SubmitId(1);
 
@@ -495,6 +497,46 @@
     assert_eq!(driver.applied(SubmitId(1)), 1);
 }
 
+// Guards against the verdict that nothing was changed for an accepted submission: a verdict on an earlier submission under
+// the same id arrives late, or a second time.
+#[test_case(Delivery::Late(3_000); "late")]
+#[test_case(Delivery::Doubled; "a second time")]
+fn verdict_on_an_earlier_submission_answers_no_later_one(delivery: Delivery) {
+    let mut driver = Driver::new(&["cairo", "cairo"]);
+    driver.run(5_000);
+    let (committer, entry) = committer_and_other(&driver);
+    let held = Rc::new(RefCell::new(None));
+    let first = held.clone();
+    driver.tap = Some(Box::new(move |_, from, to, message| {
+        let is_verdict = matches!(message, Message::Accept(accept::Message::Verdict { .. }));
+        if !is_verdict || (from, to) != (committer, entry) || first.borrow().is_some() {
+            return Delivery::Arrives;
+        }
+        *first.borrow_mut() = Some(message.clone());
+        match delivery {
+            Delivery::Doubled => Delivery::Arrives,
+            _ => Delivery::Lost,
+        }
+    }));
+    let submission = put(1, "c", 0, &["d"]);
+    let refused = driver.submit(entry, &submission);
+    driver.run(3_000);
+    assert_ne!(kind(&driver.verdict(refused)), "accepted");
+    assert_eq!(
+        submit_all(&mut driver, &[put(2, "d", 0, &[])]),
+        ["accepted"]
+    );
+    driver.delay = 200;
+    let again = driver.submit(entry, &submission);
+    driver.run(100);
+    let message = held.borrow_mut().take().expect("a verdict");
+    let from = driver::node(committer);
+    driver.event(entry, Event::Message { from, message });
+    driver.run(3_000);
+    assert_eq!(driver.applied(ID), 1);
+    assert_eq!(kind(&driver.verdict(again)), "accepted");
+}
+
 // Guards against conflicts between changes 300 ms apart where the window of spreading is long.
 #[test_case(SpreadSettings::nile(); "nile")]
 #[test_case(SpreadSettings::cascadia(); "cascadia")]
