A node says whether it has found the fleet, and looks again when the table returns

Cause: "no other node" and "no other node found yet" were one state. The search for contact rows backs off during an outage, by seconds after its end; a failed scan was taken like an empty one; a node that had read nothing wrote its own contact row without a condition and took it for written though the write had failed, so that a late write could replace a contact of the fleet.

Change: Members::discovery tells searching, joined, alone (the rows were read and name nobody else) and unanswered (they name nodes that do not answer; rows that nobody refreshes stop counting). Contact rows are written by a lone node once read, conditionally, in a free slot first. Event "discovery".

Evidence: members_start::nodes_started_in_an_outage_soon_find_the_fleet failed on the code before (a node knows 1 of 12 a second after the outage) and passes.

--- a/crates/kernel/src/members.rs
+++ b/crates/kernel/src/members.rs
@@ -9,6 +9,7 @@
     clock::Ms,
     event::{self, Event, Notice},
     id::{Name, NodeId},
+    import::Source,
     kernel::{Context, Plugin, Scope, State},
     settings::Settings,
 };
@@ -36,6 +37,7 @@
 };
 pub use self::{
     contact::{CONTACT_PREFIX, CONTACT_SLOTS, Contact, contact_key},
+    join::Discovery,
     probe::{ACK_MS, PACKET_MAX, PROBE_MS},
     queue::{GOSSIP_BURST, GOSSIP_RATE},
     record::{
@@ -97,8 +99,6 @@
     heartbeat: Ms,
     /// The whole node leaves, not only its upstream.
     is_leaving: bool,
-    /// Another node has sent records to this process, or a digest equal to its own.
-    joined: bool,
     /// The view changed since the last tick.
     changed: bool,
 }
@@ -136,7 +136,6 @@
             contacts: Contacts::default(),
             heartbeat: Ms(0),
             is_leaving: false,
-            joined: false,
             changed: false,
         }
     }
@@ -181,7 +180,12 @@
 
     /// Returns whether another node has sent records to this process, or a digest equal to its own.
     pub fn joined(&self) -> bool {
-        self.joined
+        matches!(self.discovery(), Discovery::Joined { .. })
+    }
+
+    /// Returns whether this process has found the fleet.
+    pub fn discovery(&self) -> Discovery {
+        self.join.discovery()
     }
 
     /// Returns whether the view is fresh enough to act on as a relay or committer: false after a
@@ -459,6 +463,7 @@
             message: event::Message::Members(message),
         } => sync::handle_message(cx, members, *from, message),
         Event::Table { call, answer } => contact::handle_table_answer(cx, members, *call, answer),
+        Event::Source(Source::Held) => join::handle_source(cx, members),
         Event::Notice(Notice::Paused { lost }) => suspect::handle_pause(cx, members, *lost),
         Event::Notice(Notice::Restored) => contact::handle_restored_table(cx, members),
         _ => {}
--- a/crates/kernel/src/members/contact.rs
+++ b/crates/kernel/src/members/contact.rs
@@ -1,7 +1,9 @@
 //! Contact rows in the platform's table, by which starting nodes find the fleet: a few rows per zone,
 //! each written by a member of the zone.
 
-use rand::Rng;
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::{Rng, seq::IndexedRandom};
 use serde::{Deserialize, Serialize};
 
 use super::{Members, Stamp, join};
@@ -9,7 +11,7 @@
     clock::Ms,
     id::{CallId, Name, NodeId},
     kernel::Context,
-    platform::{TableAnswer, TableOp, Write},
+    platform::{ABSENT, Check, Row, TableAnswer, TableOp, Write},
     utils::rendezvous,
 };
 
@@ -36,6 +38,9 @@
 /// Interval in ms at which an unchanged row is written again.
 const REFRESH_MS: u64 = 60_000;
 
+/// Time in ms after which a row that did not change counts as that of a dead node: a living one has refreshed it.
+const STALE_MS: u64 = REFRESH_MS + 2 * CHECK_MS;
+
 /// Most rows read by one scan.
 const SCAN_MAX: u32 = 200;
 
@@ -58,6 +63,12 @@
 pub(super) struct Contacts {
     /// Scan in flight.
     scan: Option<CallId>,
+    /// Write in flight.
+    write: Option<CallId>,
+    /// When a scan was answered first.
+    read_at: Option<Ms>,
+    /// The rows as they were read last, by key.
+    rows: BTreeMap<String, ReadRow>,
     /// Time of the last check.
     checked: Ms,
     written: Option<WrittenRow>,
@@ -65,6 +76,65 @@
     remote: Vec<NodeId>,
 }
 
+impl Contacts {
+    /// Returns when the rows were read first, if ever.
+    pub(super) fn read_at(&self) -> Option<Ms> {
+        self.read_at
+    }
+
+    /// Returns the number of nodes besides `own` that the rows name, without those that refresh their rows no more.
+    pub(super) fn count_others(&self, now: Ms, own: NodeId) -> usize {
+        let living = self.rows.values();
+        let living = living.filter(|it| now.since(it.since) < STALE_MS && it.id != own);
+        living.map(|it| it.id).collect::<BTreeSet<_>>().len()
+    }
+
+    /// Records the rows that a scan found.
+    fn record(&mut self, now: Ms, rows: &[Row]) {
+        let before = std::mem::take(&mut self.rows);
+        for row in rows {
+            let Ok(contact) = postcard::from_bytes::<Contact>(&row.value) else {
+                continue;
+            };
+            let known = before.get(&row.key);
+            let unchanged = known.filter(|it| it.version == row.version);
+            let read = ReadRow {
+                id: contact.id,
+                version: row.version,
+                since: unchanged.map_or(now, |it| it.since),
+            };
+            self.rows.insert(row.key.clone(), read);
+        }
+    }
+
+    /// Returns the version of the row of `slot` when it was read last.
+    fn version(&self, zone: &Name, slot: usize) -> u64 {
+        let row = self.rows.get(&contact_key(zone, slot));
+        row.map_or(ABSENT, |it| it.version)
+    }
+
+    /// Returns a slot of `zone` for a node that knows no other member: a free one, or that of a contact which did
+    /// not answer.
+    fn choose_slot(&self, zone: &Name, rng: &mut impl Rng) -> usize {
+        let free: Vec<usize> = (0..CONTACT_SLOTS)
+            .filter(|it| self.version(zone, *it) == ABSENT)
+            .collect();
+        match free.choose(rng) {
+            Some(it) => *it,
+            None => rng.random_range(0..CONTACT_SLOTS),
+        }
+    }
+}
+
+/// A row as it was read.
+#[derive(Clone, Copy, Debug)]
+struct ReadRow {
+    id: NodeId,
+    version: u64,
+    /// When this version was read first.
+    since: Ms,
+}
+
 /// The row that this node wrote last.
 #[derive(Clone, Copy, Debug)]
 struct WrittenRow {
@@ -92,6 +162,14 @@
     call: CallId,
     answer: &TableAnswer,
 ) {
+    if members.contacts.write == Some(call) {
+        members.contacts.write = None;
+        if *answer != TableAnswer::Committed {
+            // Another node may have taken the slot, or the table is down: the row is written at a later check.
+            members.contacts.written = None;
+        }
+        return;
+    }
     if members.contacts.scan != Some(call) {
         return;
     }
@@ -99,6 +177,8 @@
     let TableAnswer::Rows(rows) = answer else {
         return;
     };
+    members.contacts.read_at.get_or_insert(cx.now);
+    members.contacts.record(cx.now, rows);
     let prefix = contact_key(&members.own.zone, 0);
     let prefix = prefix.trim_end_matches('0');
     // Known members are skipped unless none is reachable: anti-entropy compares with them anyway.
@@ -116,7 +196,8 @@
     // most between zones.
     let (local, remote) = (found(true), found(false));
     join::send_joins(cx, members, &local);
-    match local.is_empty() {
+    // The contacts of the own zone may all be dead.
+    match local.is_empty() || (alone && !members.join.is_first()) {
         true => join::send_joins(cx, members, &remote),
         false => members.contacts.remote = remote,
     }
@@ -168,7 +249,9 @@
 /// Writes this node's contact row if a check is due and the last write is too old or for another slot.
 pub(super) fn tick(cx: &mut Context<'_>, members: &mut Members) {
     let alone = members.others.is_empty();
-    if members.contacts.scan.is_some() && alone {
+    // A node that has not read the rows would overwrite those of a fleet that it does not know.
+    let is_unread = members.contacts.read_at.is_none();
+    if alone && (members.contacts.scan.is_some() || is_unread) {
         return;
     }
     let checked = members.contacts.checked;
@@ -180,7 +263,7 @@
         return;
     }
     let slot = match alone {
-        true => Some(cx.rng.random_range(0..CONTACT_SLOTS)),
+        true => Some(members.contacts.choose_slot(&members.own.zone, cx.rng)),
         false => own_slot(members),
     };
     let Some(slot) = slot else {
@@ -203,7 +286,15 @@
         time: cx.now,
         alone,
     });
-    write_row(cx, members, slot);
+    let checks = match alone {
+        true => vec![Check {
+            key: contact_key(&members.own.zone, slot),
+            version: members.contacts.version(&members.own.zone, slot),
+        }],
+        // Nodes whose views differ only replace one valid contact by another.
+        false => Vec::new(),
+    };
+    write_row(cx, members, slot, checks);
     // Two halves of a fleet that don't know each other find each other by these rows.
     scan(cx, members);
 }
@@ -216,7 +307,7 @@
     first.position(|it| *it == members.own.id)
 }
 
-fn write_row(cx: &mut Context<'_>, members: &Members, slot: usize) {
+fn write_row(cx: &mut Context<'_>, members: &mut Members, slot: usize, checks: Vec<Check>) {
     let contact = Contact {
         id: members.own.id,
         stamp: members.own.stamp(),
@@ -225,9 +316,8 @@
         return;
     };
     let key = contact_key(&members.own.zone, slot);
-    // No precondition: nodes whose views differ only replace one valid contact by another.
-    cx.table(TableOp::Commit {
-        checks: Vec::new(),
+    members.contacts.write = Some(cx.table(TableOp::Commit {
+        checks,
         writes: vec![Write::Put { key, value }],
-    });
+    }));
 }
--- a/crates/kernel/src/members/sync.rs
+++ b/crates/kernel/src/members/sync.rs
@@ -121,7 +121,7 @@
         Message::Compare { root } => answer_compare(cx, members, from, *root),
         // An equal digest is as good as the peer's whole view.
         Message::Same => {
-            members.joined = true;
+            join::record_joined(cx, members);
             suspect::count_answer(members);
         }
         Message::Buckets { digests } => send_heads(cx, members, from, digests),
@@ -157,7 +157,7 @@
     for it in updates {
         changed |= members.apply_update(cx.now, it, propagation) == Applied::Changed;
     }
-    members.joined = true;
+    join::record_joined(cx, members);
     contact::join_remote_contacts(cx, members);
     suspect::count_answer(members);
     // Sends the own record by gossip now that other members are known.
@@ -168,7 +168,9 @@
 
 fn answer_compare(cx: &mut Context<'_>, members: &mut Members, from: NodeId, root: u64) {
     let same = root == members.digest.root();
-    members.joined |= same;
+    if same {
+        join::record_joined(cx, members);
+    }
     let message = match same {
         true => Message::Same,
         false => Message::Buckets {
--- a/crates/kernel/tests/members_start.rs
+++ b/crates/kernel/tests/members_start.rs
@@ -5,7 +5,9 @@
 
 use std::collections::BTreeSet;
 
-use laburnum_kernel::{Event, Kernel, Name, Settings, members::CONTACT_PREFIX, settings::Origin};
+use laburnum_kernel::{
+    Event, Kernel, Name, Settings, import::Source, members::CONTACT_PREFIX, settings::Origin,
+};
 use test_case::test_case;
 
 use driver::{Driver, name, node};
@@ -107,6 +109,35 @@
     }
 }
 
+/// Guards against nodes that stay alone for seconds after an outage of the table in which they started, and against
+/// contact rows of the fleet that such nodes overwrite.
+#[test]
+fn nodes_started_in_an_outage_soon_find_the_fleet() {
+    for seed in 0..8 {
+        let mut driver = Driver::new(&[]);
+        driver.now = driver.now + seed;
+        (0..12).for_each(|index| start(&mut driver, index));
+        driver.run(20_000);
+        driver.down = true;
+        (12..20).for_each(|index| start(&mut driver, index));
+        driver.run(8_000);
+        let contacts = |driver: &Driver| {
+            let rows = driver.rows.iter();
+            let rows = rows.filter(|it| it.0.starts_with(CONTACT_PREFIX));
+            rows.map(|it| it.1.value.clone()).collect::<Vec<_>>()
+        };
+        let before = contacts(&driver);
+        driver.down = false;
+        (12..20).for_each(|it| driver.event(it, Event::Source(Source::Held)));
+        driver.run(1_000);
+        for (index, kernel) in driver.kernels.iter().enumerate().skip(12) {
+            let known = kernel.state().members.alive().count();
+            assert!(known >= 12, "seed {seed}: node {index} knows {known}");
+        }
+        assert_eq!(contacts(&driver), before, "seed {seed}");
+    }
+}
+
 /// Guards against a node without peers that writes its contact row and scans all rows at every check.
 #[test]
 fn lone_node_makes_few_table_calls() {
