A node decides on a roll-out once it knows the fleet

Cause: nodes that start in an outage read the order before they find the other nodes. Such a node sees no old endpoint, takes the target for the build in service, and is first of the writers that it knows. In the same way it would roll back a sound build for one ill endpoint, or take a build without an order for the one in service.

Change: stages and faults are decided by nodes that have found the fleet and compared their view for 1.5 s, and not after a pause until others answered. Canaries, and exposure without an order, wait until the search has ended. A single faulty endpoint shows a fault once no other one has become known for 3 s.

Why it is enough: the absence of old endpoints is only concluded from a view that another member, or an empty list of contacts, has confirmed.

--- a/crates/kernel/src/rollout.rs
+++ b/crates/kernel/src/rollout.rs
@@ -25,7 +25,9 @@
 mod stage;
 mod writer;
 
-use self::stage::{Census, Selected, next_stage, other_exposure, target_exposure};
+use self::stage::{
+    Arrival, Census, SETTLE_MS, Selected, next_stage, other_exposure, target_exposure,
+};
 pub use self::{
     judge::{Answer, Ending, Judge},
     stage::Stage,
@@ -38,6 +40,9 @@
 pub const CANARY_PERCENT: u32 = 7;
 /// Time after which a node that has sent nothing is no longer notified of changes, in ms.
 const PEER_EXPIRY_MS: u64 = 3_000;
+/// Time for which the view was compared before this node decides for the fleet, in ms: until then it may know a part of
+/// the service's endpoints only, and a build would seem to be in service, absent, idle or faulty everywhere.
+const VIEW_SETTLE_MS: u64 = 1_500;
 /// Interval at which the state is sent again to a peer that has it already, in ms.
 const RESEND_MS: u64 = 10_000;
 
@@ -111,6 +116,8 @@
     rollout: Rollout,
     ordered: Ms,
     entered: Ms,
+    /// Number of the target's endpoints that this node knows, and since when.
+    targets: (usize, Ms),
     writer: writer::Writer,
 }
 
@@ -257,6 +264,7 @@
         rollout,
         ordered,
         entered: cx.now,
+        targets: (0, cx.now),
         writer: writer::Writer::default(),
     };
     state.rollouts.known.insert(service.clone(), known);
@@ -329,15 +337,34 @@
     }
 }
 
+/// Returns whether this node knows enough of the fleet to decide on a roll-out by the members that it knows.
+fn may_decide(cx: &Context<'_>, state: &State) -> bool {
+    let discovery = state.members.discovery();
+    state.import.ready()
+        && state.members.is_fresh()
+        && discovery.has_settled(cx.now, VIEW_SETTLE_MS)
+}
+
 /// Marks a roll-out as faulty once enough endpoints of the target are.
 fn detect_fault(cx: &mut Context<'_>, state: &mut State, service: &Name) {
+    if !may_decide(cx, state) {
+        return;
+    }
     let Some(known) = state.rollouts.known.get_mut(service) else {
         return;
     };
     if known.rollout.stage.is_final() || known.rollout.is_faulty {
         return;
     }
-    if Census::of(&known.rollout, state.members.alive_with_reach()).shows_fault() {
+    let census = Census::of(&known.rollout, state.members.alive_with_reach());
+    if census.new != known.targets.0 {
+        known.targets = (census.new, cx.now);
+    }
+    let arrival = match cx.now.since(known.targets.1) < SETTLE_MS {
+        true => Arrival::Going,
+        false => Arrival::Over,
+    };
+    if census.shows_fault(arrival) {
         known.rollout.is_faulty = true;
         changed(cx, state, service);
     }
@@ -424,6 +451,9 @@
 /// Returns the exposure while no order for the service is known: an endpoint of another build than the one in service
 /// waits for its order.
 fn unordered_exposure(cx: &Context<'_>, state: &State, service: &Name, build: &Build) -> Exposure {
+    if !state.members.discovery().has_ended() {
+        return Exposure::Held;
+    }
     let others = state.members.alive().filter(|it| it.id != cx.settings.node);
     let offers = others.filter_map(|it| it.offer.as_ref());
     let serving: Vec<&Build> = offers
@@ -438,6 +468,9 @@
 
 /// Returns whether the own upstream is one of the canaries: the first sound ones in a common order.
 fn select(cx: &Context<'_>, state: &State, rollout: &Rollout) -> Selected {
+    if !state.members.discovery().has_ended() {
+        return Selected::No;
+    }
     let order = &rollout.order;
     let records = state.members.alive();
     let candidates = records.filter(|it| {
--- a/crates/kernel/src/rollout/stage.rs
+++ b/crates/kernel/src/rollout/stage.rs
@@ -18,7 +18,7 @@
 /// How long the old endpoints take none before the roll-out completes, in ms: faults that show under the whole load.
 const RETIRING_MS: u64 = 1_500;
 /// Time after an order in which the endpoints of a new build announce themselves, in ms.
-const SETTLE_MS: u64 = 3_000;
+pub(super) const SETTLE_MS: u64 = 3_000;
 /// Part of the judged endpoints that have to be faulty for a roll-back, in percent: one may be ill by itself.
 const FAULTY_PERCENT: usize = 30;
 /// Number of faulty endpoints for a roll-back, if there are so many.
@@ -74,6 +74,15 @@
     pub(super) busy: usize,
 }
 
+/// Whether endpoints of the target are still becoming known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Arrival {
+    /// One became known or was lost a moment ago.
+    Going,
+    /// Their number has not changed for [`SETTLE_MS`].
+    Over,
+}
+
 impl Census {
     /// Counts the endpoints of the rollout's service among `records`.
     pub(super) fn of<'a>(
@@ -103,9 +112,13 @@
     }
 
     /// Returns whether enough endpoints of the target are faulty to give it up.
-    pub(super) fn shows_fault(&self) -> bool {
+    pub(super) fn shows_fault(&self, arrival: Arrival) -> bool {
         let judged = self.sound + self.faulty;
-        let least = FAULTY_MIN.min(self.new.max(1));
+        let least = match arrival {
+            // The only endpoint that this node knows may be the first of many.
+            Arrival::Going => FAULTY_MIN,
+            Arrival::Over => FAULTY_MIN.min(self.new.max(1)),
+        };
         self.faulty >= least && self.faulty * 100 >= judged * FAULTY_PERCENT
     }
 
--- a/crates/kernel/src/rollout/writer.rs
+++ b/crates/kernel/src/rollout/writer.rs
@@ -3,7 +3,7 @@
 //! All nodes see when a stage is due. The first node of a common order writes it; the others follow one after the other
 //! if it does not. The write is conditional on the row, so two nodes never write two ends.
 
-use super::{Census, Known, Rollout, Stage, changed, next_stage};
+use super::{Census, Known, Rollout, Stage, changed, may_decide, next_stage};
 use crate::{
     clock::Ms,
     id::{CallId, Name, NodeId},
@@ -108,6 +108,7 @@
         return;
     }
     writer.checked = cx.now;
+    let may_decide = may_decide(cx, state);
     let Some(place) = place(cx, state, service) else {
         return;
     };
@@ -116,7 +117,7 @@
     };
     let writer = &mut known.writer;
     let is_turn = match writer.due {
-        Some((_, since)) => cx.now.since(since) >= place as u64 * STEP_MS,
+        Some((_, since)) => may_decide && cx.now.since(since) >= place as u64 * STEP_MS,
         // The order itself, or a row that was lost.
         None => place == 0,
     };
--- a/crates/kernel/tests/rollout.rs
+++ b/crates/kernel/tests/rollout.rs
@@ -5,14 +5,14 @@
 #[path = "common/imported.rs"]
 mod imported;
 
-use std::{cell::RefCell, collections::BTreeSet, rc::Rc};
+use std::{cell::RefCell, collections::BTreeSet, ops::Range, rc::Rc};
 
 use driver::{CommitOutcome, Delivery, Driver, name, node};
 use imported::table;
 use laburnum_kernel::{
     Event, Settings,
     event::UpstreamEvent,
-    id::Build,
+    id::{Build, NodeId},
     import::{Source, Watch},
     members::{Evidence, Exposure, Phase},
     platform::Fault,
@@ -24,6 +24,8 @@
 const ZONES: [&str; 3] = ["nasr", "maadi", "giza"];
 /// Endpoints of the build in service; those of the target have the following indices.
 const OLD: usize = 20;
+/// Hosts whose nodes start in an outage.
+const NEWCOMERS: Range<usize> = OLD..OLD + 8;
 /// Time of the orders, in ms.
 const WITHIN_MS: u64 = 15_000;
 
@@ -77,11 +79,16 @@
 
     /// Starts a host whose upstream is of `version`.
     fn add(&mut self, version: &str) {
+        let index = self.driver.kernels.len();
+        self.add_with_peers(version, (0..index.min(3)).map(node).collect());
+    }
+
+    fn add_with_peers(&mut self, version: &str, peers: Vec<NodeId>) {
         let index = self.driver.kernels.len();
         self.driver.add_with(Settings {
             node: node(index),
             incarnation: self.driver.now.0,
-            peers: (0..index.min(3)).map(node).collect(),
+            peers,
             zone: name(ZONES[index % ZONES.len()]),
             origin: Origin::Imported,
             watch: match index < 3 {
@@ -162,6 +169,30 @@
         Some(Rollout::decode(&row.value).expect("a valid row").stage)
     }
 
+    /// Orders the roll-out to v2 with 30 s of time and takes the table away. Eight endpoints of v2 start, whose nodes know
+    /// nobody and learn of the order, as if only the rows of the fleet could not be read.
+    fn start_rollout_in_outage(&mut self) {
+        let order = Order {
+            within: 30_000,
+            ..order(7, "v2")
+        };
+        self.order(&order);
+        self.run(300);
+        self.driver.down = true;
+        for index in NEWCOMERS {
+            self.add_with_peers("v2", Vec::new());
+            self.driver.event(index, Event::Ordered(order.clone()));
+            self.driver.event(index, Event::Imported(table(5, 10)));
+        }
+    }
+
+    fn end_outage(&mut self) {
+        self.driver.down = false;
+        for index in NEWCOMERS {
+            self.driver.event(index, Event::Source(Source::Held));
+        }
+    }
+
     /// Starts ten endpoints of v2 and orders the roll-out to it.
     fn start_rollout(&mut self) {
         self.order(&order(7, "v2"));
@@ -294,6 +325,98 @@
     assert_eq!(fleet.written(), Some(Stage::Completed));
 }
 
+/// Guards against a bad build that its own endpoints complete: their nodes start in an outage of the table, know no other
+/// node when they learn of the order, and take the old endpoints for absent.
+#[test]
+fn newcomers_that_know_nobody_complete_nothing() {
+    let mut fleet = Fleet::new(12);
+    fleet.start_rollout_in_outage();
+    for step in 0..140 {
+        if step == 80 {
+            fleet.end_outage();
+        }
+        fleet.run(100);
+        let written = fleet.written();
+        assert!(
+            matches!(written, None | Some(Stage::Canary)),
+            "{written:?} after {step} steps"
+        );
+        let full = fleet.with(Exposure::Full);
+        assert!(full.iter().all(|it| *it < OLD), "{full:?}");
+    }
+    assert_eq!(fleet.stages(), [Some(Stage::Canary)].into());
+    assert_eq!(fleet.with(Exposure::Canary).len(), 2);
+}
+
+/// Guards against a sound build that an outage of the table keeps from its end.
+#[test]
+fn sound_build_completes_through_an_outage() {
+    let mut fleet = Fleet::new(13);
+    let ordered = fleet.driver.now;
+    fleet.start_rollout_in_outage();
+    fleet.run(8_000);
+    fleet.end_outage();
+    while fleet.written() != Some(Stage::Completed) {
+        fleet.run(100);
+        let canaries = fleet.with(Exposure::Canary);
+        fleet.judge(&canaries, Evidence::Sound);
+        assert!(fleet.driver.now.since(ordered) < 30_000);
+    }
+    assert_eq!(fleet.with(Exposure::Retired).len(), OLD);
+    println!("completed after {} ms", fleet.driver.now.since(ordered));
+}
+
+/// Guards against a sound build that is rolled back because the node of one ill endpoint knows no other one.
+#[test]
+fn ill_endpoint_of_a_lone_newcomer_rolls_nothing_back() {
+    let mut fleet = Fleet::new(14);
+    fleet.start_rollout_in_outage();
+    fleet.run(5_000);
+    fleet.judge(&[OLD + 3], Evidence::Faulty);
+    fleet.run(3_000);
+    fleet.end_outage();
+    fleet.run(4_000);
+    assert_eq!(fleet.written(), Some(Stage::Canary));
+    assert_eq!(fleet.stages(), [Some(Stage::Canary)].into());
+}
+
+/// Guards against endpoints of a new build that take a full share before its order, because their nodes know no other one.
+#[test]
+fn newcomers_that_know_nobody_wait_for_their_order() {
+    let mut fleet = Fleet::new(15);
+    fleet.driver.down = true;
+    for index in NEWCOMERS {
+        fleet.add_with_peers("v2", Vec::new());
+        fleet.driver.event(index, Event::Imported(table(5, 10)));
+    }
+    for step in 0..100 {
+        if step == 60 {
+            fleet.end_outage();
+        }
+        fleet.run(100);
+        let full = fleet.with(Exposure::Full);
+        assert!(full.iter().all(|it| *it < OLD), "{full:?}");
+    }
+}
+
+/// A node that is the only one of its fleet serves, and completes an order of the build that it has.
+#[test]
+fn lone_node_serves_and_completes() {
+    let mut fleet = Fleet {
+        driver: Driver::new(&[]),
+        cut: Rc::default(),
+        busy: BTreeSet::new(),
+    };
+    fleet.add_with_peers("v1", Vec::new());
+    fleet.driver.event(0, Event::Source(Source::Held));
+    fleet.driver.event(0, Event::Imported(table(5, 10)));
+    fleet.run(4_000);
+    assert_eq!(fleet.with(Exposure::Full), [0]);
+    fleet.driver.event(0, Event::Ordered(order(7, "v1")));
+    fleet.run(5_000);
+    assert_eq!(fleet.written(), Some(Stage::Completed));
+}
+
 /// What goes wrong between two stages.
 #[derive(Clone, Copy, Debug)]
 enum Trouble {
