Quotas are held by nodes that know the fleet, or for their share of it

Cause: a node took all buckets three seconds after its start, though it had not found any other node, and divided the quota by the nodes that it knew.

Change: a node takes buckets once it has joined, or once its search has ended without an answer; then it grants its share among the nodes that the contact rows name, and the whole only if they name none.

Why it is enough: nodes that start together in an outage join within a second of its end, before they hold anything; one that is cut off counts for itself only.

--- a/crates/kernel/src/quota/holders.rs
+++ b/crates/kernel/src/quota/holders.rs
@@ -13,7 +13,7 @@
     event,
     id::NodeId,
     kernel::{Context, State},
-    members::Reach,
+    members::{Discovery, Reach},
     utils::hash64,
 };
 
@@ -25,8 +25,6 @@
 const CLAIM_MS: u64 = 1_000;
 /// Time after this process joined before it claims, in ms: until then it knows a part of the fleet only.
 const SETTLE_MS: u64 = 500;
-/// The same for a process that finds no other node, in ms.
-const ALONE_MS: u64 = 3_000;
 /// Time for which a holder that is no longer the first waits for a claim, and for which a former one passes asks on,
 /// in ms.
 const LINGER_MS: u64 = 3_000;
@@ -41,8 +39,6 @@
     is_stale: bool,
     /// Whether this process may take buckets.
     is_settled: bool,
-    started: Option<Ms>,
-    joined: Option<Ms>,
 }
 
 /// What this node does about one bucket.
@@ -78,8 +74,6 @@
             share: Share::default(),
             is_stale: true,
             is_settled: false,
-            started: None,
-            joined: None,
         }
     }
 }
@@ -249,15 +243,15 @@
 
 /// Notes when this process knows enough of the fleet to take buckets. It asks the holders that it knows before.
 fn update_settled(cx: &Context<'_>, state: &mut State) {
-    let joined = state.members.joined();
+    let discovery = state.members.discovery();
     let holders = &mut state.quotas.holders;
     if holders.is_settled {
         return;
     }
-    let started = *holders.started.get_or_insert(cx.now);
-    holders.is_settled = match joined {
-        true => cx.now.since(*holders.joined.get_or_insert(cx.now)) >= SETTLE_MS,
-        false => cx.now.since(started) >= ALONE_MS,
+    holders.is_settled = match discovery {
+        Discovery::Searching => false,
+        Discovery::Alone | Discovery::Unanswered { .. } => true,
+        Discovery::Joined { since } => cx.now.since(since) >= SETTLE_MS,
     };
     holders.is_stale |= holders.is_settled;
 }
@@ -357,6 +351,10 @@
     if state.members.is_partitioned() {
         reachable = 1;
     }
+    // A host that finds nobody speaks for itself alone among those that the contact rows name.
+    if let Discovery::Unanswered { contacts } = state.members.discovery() {
+        known = known.max(1 + contacts as u64);
+    }
     Share { reachable, known }
 }
 
--- a/crates/kernel/tests/common/demand.rs
+++ b/crates/kernel/tests/common/demand.rs
@@ -113,6 +113,23 @@
         self.driver.event(index, Event::Imported(table));
     }
 
+    /// Restarts all hosts at once while the table is down. None knows a peer or has a configuration until
+    /// [`Demand::end_outage`].
+    pub fn restart_all_in_outage(&mut self) {
+        self.driver.down = true;
+        self.purses.clear();
+        self.asks.clear();
+        for index in 0..self.driver.kernels.len() {
+            self.driver.restart_with_peers(index, Vec::new());
+        }
+    }
+
+    /// Ends the outage: the hosts read the configuration.
+    pub fn end_outage(&mut self) {
+        self.driver.down = false;
+        self.publish();
+    }
+
     /// Returns the number of requests of a customer that ran, were refused, and found no holder.
     pub fn counts(&self, customer: usize) -> (usize, usize, usize) {
         let it = &self.customers[customer];
--- a/crates/kernel/tests/common/driver.rs
+++ b/crates/kernel/tests/common/driver.rs
@@ -166,9 +166,14 @@
     /// Restarts a kernel without its state.
     pub fn restart(&mut self, index: usize) {
         let others = (0..self.kernels.len()).filter(|it| *it != index);
+        self.restart_with_peers(index, others.map(node).collect());
+    }
+
+    /// Like [`Driver::restart`], with these configured peers.
+    pub fn restart_with_peers(&mut self, index: usize, peers: Vec<NodeId>) {
         let settings = Settings {
             incarnation: self.now.0,
-            peers: others.map(node).collect(),
+            peers,
             ..self.kernels[index].settings().clone()
         };
         self.kernels[index] = Kernel::new(settings, self.now.0 + index as u64);
--- a/crates/kernel/tests/quota.rs
+++ b/crates/kernel/tests/quota.rs
@@ -135,6 +135,48 @@
     excess.collect()
 }
 
+/// Guards against several holders: all hosts start in an outage of the table, so that each knows only itself when it reads
+/// the customers, and would count a whole quota.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+#[test_case(4)]
+fn fleet_restarted_in_an_outage_exceeds_no_quota(seed: u64) {
+    let mut demand = Demand::new(seed, 8, &[(100, 20)]);
+    demand.spread(0, 600.0);
+    demand.run(3_000);
+    for _ in 0..3 {
+        demand.restart_all_in_outage();
+        demand.run(8_000);
+        demand.end_outage();
+        demand.run(3_000);
+        demand.reset_counts();
+        demand.run(5_000);
+        // Two seconds after its return the table's absence is no excuse for refusals.
+        let (ran, _, unknown) = demand.counts(0);
+        assert!(ran >= 400, "{ran} of 500, {unknown} without a holder");
+        assert!(demand.excess(0, limit(100, 20)) <= 0, "{ran} ran");
+    }
+}
+
+/// As above, for the time right after the outage.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+#[test_case(4)]
+fn end_of_an_outage_exceeds_no_quota(seed: u64) {
+    let mut demand = Demand::new(seed, 12, &[(100, 20)]);
+    demand.spread(0, 600.0);
+    for _ in 0..3 {
+        demand.restart_all_in_outage();
+        demand.run(8_000);
+        demand.end_outage();
+        demand.run(9_000);
+    }
+    let excess = demand.excess(0, limit(100, 20));
+    assert!(excess <= 0, "{excess} too many");
+}
+
 /// A lowered quota binds one window after it is in force, and a raised one is usable at once.
 #[test]
 fn changed_quota_is_in_force() {
