A node that has not found the fleet declares no holder of a claim dead

What callers saw: nothing yet; found while looking for other decisions by the members that a process happens to know.

Cause: the owner of a bucket took a holder that is no member for dead once its claim was 15 s old. An owner that has just started in a cut knows no members: it answered "unknown" for a request that runs, and let an operator have it run again, a second time.

Change: while the view is not that of the fleet, such a claim is busy.

Evidence: once::owner_that_knows_nobody_declares_no_holder_dead failed before (unknown instead of busy) and passes.

--- a/crates/kernel/src/once/bucket.rs
+++ b/crates/kernel/src/once/bucket.rs
@@ -521,6 +521,9 @@
     match alive.find(|it| it.id == entry.holder) {
         Some(it) if it.incarnation > entry.incarnation => HolderState::Restarted,
         Some(_) => HolderState::Alive,
+        // A process that has not found the fleet knows no holder. Its own view would declare a request that runs as lost,
+        // and let an operator have it run again.
+        None if !members.discovery().is_complete() => HolderState::Alive,
         None => HolderState::Absent,
     }
 }
--- a/crates/kernel/tests/once.rs
+++ b/crates/kernel/tests/once.rs
@@ -207,6 +207,33 @@
     assert!(listed.contains("filing-3"), "{listed}");
 }
 
+// Guards against a second run: the owner of a bucket has just started and knows no other node, takes the holder of an open
+// claim for dead, and lets an operator have the request run again while it runs.
+#[test]
+fn owner_that_knows_nobody_declares_no_holder_dead() {
+    let mut fleet = Fleet::new(3);
+    let one = fleet.claim(0, "filing-3", 1);
+    fleet.run(1_000);
+    assert_eq!(fleet.reply_text(one), "granted");
+    fleet.run(20_000);
+    // Nothing reaches the others: they neither send nor receive.
+    fleet.dead.extend([0, 1]);
+    fleet.kill(2);
+    fleet.restart(2);
+    fleet.run(500);
+    let two = fleet.claim(2, "filing-3", 2);
+    let call = once::Call::Resolve {
+        key: key("filing-3"),
+        resolution: Resolution::Rerun,
+        author: "amal".to_owned(),
+        note: "nobody answers".to_owned(),
+    };
+    let rerun = fleet.call(2, Call::Once(call));
+    fleet.run(1_000);
+    assert_eq!(fleet.reply_text(two), "busy");
+    assert_ne!(fleet.reply_text(rerun), "resolved");
+}
+
 // Guards against an operator's decision that is lost or not logged, also if the table loses the answer to its
 // write: a claim that ran stays refused, one that did not is granted again.
 #[test_case(Resolution::Ran, TableFault::None, "unknown"; "it ran")]
