An entry that has not found the fleet has no share of the retry budget

What callers saw: nothing yet; found while looking for other decisions by the members that a process happens to know.

Cause: each entry divides the retries that all may send together by the entries that it knows. One that knows only itself took the whole, and so did each of many that start in an outage.

Change: the view says whether the fleet was found; until then the share is nothing, and where nobody answers it is that among the nodes which the contact rows name.

Evidence: retry::entry_that_knows_no_other_has_no_share (its types are new). The bound and the use of it, retries_of_all_entries_stay_within_their_bound and shedding_upstreams_get_most_of_the_retries_that_the_bound_allows, pass as before.

--- a/crates/kernel/src/retry.rs
+++ b/crates/kernel/src/retry.rs
@@ -12,7 +12,7 @@
     refusal::{Reason, Refusal, Remedy},
 };
 
-pub use budget::{Bound, Budget};
+pub use budget::{Bound, Budget, Entries};
 
 /// Call depth from which requests are not retried.
 pub const MAX_DEPTH: u8 = 10;
--- a/crates/kernel/src/retry/budget.rs
+++ b/crates/kernel/src/retry/budget.rs
@@ -46,12 +46,41 @@
     /// are few just when retries are needed.
     Requests {
         bound: Bound,
-        entries: f64,
+        entries: Entries,
         /// Time at which there were as many entries last.
         counted: Ms,
     },
 }
 
+/// Entries that share a bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Entries {
+    /// Not known: this process has not found the fleet yet.
+    Unknown,
+    /// So many.
+    Count(usize),
+}
+
+impl Entries {
+    /// Returns the share of one entry in `whole`.
+    fn share(self, whole: f64) -> f64 {
+        match self {
+            // The whole, taken by each process that knows only itself, would be many times the bound.
+            Entries::Unknown => 0.0,
+            Entries::Count(it) => whole / it.max(1) as f64,
+        }
+    }
+
+    /// Returns whether a budget that had `before` entries takes this number at once. A smaller number counts later: entries
+    /// that are only out of sight hold their shares.
+    fn counts_at_once(self, before: Entries) -> bool {
+        match (before, self) {
+            (Entries::Count(before), Entries::Count(now)) => now >= before,
+            (Entries::Unknown, _) | (_, Entries::Unknown) => true,
+        }
+    }
+}
+
 impl Budget {
     /// Creates a budget of `percent` retries per hundred successes. It starts with one retry unless `percent` is zero.
     pub fn new(now: Ms, percent: u32) -> Budget {
@@ -64,11 +93,11 @@
     }
 
     /// Creates an empty budget with this entry's share of `bound`, as one of `entries`.
-    pub fn bounded(now: Ms, bound: Bound, entries: usize) -> Budget {
+    pub fn bounded(now: Ms, bound: Bound, entries: Entries) -> Budget {
         Budget {
             growth: Growth::Requests {
                 bound,
-                entries: entries.max(1) as f64,
+                entries,
                 counted: now,
             },
             tokens: 0.0,
@@ -83,20 +112,17 @@
         }
     }
 
-    /// Sets the number of entries that share the bound, for a budget that has one. A smaller number counts after a window:
-    /// entries that are only out of sight hold their shares.
-    pub fn set_entries(&mut self, now: Ms, count: usize) {
+    /// Sets the number of entries that share the bound, for a budget that has one. A smaller number counts after a window.
+    pub fn set_entries(&mut self, now: Ms, count: Entries) {
         self.refill(now);
         if let Growth::Requests {
             bound,
             entries,
             counted,
         } = &mut self.growth
+            && (count.counts_at_once(*entries) || now.since(*counted) > bound.window)
         {
-            let count = count.max(1) as f64;
-            if count >= *entries || now.since(*counted) > bound.window {
-                (*entries, *counted) = (count, now);
-            }
+            (*entries, *counted) = (count, now);
         }
     }
 
@@ -147,7 +173,7 @@
             Growth::Requests { bound, entries, .. } => {
                 self.refilled = now;
                 let share = elapsed as f64 / bound.window.max(1) as f64;
-                self.add(bound.extra * EXTRA_SHARE * RETRY_COST / entries * share);
+                self.add(entries.share(bound.extra * EXTRA_SHARE * RETRY_COST) * share);
             }
         }
     }
@@ -160,7 +186,7 @@
         match self.growth {
             Growth::Successes { .. } => CAP,
             Growth::Requests { bound, entries, .. } => {
-                bound.extra * (1.0 - EXTRA_SHARE) * RETRY_COST / entries
+                entries.share(bound.extra * (1.0 - EXTRA_SHARE) * RETRY_COST)
             }
         }
     }
--- a/crates/kernel/src/view.rs
+++ b/crates/kernel/src/view.rs
@@ -10,7 +10,7 @@
     id::{Build, Name, NodeId, Revision, Seq},
     import::Turn,
     kernel::{Context, Plugin, Scope, State},
-    members::{Exposure, Phase, Reach, Record},
+    members::{Discovery, Exposure, Phase, Reach, Record},
     platform::Era,
     routing::Table,
     settings::Origin,
@@ -25,6 +25,8 @@
     pub seq: Seq,
     /// Whether this process has caught up since its start and may serve.
     pub ready: bool,
+    /// Whether this process has found the fleet.
+    pub discovery: Discovery,
     /// All services by name.
     pub services: BTreeMap<Name, ServiceView>,
     /// The upstream beside this node, if it has announced itself.
@@ -154,6 +156,7 @@
             Origin::Submitted => state.spread.ready(),
             Origin::Imported => state.import.ready(),
         },
+        discovery: state.members.discovery(),
         services,
         own: own.offer.as_ref().map(|it| OwnView {
             service: it.service.clone(),
--- a/crates/kernel/tests/retry.rs
+++ b/crates/kernel/tests/retry.rs
@@ -5,7 +5,8 @@
     document::{self, Repeat},
     refusal::{Reason, Refusal},
     retry::{
-        Bound, Budget, Counted, Deadline, Failure, GiveUp, MAX_DEPTH, Next, Retry, Tree, Untried,
+        Bound, Budget, Counted, Deadline, Entries, Failure, GiveUp, MAX_DEPTH, Next, Retry, Tree,
+        Untried,
     },
 };
 use rand::{Rng, SeedableRng};
@@ -261,7 +262,7 @@
     shed: f64,
 ) -> Sent {
     let mut rng = rng();
-    let mut budgets = vec![Budget::bounded(NOW, bound, entries); entries];
+    let mut budgets = vec![Budget::bounded(NOW, bound, Entries::Count(entries)); entries];
     let mut sent = Sent {
         requests: vec![0; 600],
         retries: vec![0; 600],
@@ -318,9 +319,9 @@
 fn share_grows_only_after_a_window_with_fewer_entries() {
     let mut rng = rng();
     let mut spent_within = |millis: u64| {
-        let mut budget = Budget::bounded(NOW, bound(1_000.0), 100);
-        budget.set_entries(NOW + 1, 1);
-        budget.set_entries(NOW + millis, 1);
+        let mut budget = Budget::bounded(NOW, bound(1_000.0), Entries::Count(100));
+        budget.set_entries(NOW + 1, Entries::Count(1));
+        budget.set_entries(NOW + millis, Entries::Count(1));
         let deadline = Deadline::after(NOW + millis, 1_000);
         let mut next = || {
             let (policy, repeat, tree) = (&TWO_ATTEMPTS, Repeat::Never, Tree::default());
@@ -334,6 +335,27 @@
     assert!(spent_within(11_000) <= 10);
 }
 
+/// Guards against the whole allowance at each of many entries that start together and know only themselves.
+#[test]
+fn entry_that_knows_no_other_has_no_share() {
+    let mut budget = Budget::bounded(NOW, bound(1_000.0), Entries::Unknown);
+    let spent_at = |budget: &mut Budget, millis: u64| {
+        let deadline = Deadline::after(NOW + millis, 1_000);
+        let mut next = || {
+            let (policy, repeat, tree) = (&TWO_ATTEMPTS, Repeat::Never, Tree::default());
+            let mut retry = Retry::counting(Counted::Reached, policy, repeat, deadline, tree);
+            let failure = not_run(Reason::Shed, 0);
+            retry.next(NOW + millis, &mut rng(), budget, failure, Untried::Some)
+        };
+        (0..100).filter(|_| next() == AT_ONCE).count()
+    };
+    budget.requested();
+    assert_eq!(spent_at(&mut budget, 9_000), 0);
+    // Once the others are known, it has a share at once.
+    budget.set_entries(NOW + 9_000, Entries::Count(20));
+    assert!((1..=25).contains(&spent_at(&mut budget, 11_000)));
+}
+
 /// Guards against a budget that shrinks with the successes just when upstreams shed most requests.
 #[test]
 fn shedding_upstreams_get_most_of_the_retries_that_the_bound_allows() {
--- a/crates/node/src/traffic/services.rs
+++ b/crates/node/src/traffic/services.rs
@@ -14,8 +14,9 @@
         ranks::{Outlook, RankedRequest},
     },
     document::Class,
+    members::Discovery,
     pick::{Choice, Lane, Outcome, Picker, Place, placement::Placement},
-    retry::{Bound, Budget},
+    retry::{Bound, Budget, Entries},
     settings::Origin,
     standing::{Report, Standing, Standings},
     view::ServiceView,
@@ -216,7 +217,7 @@
                     }
                 },
                 budget: match self.retries {
-                    Some(bound) => Budget::bounded(now, bound, 1),
+                    Some(bound) => Budget::bounded(now, bound, Entries::Unknown),
                     None => Budget::new(now, it.document.retry.budget),
                 },
                 generation: 0,
@@ -262,8 +263,13 @@
 }
 
 /// Returns the number of nodes with an upstream; each is an entry.
-fn entries(view: &View) -> usize {
-    view.services.values().map(|it| it.endpoints.len()).sum()
+fn entries(view: &View) -> Entries {
+    let known: usize = view.services.values().map(|it| it.endpoints.len()).sum();
+    match view.discovery {
+        Discovery::Searching => Entries::Unknown,
+        Discovery::Unanswered { contacts } => Entries::Count(known.max(1 + contacts)),
+        Discovery::Alone | Discovery::Joined { .. } => Entries::Count(known),
+    }
 }
 
 impl Service {
