--- a/crates/kernel/src/retry/budget.rs
+++ b/crates/kernel/src/retry/budget.rs
@@ -57,7 +57,7 @@
 pub enum Entries {
     /// Not known: this process has not found the fleet yet.
     Unknown,
-    /// So many.
+    /// This many, this one included.
     Count(usize),
 }
 
--- a/crates/node/src/traffic/answer.rs
+++ b/crates/node/src/traffic/answer.rs
@@ -29,7 +29,7 @@
     gate::Slot,
     headers::{self, OUTCOME, RAN, RETRY_AFTER_MS},
     owner::{Job, Payload},
-    pool::{Lease, Statement},
+    pool::{Execution, Lease},
 };
 
 /// Largest answer that is read whole before any of it is forwarded, in bytes.
@@ -69,12 +69,12 @@
         answer: Response<Incoming>,
         limit: Instant,
     ) -> Result<Answer, Denial> {
-        let statement = match self.0.dialect.is_not_run(answer.status(), answer.headers()) {
-            true => Statement::Rejected,
-            false => Statement::Ran,
+        let execution = match self.0.dialect.is_not_run(answer.status(), answer.headers()) {
+            true => Execution::Rejected,
+            false => Execution::Ran,
         };
         let echo = self.0.dialect.echo(&job.headers, answer.headers());
-        if !echo.is_some_and(|it| lease.accepts(it, statement)) {
+        if !echo.is_some_and(|it| lease.accepts(it, execution)) {
             // Dropping the lease closes the connection; further bytes on it cannot be assigned to a request.
             run.slot.finish(Finish::Failed);
             let why = "the upstream sent the answer of another request, which was dropped; this request may have been run";
@@ -83,7 +83,7 @@
         if answer.status() != StatusCode::MISDIRECTED_REQUEST {
             self.observe_statement(&job.upstream, run.started, answer.headers());
         }
-        if statement == Statement::Rejected {
+        if execution == Execution::Rejected {
             return Err(self.rejected_by_upstream(run, lease, answer));
         }
         let now = self.now();
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -121,18 +121,18 @@
     until: Instant,
 }
 
-/// Whether an answer that arrives on a connection later can be told apart from the one that it gave.
+/// Whether an answer names its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Echo {
     /// The answer named its request, or requests have no ids.
     Present,
-    /// The answer named no request: a second copy of it would fit every later one.
+    /// The answer named no request: a second copy of it would fit every later request on its connection.
     Absent,
 }
 
-/// Whether an answer says that its request was run.
+/// What an answer says about the run of its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Statement {
+pub enum Execution {
     /// It was run, or may have been.
     Ran,
     /// It was rejected without a run.
@@ -422,18 +422,18 @@
     ///
     /// An answer that names no request is only taken on a new connection, where no earlier one can have led to it, and
     /// from upstreams that leave the name out of their rejections.
-    pub fn accepts(&mut self, echo: Echo, statement: Statement) -> bool {
+    pub fn accepts(&mut self, echo: Echo, execution: Execution) -> bool {
         self.echo = echo;
         let named = &self.pool.names_rejections;
-        match (echo, statement) {
-            (Echo::Present, Statement::Rejected) => {
+        match (echo, execution) {
+            (Echo::Present, Execution::Rejected) => {
                 named.store(true, Ordering::Relaxed);
                 true
             }
-            (Echo::Present, Statement::Ran) => true,
+            (Echo::Present, Execution::Ran) => true,
             (Echo::Absent, _) if self.connection.usage == Usage::Fresh => true,
-            (Echo::Absent, Statement::Rejected) => !named.load(Ordering::Relaxed),
-            (Echo::Absent, Statement::Ran) => false,
+            (Echo::Absent, Execution::Rejected) => !named.load(Ordering::Relaxed),
+            (Echo::Absent, Execution::Ran) => false,
         }
     }
 
