A request without an id gets its answer on a connection that carried others

What callers saw: a request without an id that may run once, sent on a connection that had carried requests with ids, was answered 502 though it was answered.

Cause: an answer that names no attempt was only taken on a new connection, also for a request that has no name to be echoed.

Change: such an answer is taken for a request without an id; one that names an attempt is not. The connection is not used again, as before.

Why it is enough: the earlier answers on the connection had names, or it would not have been used again, so a second copy of one has a name too.

--- a/crates/node/src/traffic/dialect.rs
+++ b/crates/node/src/traffic/dialect.rs
@@ -93,9 +93,11 @@
         let Dialect::Foreign(it) = self else {
             return Some(Echo::Present);
         };
-        match (request.get(&it.id), answer.get(&it.id)) {
-            (Some(sent), Some(echoed)) => (sent == echoed).then_some(Echo::Present),
-            (Some(_), None) | (None, _) => Some(Echo::Absent),
+        let named = answer.get(&it.id).filter(|it| !it.is_empty());
+        match (request.get(&it.id), named) {
+            (_, None) => Some(Echo::Absent),
+            (sent, named) if sent == named => Some(Echo::Present),
+            _ => None,
         }
     }
 
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -420,8 +420,8 @@
 
     /// Returns whether an answer belongs to the request that was sent last, by whether it names it.
     ///
-    /// An answer that names no request is only taken on a new connection, where no earlier one can have led to it, and
-    /// from upstreams that leave the name out of their rejections.
+    /// An answer that names no request is only taken on a new connection, where no earlier one can have led to it, for a
+    /// request that has no name, and from upstreams that leave the name out of their rejections.
     pub fn accepts(&mut self, echo: Echo, execution: Execution) -> bool {
         self.echo = echo;
         let named = &self.pool.names_rejections;
@@ -432,6 +432,8 @@
             }
             (Echo::Present, Execution::Ran) => true,
             (Echo::Absent, _) if self.connection.usage == Usage::Fresh => true,
+            // The earlier answers on this connection had names, so a second copy of one has a name too.
+            (Echo::Absent, _) if self.carried.identity == Identity::Unnamed => true,
             (Echo::Absent, Execution::Rejected) => !named.load(Ordering::Relaxed),
             (Echo::Absent, Execution::Ran) => false,
         }
