--- a/crates/kernel/tests/quota.rs
+++ b/crates/kernel/tests/quota.rs
@@ -152,7 +152,7 @@
         demand.run(3_000);
         demand.reset_counts();
         demand.run(5_000);
-        // Two seconds after its return the table's absence is no excuse for refusals.
+        // Three seconds after its return the table's absence is no excuse for refusals.
         let (ran, _, unknown) = demand.counts(0);
         assert!(ran >= 400, "{ran} of 500, {unknown} without a holder");
         assert!(demand.excess(0, limit(100, 20)) <= 0, "{ran} ran");
