--- a/review/lib-2/host.rs
+++ b/review/lib-2/host.rs
@@ -6,7 +6,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc, Condvar, Mutex,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -14,6 +14,7 @@
 use crate::{
     http::{Message, Reader, ask},
     record::Record,
+    store::Door,
 };
 
 /// Name of a host and where it is.
@@ -38,6 +39,11 @@
     /// Misses in a row of the platform's question.
     misses: AtomicUsize,
     pub endpoint: Arc<Endpoint>,
+    pub store: Door,
+    /// Sequence number of the endpoint's last heartbeat.
+    pub sequence: AtomicU64,
+    /// Set when the endpoint sends no more heartbeats by itself.
+    pub is_quiet: AtomicBool,
     record: Record,
 }
 
@@ -101,7 +107,7 @@
     pub fn new(
         place: Place,
         internal: SocketAddr,
-        store: SocketAddr,
+        store: Door,
         bounds: &[(&str, &str)],
         folder: &std::path::Path,
         record: &Record,
@@ -118,7 +124,7 @@
             ("listen.control", control.to_string()),
             ("ip", ip.to_owned()),
             ("internalPorts.0", internal.port().to_string()),
-            ("platform.address", store.to_string()),
+            ("platform.address", store.address.to_string()),
             ("service", place.service.to_owned()),
             ("limits.linkMbps", "1000.0".to_owned()),
         ];
@@ -139,6 +145,9 @@
             child: Mutex::new(None),
             misses: AtomicUsize::new(2),
             endpoint,
+            store,
+            sequence: AtomicU64::new(0),
+            is_quiet: AtomicBool::new(false),
             record: record.clone(),
         });
         host.launch();
@@ -198,15 +207,6 @@
         self.launch();
     }
 
-    pub fn addresses(&self) -> String {
-        format!("{}", self.words[1..].join(" "))
-    }
-
-    pub fn has_ended(&self) -> bool {
-        let mut child = self.child.lock().expect("a lock");
-        child.as_mut().is_some_and(|it| matches!(it.try_wait(), Ok(Some(_))))
-    }
-
     pub fn stop(&self) {
         if let Some(mut child) = self.child.lock().expect("a lock").take() {
             let _ = child.kill();
@@ -240,22 +240,32 @@
     }
 
     fn beat(&self) {
-        let it = &self.endpoint;
-        for sequence in 1_u64.. {
-            let body = format!(
-                r#"{{"address":"{}","info":{{"service":"{}","version":"v1","zone":"{}","slots":{}}},"status":{{"state":"ready","sequence":{sequence},"warmupLeft":"0ms"}}}}"#,
-                it.address, it.service, it.zone, it.slots
-            );
-            let request = format!(
-                "POST /-/rpc?call=endpoints.heartbeat&of={} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
-                it.id,
-                self.control,
-                body.len()
-            );
-            let _ = ask(self.control, &request, Duration::from_secs(1));
+        while !self.is_quiet.load(Ordering::SeqCst) {
+            let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+            let _ = self.call("heartbeat", &self.heartbeat(sequence));
             std::thread::sleep(BEAT);
         }
     }
+
+    /// The body of a heartbeat in the state `ready`.
+    pub fn heartbeat(&self, sequence: u64) -> String {
+        let it = &self.endpoint;
+        format!(
+            r#"{{"address":"{}","info":{{"service":"{}","version":"v1","zone":"{}","slots":{}}},"status":{{"state":"ready","sequence":{sequence},"warmupLeft":"0ms"}}}}"#,
+            it.address, it.service, it.zone, it.slots
+        )
+    }
+
+    /// Sends a call of the endpoint to its node; returns the status of the answer, zero without one.
+    pub fn call(&self, call: &str, body: &str) -> u16 {
+        let request = format!(
+            "POST /-/rpc?call=endpoints.{call}&of={} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
+            self.endpoint.id,
+            self.control,
+            body.len()
+        );
+        ask(self.control, &request, Duration::from_secs(1)).map_or(0, |it| it.status())
+    }
 }
 
 impl Endpoint {
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -3,6 +3,7 @@
 
 mod host;
 mod http;
+mod leave;
 mod pipeline;
 mod record;
 mod store;
@@ -96,7 +97,7 @@
     fn start(setup: Setup, logs: PathBuf) -> Fleet {
         let process = std::process::id();
         let net = format!("127.{}.{}", 64 + process / 200 % 100, 1 + process % 200);
-        let store = Store::start(&format!("{net}.250:0"));
+        let store = Store::start(&net);
         store.put("op", "config", &CONFIG.replace("TENANTS", &setup.tenants));
         let mut fleet = Fleet {
             hosts: Vec::new(),
@@ -124,7 +125,7 @@
 
     /// Starts a host that the nodes know by `internal`.
     pub fn launch(&self, place: &Place, internal: std::net::SocketAddr) -> Arc<Host> {
-        Host::new(place.clone(), internal, self.store.address, self.bounds, &self.logs, &self.record)
+        Host::new(place.clone(), internal, self.store.door(), self.bounds, &self.logs, &self.record)
     }
 
     pub fn host(&self, name: &str) -> Arc<Host> {
@@ -241,6 +242,7 @@
     let setup = match name.as_str() {
         "term" => plain(term::PLACES),
         "pipeline" => plain(pipeline::PLACES),
+        "leave" => plain(leave::PLACES),
         _ => std::process::exit(2),
     };
     let fleet = Arc::new(Fleet::start(setup, logs.clone()));
@@ -252,6 +254,7 @@
         },
         true => match name.as_str() {
             "term" => term::play(&fleet),
+            "leave" => leave::play(&fleet),
             _ => pipeline::play(&fleet),
         },
     };
--- a/review/lib-2/store.rs
+++ b/review/lib-2/store.rs
@@ -4,10 +4,14 @@
     collections::BTreeMap,
     io::Write,
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
+use crate::host::free;
 use crate::http::{Json, Message, Reader, base64, parameter};
 
 type Key = (String, String, String);
@@ -24,30 +28,48 @@
 /// The store; clones share it.
 #[derive(Clone)]
 pub struct Store {
-    pub address: SocketAddr,
+    net: String,
     state: Arc<(Mutex<Rows>, Condvar)>,
     started: Instant,
 }
 
+/// The store's address for one machine.
+#[derive(Clone)]
+pub struct Door {
+    pub address: SocketAddr,
+    /// Whether the machine's calls are answered with 503, which means that nothing was done.
+    pub turns_away: Arc<AtomicBool>,
+}
+
 /// Time that the store takes for an answer.
 const TAKES: Duration = Duration::from_millis(4);
+/// How often an open feed looks whether its machine is turned away.
+const STEP: Duration = Duration::from_millis(20);
 
 impl Store {
-    pub fn start(address: &str) -> Store {
-        let listener = TcpListener::bind(address).expect("the store's address");
-        let store = Store {
-            address: listener.local_addr().expect("an address"),
+    pub fn start(net: &str) -> Store {
+        Store {
+            net: net.to_owned(),
             state: Arc::default(),
             started: Instant::now(),
+        }
+    }
+
+    /// Opens a door for one machine: all doors lead to the same store, and each can turn its machine away by itself.
+    pub fn door(&self) -> Door {
+        let listener = TcpListener::bind(free(&format!("{}.250", self.net))).expect("the store's address");
+        let door = Door {
+            address: listener.local_addr().expect("an address"),
+            turns_away: Arc::default(),
         };
-        let serving = store.clone();
+        let (store, turns_away) = (self.clone(), door.turns_away.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = serving.clone();
-                std::thread::spawn(move || store.serve(stream));
+                let (store, turns_away) = (store.clone(), turns_away.clone());
+                std::thread::spawn(move || store.serve(stream, &turns_away));
             }
         });
-        store
+        door
     }
 
     /// Writes a row as the operator does.
@@ -61,14 +83,18 @@
         self.state.1.notify_all();
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, turns_away: &AtomicBool) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else {
             return;
         };
         let mut reader = Reader::new(stream);
         while let Ok(call) = reader.message(false) {
-            let (status, body) = self.answer(&call);
+            let before = turns_away.load(Ordering::SeqCst);
+            let (status, body) = match before {
+                true => (503, "{}".to_owned()),
+                false => self.answer(&call, turns_away),
+            };
             let text = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
@@ -79,7 +105,7 @@
         }
     }
 
-    fn answer(&self, call: &Message) -> (u16, String) {
+    fn answer(&self, call: &Message, turns_away: &AtomicBool) -> (u16, String) {
         std::thread::sleep(TAKES);
         let path = call.second();
         let name = path.split('?').next().unwrap_or("");
@@ -107,11 +133,15 @@
                         .collect();
                     news.sort();
                     let left = end.saturating_duration_since(Instant::now());
+                    // A feed that is open when the machine is turned away ends.
+                    if turns_away.load(Ordering::SeqCst) {
+                        return (503, "{}".to_owned());
+                    }
                     if !news.is_empty() || left.is_zero() {
                         let news: Vec<String> = news.into_iter().map(|it| it.1).collect();
                         return (200, self.body(&rows, &news));
                     }
-                    rows = self.state.1.wait_timeout(rows, left).expect("the store's lock").0;
+                    rows = self.state.1.wait_timeout(rows, left.min(STEP)).expect("the store's lock").0;
                 }
             }
             _ => (404, "{}".to_owned()),
