--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -3,11 +3,11 @@
 
 mod host;
 mod http;
-mod leave;
 mod pipeline;
 mod record;
 mod store;
 mod term;
+mod upload;
 
 use std::{
     io::{self, Write},
@@ -61,13 +61,13 @@
     deadline: 3_000,
 };
 
-/// The configuration without tenants; theirs come in place of `TENANTS`.
-const CONFIG: &str = r#"{"version":7,"baseVersion":5,"resources":[
+/// The configuration; further routes come in place of `ROUTES`.
+const CONFIG: &str = r#"{"version":VERSION,"baseVersion":5,"resources":[
 {"type":"routes","metadata":{"name":"r-profile"},"spec":{"host":"wuny96.example","prefix":"/gono990/","kind":"safe","timeout":"1000ms","latencyGoal":"400ms","priority":2,"service":"dele69a","attempts":2}},
 {"type":"routes","metadata":{"name":"r-history"},"spec":{"host":"wuny96.example","prefix":"/lohu930/","kind":"safe","timeout":"3000ms","latencyGoal":"1200ms","priority":2,"service":"xano55b","attempts":2}},
-{"type":"services","metadata":{"name":"dele69a"},"spec":{"healthPath":"/healthz","maxConnections":130,"protocol":"h1","tls":false}},
+ROUTES{"type":"services","metadata":{"name":"dele69a"},"spec":{"healthPath":"/healthz","maxConnections":130,"protocol":"h1","tls":false}},
 {"type":"services","metadata":{"name":"xano55b"},"spec":{"healthPath":"/healthz","maxConnections":130,"protocol":"h1","tls":false}},
-TENANTS{"type":"limits","metadata":{},"spec":{"headerBytes":16384,"bodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}]}"#;
+{"type":"limits","metadata":{},"spec":{"headerBytes":16384,"bodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}]}"#;
 
 /// A small deployment: its hosts and its store.
 pub struct Fleet {
@@ -78,27 +78,14 @@
     pub net: String,
     pub store: Store,
     pub logs: PathBuf,
-    bounds: &'static [(&'static str, &'static str)],
-    /// Key that requests carry, if there are tenants.
-    key: Option<String>,
     numbers: Numbers,
 }
 
-/// What a case deploys.
-pub struct Setup {
-    pub places: &'static [Place],
-    pub bounds: &'static [(&'static str, &'static str)],
-    /// The tenants of the configuration, and the key that requests carry.
-    pub tenants: String,
-    pub key: Option<String>,
-}
-
 impl Fleet {
-    fn start(setup: Setup, logs: PathBuf) -> Fleet {
+    fn start(places: &[Place], logs: PathBuf) -> Fleet {
         let process = std::process::id();
         let net = format!("127.{}.{}", 64 + process / 200 % 100, 1 + process % 200);
         let store = Store::start(&net);
-        store.put("op", "config", &CONFIG.replace("TENANTS", &setup.tenants));
         let mut fleet = Fleet {
             hosts: Vec::new(),
             record: Record::new(),
@@ -106,11 +93,10 @@
             net,
             store,
             logs,
-            bounds: setup.bounds,
-            key: setup.key,
             numbers: Numbers::new(),
         };
-        for (number, place) in setup.places.iter().enumerate() {
+        fleet.configure(7, "");
+        for (number, place) in places.iter().enumerate() {
             let internal = host::free(&fleet.address(number));
             let host = fleet.launch(place, internal);
             fleet.hosts.push(host);
@@ -118,6 +104,13 @@
         fleet
     }
 
+    /// Writes a version of the configuration, with these routes besides the first ones.
+    pub fn configure(&self, version: u64, routes: &str) {
+        let text = CONFIG.replace("VERSION", &version.to_string()).replace("ROUTES", routes);
+        self.store.put("op", "config", &text);
+        self.record.add("config", "", "operator", &format!("version {version} acknowledged"));
+    }
+
     /// The address of the host `number`.
     pub fn address(&self, number: usize) -> String {
         format!("{}.{}", self.net, number + 1)
@@ -125,7 +118,7 @@
 
     /// Starts a host that the nodes know by `internal`.
     pub fn launch(&self, place: &Place, internal: std::net::SocketAddr) -> Arc<Host> {
-        Host::new(place.clone(), internal, self.store.door(), self.bounds, &self.logs, &self.record)
+        Host::new(place.clone(), internal, self.store.door(), &BOUNDS, &self.logs, &self.record)
     }
 
     pub fn host(&self, name: &str) -> Arc<Host> {
@@ -146,14 +139,12 @@
 
     /// The text of a request whose endpoint works for `work` ms.
     pub fn request(&self, kind: Kind, id: &str, work: u64) -> String {
-        let key = self.key.as_ref().map(|it| format!("Authorization: Token {it}\r\n"));
         format!(
-            "{} {} HTTP/1.1\r\nHost: {}\r\nX-Laburnumward-Attempt-Id: {id}\r\nX-Laburnumward-Deadline-Ms: {}\r\n{}X-Work-Ms: {work}\r\n\r\n",
+            "{} {} HTTP/1.1\r\nHost: {}\r\nX-Laburnumward-Attempt-Id: {id}\r\nX-Laburnumward-Deadline-Ms: {}\r\nX-Work-Ms: {work}\r\n\r\n",
             kind.method,
             kind.path,
             kind.host,
-            kind.deadline,
-            key.unwrap_or_default()
+            kind.deadline
         )
     }
 
@@ -233,19 +224,13 @@
     if std::fs::create_dir_all(&logs).is_err() {
         std::process::exit(2);
     }
-    let plain = |places| Setup {
-        places,
-        bounds: &BOUNDS,
-        tenants: String::new(),
-        key: None,
-    };
-    let setup = match name.as_str() {
-        "term" => plain(term::PLACES),
-        "pipeline" => plain(pipeline::PLACES),
-        "leave" => plain(leave::PLACES),
+    let places = match name.as_str() {
+        "term" => term::PLACES,
+        "pipeline" => pipeline::PLACES,
+        "upload" => upload::PLACES,
         _ => std::process::exit(2),
     };
-    let fleet = Arc::new(Fleet::start(setup, logs.clone()));
+    let fleet = Arc::new(Fleet::start(places, logs.clone()));
     let verdict = match fleet.settle() {
         false => Verdict {
             broken: Vec::new(),
@@ -254,7 +239,7 @@
         },
         true => match name.as_str() {
             "term" => term::play(&fleet),
-            "leave" => leave::play(&fleet),
+            "upload" => upload::play(&fleet),
             _ => pipeline::play(&fleet),
         },
     };
