--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+exec "$(dirname "$0")/../lib-2/run.sh" pipeline review/7
--- a/review/lib-2/host.rs
+++ b/review/lib-2/host.rs
@@ -23,6 +23,8 @@
     pub name: &'static str,
     pub zone: &'static str,
     pub service: &'static str,
+    /// Version of the endpoint's software.
+    pub version: &'static str,
 }
 
 pub struct Host {
@@ -54,6 +56,8 @@
     service: &'static str,
     zone: &'static str,
     slots: usize,
+    /// Set when its machine is lost: it takes no more connections and answers nothing.
+    pub is_lost: AtomicBool,
     running: Mutex<usize>,
     freed: Condvar,
     record: Record,
@@ -251,8 +255,8 @@
     pub fn heartbeat(&self, sequence: u64) -> String {
         let it = &self.endpoint;
         format!(
-            r#"{{"address":"{}","info":{{"service":"{}","version":"v1","zone":"{}","slots":{}}},"status":{{"state":"ready","sequence":{sequence},"warmupLeft":"0ms"}}}}"#,
-            it.address, it.service, it.zone, it.slots
+            r#"{{"address":"{}","info":{{"service":"{}","version":"{}","zone":"{}","slots":{}}},"status":{{"state":"ready","sequence":{sequence},"warmupLeft":"0ms"}}}}"#,
+            it.address, it.service, self.place.version, it.zone, it.slots
         )
     }
 
@@ -277,6 +281,7 @@
             service: place.service,
             zone: place.zone,
             slots: SLOTS,
+            is_lost: AtomicBool::new(false),
             running: Mutex::new(0),
             freed: Condvar::new(),
             record: record.clone(),
@@ -284,6 +289,9 @@
         let serving = endpoint.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if serving.is_lost.load(Ordering::SeqCst) {
+                    return;
+                }
                 let endpoint = serving.clone();
                 std::thread::spawn(move || endpoint.serve(stream));
             }
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod pipeline;
 mod record;
+mod replace;
 mod store;
 mod term;
 mod upload;
@@ -228,6 +229,7 @@
         "term" => term::PLACES,
         "pipeline" => pipeline::PLACES,
         "upload" => upload::PLACES,
+        "replace" => replace::PLACES,
         _ => std::process::exit(2),
     };
     let fleet = Arc::new(Fleet::start(places, logs.clone()));
@@ -240,6 +242,7 @@
         true => match name.as_str() {
             "term" => term::play(&fleet),
             "upload" => upload::play(&fleet),
+            "replace" => replace::play(&fleet),
             _ => pipeline::play(&fleet),
         },
     };
--- a/review/lib-2/pipeline.rs
+++ b/review/lib-2/pipeline.rs
@@ -14,7 +14,7 @@
 use crate::{Fleet, HISTORY_READ, PROFILE_READ, Verdict, host::{Host, Place}};
 
 const fn place(name: &'static str, zone: &'static str, service: &'static str) -> Place {
-    Place { name, zone, service }
+    Place { name, zone, service, version: "v1" }
 }
 
 pub const PLACES: &[Place] = &[
--- a/review/lib-2/term.rs
+++ b/review/lib-2/term.rs
@@ -13,7 +13,7 @@
 use crate::{Fleet, HISTORY_READ, PROFILE_READ, Verdict, host::Place};
 
 const fn place(name: &'static str, zone: &'static str, service: &'static str) -> Place {
-    Place { name, zone, service }
+    Place { name, zone, service, version: "v1" }
 }
 
 /// As in the zones pnw-c and pnw-d of the site earworks-pnw.
--- a/review/lib-2/upload.rs
+++ b/review/lib-2/upload.rs
@@ -15,7 +15,7 @@
 use crate::{CONTACT, Fleet, Kind, PROFILE_READ, Verdict, host::{Host, Place}, http::Reader};
 
 const fn place(name: &'static str, zone: &'static str, service: &'static str) -> Place {
-    Place { name, zone, service }
+    Place { name, zone, service, version: "v1" }
 }
 
 pub const PLACES: &[Place] = &[
