An answer of a transfer coding other than chunked alone is a failure

What callers saw: an upstream in trouble sent Transfer-Encoding: chunke (or empty, identity, xchunked, chunked;x=1) and the chunks. The caller got 200 with the upstream's signature, and the chunks' own lines as part of the body. If the upstream closed its connection, the answer was complete; if not, it was cut at the route's timeout. A rejection with such a head was passed on as "not run". An answer to HEAD with it was passed on.

Cause: the HTTP library reads a body of a coding that it does not know up to the end of the connection, and takes off the chunks of "gzip, chunked" and "chunked, chunked". The node removes the field as one of the connection, so nothing tells the caller.

Change: the head of each answer of an upstream, health reports among them, is checked in one place, where the connection hands it out (Lease::send). What cannot be trusted becomes a 502 of the node, outcome unknown, and the connection is closed with the lease, as only an answer that was read whole returns one to the pool. Bytes that the library cannot read as a head, until now reported as a closed connection, get the same reason, bad-answer.

Evidence: answer_heads, each case over a kept and a new connection that the upstream keeps or closes, on both kinds of route, from the upstream's host and from another one. Heads that are no HTTP (control bytes and blanks in names, lines without a colon) were failures before; their tests stay.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,6 +1,7 @@
-//! Adapters to the outside world: the platform's table and object store, the link between nodes, the clock, and
-//! the bodies and bearer tokens of the operators' API.
+//! Adapters to the outside world: the platform's table and object store, the link between nodes, the clock, the check of
+//! HTTP answers, and the bodies and bearer tokens of the operators' API.
 
+pub mod answer;
 pub mod api;
 pub mod clock;
 pub mod http;
--- a/crates/node/src/traffic/answer.rs
+++ b/crates/node/src/traffic/answer.rs
@@ -7,6 +7,7 @@
 use http::{Response, StatusCode, Version, header};
 use http_body::Body as _;
 use hyper::body::Incoming;
+use laburnum_edge::answer::BadHead;
 use laburnum_kernel::{
     Ms,
     admission::Finish,
@@ -191,6 +192,13 @@
         }
     }
 
+    /// Returns the denial for an answer whose header cannot be trusted.
+    pub(super) fn answer_broken(&self, run: RunningRequest, fault: BadHead) -> Denial {
+        run.slot.finish(Finish::Failed);
+        run.run.lost();
+        Denial::from_bad_head(fault)
+    }
+
     /// Returns the denial for a connection that broke before the answer.
     pub(super) fn connection_lost(&self, payload: &Payload, run: RunningRequest) -> Denial {
         run.slot.finish(Finish::Failed);
--- a/crates/node/src/traffic/denial.rs
+++ b/crates/node/src/traffic/denial.rs
@@ -2,6 +2,7 @@
 
 use axum::body::Body;
 use http::{HeaderValue, Response, StatusCode, header};
+use laburnum_edge::answer::BadHead;
 use laburnum_kernel::refusal::{Reason, Refusal};
 
 use super::{
@@ -59,6 +60,14 @@
         Denial::Unknown { reason, why }
     }
 
+    /// Creates the denial for a request whose answer has a header that cannot be trusted.
+    pub fn from_bad_head(fault: BadHead) -> Denial {
+        let why = format!(
+            "the answer was dropped, as its header cannot be trusted: {fault}; mend the upstream; the request may have been run"
+        );
+        Denial::unknown(BAD_ANSWER, why)
+    }
+
     /// Creates the denial of a request whose body did not arrive whole and was not forwarded.
     pub fn from_body_fault(fault: BodyFault) -> Denial {
         let reason = match fault {
@@ -165,6 +174,8 @@
 pub const UNPROVEN: &str = "unproven";
 /// Reason of a request whose answer did not arrive by the deadline.
 pub const DEADLINE: &str = "deadline";
+/// Reason of a request whose answer has a header that cannot be trusted.
+pub const BAD_ANSWER: &str = "bad-answer";
 /// Reason of a request that was rejected after an attempt that may have run.
 pub const EARLIER_ATTEMPT: &str = "earlier-attempt-unknown";
 /// Reason of an idempotency key whose earlier run may have taken effect.
--- a/crates/node/src/traffic/owner.rs
+++ b/crates/node/src/traffic/owner.rs
@@ -539,6 +539,7 @@
                     return self.receive_answer(&job, run, lease, answer, limit).await;
                 }
                 Sent::Unsent(unsent) => request = unsent,
+                Sent::Broken(fault) => return Err(self.answer_broken(run, fault)),
                 Sent::Lost => return Err(self.connection_lost(&job.payload, run)),
                 Sent::Silent if Instant::now() >= limit => return Err(deadline_missed(run.slot)),
                 Sent::Silent => {
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -14,6 +14,7 @@
 use http::{HeaderMap, Request, Response};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
+use laburnum_edge::answer::{self, BadHead};
 use laburnum_kernel::utils::hash64;
 use tokio::{
     sync::{Notify, OwnedSemaphorePermit, Semaphore},
@@ -165,6 +166,8 @@
 pub enum Sent {
     /// The header of the answer arrived.
     Answered(Response<Incoming>),
+    /// The header of the answer arrived and cannot be trusted.
+    Broken(BadHead),
     /// The connection was closed before a byte of the request was written.
     Unsent(Request<Body>),
     /// The connection broke after bytes may have been written.
@@ -389,11 +392,17 @@
         match self.connection.sender.try_send_request(request).await {
             Ok(answer) => {
                 self.pool.record_first_byte(self.started.elapsed());
-                self.pool.record_idle_timeout(answer.headers());
-                Sent::Answered(answer)
+                match answer::check(answer) {
+                    Ok(answer) => {
+                        self.pool.record_idle_timeout(answer.headers());
+                        Sent::Answered(answer)
+                    }
+                    Err(fault) => Sent::Broken(fault),
+                }
             }
             Err(mut error) => match error.take_message() {
                 Some(request) => Sent::Unsent(request),
+                None if error.error().is_parse() => Sent::Broken(BadHead::Malformed),
                 None => Sent::Lost,
             },
         }
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -637,8 +637,10 @@
     let Ok(request) = request else {
         return PollResult::Unclear;
     };
-    let Sent::Answered(answer) = lease.send(request).await else {
-        return PollResult::Late;
+    let answer = match lease.send(request).await {
+        Sent::Answered(answer) => answer,
+        Sent::Broken(_) => return PollResult::Unclear,
+        Sent::Unsent(_) | Sent::Lost | Sent::Silent => return PollResult::Late,
     };
     if answer.status() != StatusCode::OK {
         return PollResult::Unclear;
