Lengths of an answer that are not one number are a failure, and agreeing ones become one

What callers saw: an answer to HEAD with Content-Length: 2x1 was passed on with it; one with two different lengths cut the caller's connection without an answer. Content-Length: 21, 21, which the protocol allows, was passed on as it was, and callers that read one number found none.

Cause: the HTTP library reads the length only where a body follows, and leaves the fields in the head as they came.

Change: all values of all Content-Length fields must be the same number; it is passed on in one field. Anything else is a 502. The length also counts beside a coding and in answers to HEAD.

Evidence: answer_heads; the two HEAD cases, the same length twice in a line (to GET, POST and HEAD) failed before and pass now. The other spoilt lengths of answers with a body were failures before: the tests stay.

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -4,7 +4,7 @@
 //! that ends with its connection, and ignores a length beside chunks. Passed on, such a body is not the sender's and looks
 //! complete. The rules are those of RFC 9112, section 6, and RFC 9110, sections 8.6 and 15.
 
-use http::{HeaderMap, Response, Version, header};
+use http::{HeaderMap, HeaderValue, Response, Version, header};
 
 /// Why the head of an answer cannot be trusted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -12,6 +12,9 @@
     /// The bytes are not the head of an answer.
     #[error("it is no head of an HTTP answer")]
     Malformed,
+    /// The lengths differ or one is not a number.
+    #[error("Content-Length is not one number")]
+    Length,
     /// The transfer coding is unknown, not alone, or not allowed in the answer's HTTP version.
     #[error("Transfer-Encoding is not chunked alone")]
     Coding,
@@ -20,15 +23,61 @@
     LengthAndCoding,
 }
 
-/// Returns the answer if its head can be trusted.
+/// How the end of a body is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    /// By its length in bytes.
+    Length(u64),
+    /// By the last chunk.
+    Chunked,
+    /// By nothing in the head: by the end of the connection or, in HTTP/2, of the stream.
+    Unframed,
+}
+
+/// Returns the answer if its head can be trusted, with its length, if any, in one field.
 ///
 /// If it cannot, the caller must close the connection: nobody knows where the next answer on it begins.
-pub fn check<B>(answer: Response<B>) -> Result<Response<B>, BadHead> {
-    let headers = answer.headers();
-    let is_chunked = is_chunked(answer.version(), headers)?;
-    match is_chunked && headers.contains_key(header::CONTENT_LENGTH) {
-        true => Err(BadHead::LengthAndCoding),
-        false => Ok(answer),
+pub fn check<B>(mut answer: Response<B>) -> Result<Response<B>, BadHead> {
+    let version = answer.version();
+    let headers = answer.headers_mut();
+    let framing = framing(version, headers)?;
+    if let Framing::Length(length) = framing {
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
+    }
+    Ok(answer)
+}
+
+fn framing(version: Version, headers: &HeaderMap) -> Result<Framing, BadHead> {
+    let length = length(headers)?;
+    let is_chunked = is_chunked(version, headers)?;
+    match (length, is_chunked) {
+        (Some(_), true) => Err(BadHead::LengthAndCoding),
+        (Some(length), false) => Ok(Framing::Length(length)),
+        (None, true) => Ok(Framing::Chunked),
+        (None, false) => Ok(Framing::Unframed),
+    }
+}
+
+/// Returns the length that all values of the field agree on.
+fn length(headers: &HeaderMap) -> Result<Option<u64>, BadHead> {
+    let mut length = None;
+    for value in headers.get_all(header::CONTENT_LENGTH) {
+        for text in value.as_bytes().split(|it| *it == b',') {
+            let it = parse_length(text.trim_ascii()).ok_or(BadHead::Length)?;
+            if *length.get_or_insert(it) != it {
+                return Err(BadHead::Length);
+            }
+        }
+    }
+    Ok(length)
+}
+
+/// Parses a length. The standard parser would accept a sign.
+fn parse_length(text: &[u8]) -> Option<u64> {
+    let digits = str::from_utf8(text).ok()?;
+    match digits.bytes().all(|it| it.is_ascii_digit()) {
+        true => digits.parse().ok(),
+        false => None,
     }
 }
 
