An answer whose status cannot end a request is a failure

What callers saw: status 101, which nobody had asked for, reached the caller as its answer and turned its connection into one without HTTP; 600 and 999 reached it as they were. A refusal of status 600 was passed on as "not run".

Cause: the HTTP library takes each status from 100 to 999 that is not a plain interim answer for a final one, and the node judged none of them.

Change: only 200 to 599 end a request (RFC 9110, section 15); the rest is a 502 of the node.

Evidence: answer_heads; 101 with and without its fields, 600, 999 and the refusal failed before and pass now. 000, 099, statuses of other lengths or with letters, other versions and control bytes were failures before: the tests stay.

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -12,6 +12,9 @@
     /// The bytes are not the head of an answer.
     #[error("it is no head of an HTTP answer")]
     Malformed,
+    /// The status is interim, switches protocols, or does not exist.
+    #[error("the status {0} cannot end a request")]
+    Status(u16),
     /// The lengths differ or one is not a number.
     #[error("Content-Length is not one number")]
     Length,
@@ -38,7 +41,10 @@
 ///
 /// If it cannot, the caller must close the connection: nobody knows where the next answer on it begins.
 pub fn check<B>(mut answer: Response<B>) -> Result<Response<B>, BadHead> {
-    let version = answer.version();
+    let (status, version) = (answer.status(), answer.version());
+    if !(200..600).contains(&status.as_u16()) {
+        return Err(BadHead::Status(status.as_u16()));
+    }
     let headers = answer.headers_mut();
     let framing = framing(version, headers)?;
     if let Framing::Length(length) = framing {
