An answer of status 204 that announces a body is a failure

What callers saw: 204 with Content-Length: 21 and 21 bytes, or with chunks, was passed on as a 204, signed. The body was left on the connection to the upstream, where the next answer was expected.

Cause: the HTTP library reads no body after a 204, whatever the head says, and returns the connection.

Change: a 204 with a length above 0 or with a coding is a 502, and its connection is closed. A 304 and the answer to HEAD may tell the length of a body that is not sent.

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -4,7 +4,7 @@
 //! that ends with its connection, and ignores a length beside chunks. Passed on, such a body is not the sender's and looks
 //! complete. The rules are those of RFC 9112, section 6, and RFC 9110, sections 8.6 and 15.
 
-use http::{HeaderMap, HeaderValue, Response, Version, header};
+use http::{HeaderMap, HeaderValue, Response, StatusCode, Version, header};
 
 /// Why the head of an answer cannot be trusted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -24,6 +24,9 @@
     /// Both a length and a transfer coding are present.
     #[error("both Content-Length and Transfer-Encoding are present")]
     LengthAndCoding,
+    /// A body is announced, which the status forbids.
+    #[error("the status {0} forbids the body that is announced")]
+    Body(u16),
 }
 
 /// How the end of a body is told.
@@ -47,6 +50,7 @@
     }
     let headers = answer.headers_mut();
     let framing = framing(version, headers)?;
+    check_status(status, framing)?;
     if let Framing::Length(length) = framing {
         headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
     }
@@ -103,3 +107,13 @@
         false => Err(BadHead::Coding),
     }
 }
+
+/// Checks that a status that forbids a body announces none.
+fn check_status(status: StatusCode, framing: Framing) -> Result<(), BadHead> {
+    match (status, framing) {
+        (StatusCode::NO_CONTENT, Framing::Chunked | Framing::Length(1..)) => {
+            Err(BadHead::Body(status.as_u16()))
+        }
+        _ => Ok(()),
+    }
+}
