An answer without a length beside a misspelt one is a failure

What callers saw: the name of the field that tells the length was spoilt by one letter (content_length, content-lenght, transfer-encodin). The answer was taken for one that ends with its connection: with a spoilt coding, the caller got the chunks' own lines as part of a complete, signed body.

Cause: an answer without a length is allowed, and a misspelt name is a field like any other.

Change: where nothing tells the length of an HTTP/1 answer that has a body, a field whose name is one edit away from Content-Length or Transfer-Encoding makes it a 502. Fields of applications such as x-content-length are further away, and an answer that has its length may carry any field.

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -4,7 +4,7 @@
 //! that ends with its connection, and ignores a length beside chunks. Passed on, such a body is not the sender's and looks
 //! complete. The rules are those of RFC 9112, section 6, and RFC 9110, sections 8.6 and 15.
 
-use http::{HeaderMap, HeaderValue, Response, StatusCode, Version, header};
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Version, header};
 
 /// Why the head of an answer cannot be trusted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -27,6 +27,9 @@
     /// A body is announced, which the status forbids.
     #[error("the status {0} forbids the body that is announced")]
     Body(u16),
+    /// Nothing tells the length, but a field has almost the name of one that does.
+    #[error("no length is given, but a field has almost the name {0}")]
+    Misspelt(&'static str),
 }
 
 /// How the end of a body is told.
@@ -40,10 +43,10 @@
     Unframed,
 }
 
-/// Returns the answer if its head can be trusted, with its length, if any, in one field.
+/// Returns the answer to a request of `method` if its head can be trusted, with its length, if any, in one field.
 ///
 /// If it cannot, the caller must close the connection: nobody knows where the next answer on it begins.
-pub fn check<B>(mut answer: Response<B>) -> Result<Response<B>, BadHead> {
+pub fn check<B>(method: &Method, mut answer: Response<B>) -> Result<Response<B>, BadHead> {
     let (status, version) = (answer.status(), answer.version());
     if !(200..600).contains(&status.as_u16()) {
         return Err(BadHead::Status(status.as_u16()));
@@ -51,8 +54,15 @@
     let headers = answer.headers_mut();
     let framing = framing(version, headers)?;
     check_status(status, framing)?;
-    if let Framing::Length(length) = framing {
-        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
+    // The answer to HEAD and a 304 have the fields of a body that is not sent.
+    let has_body = method != Method::HEAD
+        && !matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    match framing {
+        Framing::Length(length) => {
+            headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
+        }
+        Framing::Unframed if has_body && version < Version::HTTP_2 => check_names(headers)?,
+        Framing::Chunked | Framing::Unframed => {}
     }
     Ok(answer)
 }
@@ -117,3 +127,14 @@
         _ => Ok(()),
     }
 }
+
+/// Checks that the length is not missing because one letter of a field's name was lost or changed.
+fn check_names(headers: &HeaderMap) -> Result<(), BadHead> {
+    for framing in ["content-length", "transfer-encoding"] {
+        let is_misspelt = |name: &str| strsim::osa_distance(name, framing) == 1;
+        if headers.keys().any(|it| is_misspelt(it.as_str())) {
+            return Err(BadHead::Misspelt(framing));
+        }
+    }
+    Ok(())
+}
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -389,10 +389,11 @@
     /// Sends the request and waits for the header of its answer.
     pub async fn send(&mut self, request: Request<Body>) -> Sent {
         self.started = Instant::now();
+        let method = request.method().clone();
         match self.connection.sender.try_send_request(request).await {
             Ok(answer) => {
                 self.pool.record_first_byte(self.started.elapsed());
-                match answer::check(answer) {
+                match answer::check(&method, answer) {
                     Ok(answer) => {
                         self.pool.record_idle_timeout(answer.headers());
                         Sent::Answered(answer)
