An answer of the store that cannot be trusted counts as lost

What was seen: a write that the store answered with 200 and a head with both a length and chunks, or with chunks in chunks, counted as committed; so a claim, the leaving of an upstream or a stage of a roll-out could count as kept on the word of bytes that nobody can delimit. A 204 with a body and status 600 were errors of another kind, and their connection was used again.

Cause: as with upstreams, the client takes what the HTTP library reads. Its pooled client also reads the rest of such an answer and uses the connection again.

Change: the store's calls go through the same check (answer::send). A head that cannot be trusted is a lost answer: a read may be repeated, a write may have taken effect. The connection is marked so that the pool closes it.

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -4,7 +4,14 @@
 //! that ends with its connection, and ignores a length beside chunks. Passed on, such a body is not the sender's and looks
 //! complete. The rules are those of RFC 9112, section 6, and RFC 9110, sections 8.6 and 15.
 
-use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Version, header};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Version, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::{
+    Client,
+    connect::{HttpConnector, capture_connection},
+};
 
 /// Why the head of an answer cannot be trusted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -43,6 +50,41 @@
     Unframed,
 }
 
+/// Why a request got no usable answer.
+#[derive(Debug, thiserror::Error)]
+pub enum SendError {
+    /// No connection could be opened; nothing was sent.
+    #[error("{0}")]
+    Connect(hyper_util::client::legacy::Error),
+    /// The connection failed before the head of the answer; the request may have been received.
+    #[error("{0}")]
+    Lost(hyper_util::client::legacy::Error),
+    /// The head of the answer cannot be trusted; the request may have been received.
+    #[error("the answer was dropped: {0}; mend its sender")]
+    Head(BadHead),
+}
+
+/// Sends `request` and returns its answer if the head can be trusted, or else closes the connection.
+pub async fn send(
+    client: &Client<HttpConnector, Full<Bytes>>,
+    mut request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, SendError> {
+    let method = request.method().clone();
+    let connection = capture_connection(&mut request);
+    let answer = client.request(request).await;
+    let answer = answer.map_err(|error| match error.is_connect() {
+        true => SendError::Connect(error),
+        false => SendError::Lost(error),
+    })?;
+    check(&method, answer).map_err(|fault| {
+        // The client would read the rest of the body and use the connection again.
+        if let Some(it) = connection.connection_metadata().as_ref() {
+            it.poison();
+        }
+        SendError::Head(fault)
+    })
+}
+
 /// Returns the answer to a request of `method` if its head can be trusted, with its length, if any, in one field.
 ///
 /// If it cannot, the caller must close the connection: nobody knows where the next answer on it begins.
