An answer of the platform's HTTP service that cannot be trusted counts as lost

What was seen: a commit answered with a length beside chunks, an unknown transfer coding or a misspelt length counted as committed. Cause and change are those of the store's client: calls go through answer::send, and such an answer is a lost one.

Evidence: platform::foreign_answers_become_faults, three of the four new cases failed before (left Committed, right Failed(Unknown)) and pass now; two lengths were a lost answer before.

--- a/crates/edge/src/http.rs
+++ b/crates/edge/src/http.rs
@@ -17,6 +17,7 @@
 use tokio::sync::Semaphore;
 
 use crate::{
+    answer::{self, SendError},
     http::wire::{
         BytesBody, CommitBody, DoneBody, Effect, ErrorBody, GetBody, NameBody, ObjectBody,
         RowsBody, ScanBody,
@@ -222,16 +223,13 @@
         request: Request<Full<Bytes>>,
         access: Access,
     ) -> Result<Received, Fault> {
-        let response =
-            self.client
-                .request(request)
-                .await
-                .map_err(|error| match error.is_connect() {
-                    // Without a connection nothing was sent. Any other failure counts as sent: a pooled connection
-                    // may close while the request is being written.
-                    true => Fault::Unavailable,
-                    false => access.lost_answer(),
-                })?;
+        let response = answer::send(&self.client, request).await;
+        let response = response.map_err(|error| match error {
+            // Without a connection nothing was sent. Any other failure counts as sent: a pooled connection may close
+            // while the request is being written.
+            SendError::Connect(_) => Fault::Unavailable,
+            SendError::Lost(_) | SendError::Head(_) => access.lost_answer(),
+        })?;
         let (parts, body) = response.into_parts();
         let body = Limited::new(body, self.settings.answer_max).collect().await;
         let body = body.map_err(|error| match (access, error.is::<LengthLimitError>()) {
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -502,9 +502,16 @@
     format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n{headers}\r\n{body}")
 }
 
+/// Returns an answer whose header does not say surely where its body ends.
+fn spoilt(lines: &str, body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\n{lines}\r\n\r\n{body}")
+}
+
 const FOREIGN: &str = r#"{"rows":[{"key":"foreign","version":1,"value":""}]}"#;
 const NO_VERSION: &str = r#"{"rows":[{"key":"a","version":0,"value":""}]}"#;
 const NO_EFFECT: &str = r#"{"error":"down","effect":"none"}"#;
+const DONE: &str = r#"{"done":true}"#;
+const CHUNKS: &str = "d\r\n{\"done\":true}\r\n0\r\n\r\n";
 const WAIT: &str = r#"{"error":"slow down","after":250}"#;
 
 fn throttled(after: u64) -> Fault {
@@ -533,6 +540,10 @@
 #[test_case(answer("409 Conflict", "", FOREIGN), Fault::Unavailable, Fault::Unknown; "conflict of another commit")]
 #[test_case(answer("200 OK", "", NO_VERSION), Fault::Unavailable, Fault::Unknown; "row without a version")]
 #[test_case("HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n{\"done\":true}".to_owned(), Fault::Unavailable, Fault::Unknown; "cut within the body")]
+#[test_case(spoilt("content-length: 13\r\ntransfer-encoding: chunked", CHUNKS), Fault::Unavailable, Fault::Unknown; "a length and chunks")]
+#[test_case(spoilt("transfer-encoding: identity", DONE), Fault::Unavailable, Fault::Unknown; "an unknown transfer coding")]
+#[test_case(spoilt("content-lenght: 13", DONE), Fault::Unavailable, Fault::Unknown; "a misspelt length")]
+#[test_case(spoilt("content-length: 13\r\ncontent-length: 3", DONE), Fault::Unavailable, Fault::Unknown; "two lengths")]
 #[test_case(String::new(), Fault::Unavailable, Fault::Unknown; "connection closed")]
 #[test_case("SSH-2.0\r\n".to_owned(), Fault::Unavailable, Fault::Unknown; "another protocol")]
 #[tokio::test]
