The operators' command line trusts no verdict whose end is in doubt

What operators saw: a verdict in an answer with an unknown transfer coding was printed as the outcome of their change.

Change: the client of the operators' API checks the head as the others do; such an answer is lost, and the outcome is queried.

Evidence: lost::lost_answers_are_queried, the new case failed before (left "accepted: revision 3, seq 8", the spoilt answer; right "accepted: revision 4, seq 9", the one to the query) and passes now.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -11,6 +11,7 @@
 };
 use laburnum_edge::{
     Token,
+    answer::{self, SendError},
     api::{
         AuditBody, ErrorBody, LiftBody, ListBody, QuarantinesBody, ResolveBody, ServiceBody,
         StatusBody, SubmitAnswer, SubmitBody, UnknownBody,
@@ -245,12 +246,20 @@
     /// Sends `request` and receives the whole answer, without a timeout.
     async fn receive(&self, request: Request<Full<Bytes>>) -> Result<Answer, ClientError> {
         let node = self.node;
-        let answer = self.http.request(request).await.map_err(|error| {
-            let why = root_cause(&error);
-            match error.is_connect() {
-                true => ClientError::Connect { node, why },
-                false => ClientError::Lost { node, why },
-            }
+        let answer = answer::send(&self.http, request).await;
+        let answer = answer.map_err(|error| match &error {
+            SendError::Connect(it) => ClientError::Connect {
+                node,
+                why: root_cause(it),
+            },
+            SendError::Lost(it) => ClientError::Lost {
+                node,
+                why: root_cause(it),
+            },
+            SendError::Head(_) => ClientError::Lost {
+                node,
+                why: error.to_string(),
+            },
         })?;
         let status = answer.status();
         let body = Limited::new(answer.into_body(), ANSWER_MAX).collect().await;
--- a/crates/ctl/tests/lost.rs
+++ b/crates/ctl/tests/lost.rs
@@ -22,11 +22,13 @@
 enum Step {
     /// Answers with this status and body.
     Answer(u16, &'static str),
+    /// Answers 200 with these header fields, each with its line end, and this body.
+    Spoilt(&'static str, &'static str),
     /// Closes the connection without an answer.
     Drop,
 }
 
-use Step::{Answer, Drop};
+use Step::{Answer, Drop, Spoilt};
 
 const ABSENT: Step = Answer(404, r#"{"id":"2a","verdict":"absent"}"#);
 const ACCEPTED: Step = Answer(
@@ -42,6 +44,11 @@
     409,
     r#"{"id":"2a","verdict":"conflict","revision":4,"author":"omar","diff":"-a\n+b\n"}"#,
 );
+/// An answer whose header does not say surely where its body ends.
+const SPOILT: Step = Spoilt(
+    "transfer-encoding: identity\r\n",
+    r#"{"id":"2a","verdict":"accepted","seq":8,"revision":3}"#,
+);
 const NOT_A_NODE: Step = Answer(404, "<html>");
 
 /// A node that handles each request by the next step of a script; the last step repeats.
@@ -82,11 +89,17 @@
 
 async fn serve(mut stream: TcpStream, step: Step) -> String {
     let request = receive(&mut stream).await;
-    if let Answer(status, body) = step {
-        let length = body.len();
-        let answer = format!(
-            "HTTP/1.1 {status} x\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}"
-        );
+    let answer = match step {
+        Answer(status, body) => {
+            let length = body.len();
+            Some(format!(
+                "HTTP/1.1 {status} x\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}"
+            ))
+        }
+        Spoilt(fields, body) => Some(format!("HTTP/1.1 200 x\r\n{fields}\r\n{body}")),
+        Drop => None,
+    };
+    if let Some(answer) = answer {
         // The program may have closed the connection.
         let _ = stream.write_all(answer.as_bytes()).await;
         let _ = stream.shutdown().await;
@@ -151,6 +164,7 @@
 #[test_case(&[UNKNOWN, ACCEPTED], &[POST, QUERY]; "platform lost the answer")]
 #[test_case(&[Drop, ABSENT, ACCEPTED], &[POST, QUERY, POST]; "request lost before acceptance")]
 #[test_case(&[UNKNOWN, UNKNOWN, UNKNOWN, ACCEPTED], &[POST, QUERY, POST, QUERY]; "unknown for a while")]
+#[test_case(&[SPOILT, ACCEPTED], &[POST, QUERY]; "answer with an unknown transfer coding")]
 #[test_case(&[SHUTTING_DOWN, Drop, ACCEPTED], &[POST, QUERY, POST]; "node replaced")]
 #[tokio::test]
 async fn lost_answers_are_queried(steps: &'static [Step], seen: &[&str]) {
