An answer of another node that cannot be trusted is a failure

What callers saw: an owner's answer of status 600 or 999 reached the caller.

Change: the entry checks the head of each answer of another node as the owner checks that of its upstream: a 502, outcome unknown, and new requests use another connection to that node. In HTTP/2 the end of the stream ends the body, so that a misspelt length is no fault there.

--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -385,6 +385,10 @@
                         let response = Denial::Refused(refusal).response();
                         return Attempt::Failed(Failure::NotRun(refusal), response);
                     }
+                    peers::Sent::Broken(fault) => {
+                        flight.ended(Outcome::Failed);
+                        return lost_attempt(Denial::from_bad_head(fault));
+                    }
                     peers::Sent::Lost => {
                         flight.ended(Outcome::Failed);
                         return lost_attempt(self.no_answer_denial(plan));
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -15,6 +15,7 @@
 use http::{Request, Response};
 use hyper::{body::Incoming, client::conn::http2};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use laburnum_edge::answer::{self, BadHead};
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::{
@@ -36,6 +37,8 @@
 pub enum Sent {
     /// The header of the answer arrived.
     Answered(Response<Incoming>),
+    /// The header of the answer arrived and cannot be trusted: may have been run.
+    Broken(BadHead),
     /// No connection could be opened, or the node refused the stream unread: not run.
     Unsent,
     /// The connection broke or no answer arrived by the deadline: may have been run.
@@ -80,6 +83,7 @@
             return Sent::Unsent;
         };
         let sent_at = peer.now();
+        let method = request.method().clone();
         let sending = connection.sender.try_send_request(request);
         let Ok(sent) = timeout_at(deadline, sending).await else {
             // No answer arrived since the request was sent, so the connection may be dead. New requests open
@@ -94,7 +98,13 @@
                 connection
                     .last_received
                     .store(peer.now(), Ordering::Relaxed);
-                Sent::Answered(answer)
+                match answer::check(&method, answer) {
+                    Ok(answer) => Sent::Answered(answer),
+                    Err(fault) => {
+                        peer.drop_connection(&connection);
+                        Sent::Broken(fault)
+                    }
+                }
             }
             Err(mut error) => {
                 let unsent = error.take_message().is_some() || is_refused_stream(error.error());
--- a/crates/node/tests/node_faults.rs
+++ b/crates/node/tests/node_faults.rs
@@ -4,14 +4,17 @@
 
 use std::{
     convert::Infallible,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use axum::body::Body;
 use common::{
-    Cluster, DOCUMENT, Fake, Forwarder, answer, cluster, cluster_of, request, send, until,
+    Cluster, DOCUMENT, Fake, Forwarder, answer, cluster, cluster_of, request, send, try_send, until,
 };
-use http::{HeaderMap, HeaderValue, Request, Response};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::{body::Incoming, server::conn::http2, service::service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use test_case::test_case;
@@ -114,6 +117,57 @@
     cluster.close().await;
 }
 
+// Guards against an owner's answer that reaches the caller although its header does not say surely where the body ends, or
+// its status cannot end a request. The outcome is "unknown", and a later request uses another connection.
+#[test_case(200, &["2x"] ; "a length with a letter")]
+#[test_case(200, &["5", "3"] ; "two lengths")]
+#[test_case(200, &["3"] ; "a length below that of the body")]
+#[test_case(200, &["9"] ; "a length above that of the body")]
+#[test_case(600, &[] ; "status 600")]
+#[test_case(999, &["5"] ; "status 999")]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_with_a_spoilt_header_is_dropped(status: u16, lengths: &'static [&'static str]) {
+    let fake = Fake::start(|_| answer("own draft")).await;
+    let mut cluster = cluster(&[&fake]).await;
+    let spoilt = Arc::new(AtomicBool::new(true));
+    let is_spoilt = spoilt.clone();
+    let server = replace_owner(&mut cluster, move |asked| {
+        let mut response = Response::new(Body::from("filed"));
+        if is_spoilt.load(Ordering::SeqCst) {
+            *response.status_mut() = StatusCode::from_u16(status).expect("a status");
+            for it in lengths {
+                let value = HeaderValue::from_static(it);
+                response.headers_mut().append("content-length", value);
+            }
+        }
+        let headers = response.headers_mut();
+        headers.insert("laburnum-request", asked["laburnum-request"].clone());
+        headers.insert("laburnum-outcome", HeaderValue::from_static("ran"));
+        response
+    })
+    .await;
+    let caller = cluster.caller();
+    let file = |key: &'static str| {
+        let filing = request("POST", caller, "/filings").header("idempotency-key", key);
+        try_send(filing, "filing")
+    };
+    // A body that differs from the length is noticed only when its header has been passed on.
+    match file("k1").await {
+        Some(got) if got.head.status == 200 => assert_eq!(got.body, None),
+        Some(got) => {
+            assert_eq!(got.head.status, 502);
+            assert_eq!(got.field("laburnum-outcome"), "unknown", "{got:?}");
+        }
+        None => {}
+    }
+    spoilt.store(false, Ordering::SeqCst);
+    let got = file("k2").await.expect("an answer");
+    assert_eq!(got.field("laburnum-outcome"), "ran");
+    assert_eq!(got.body.as_deref(), Some(&b"filed"[..]));
+    server.abort();
+    cluster.close().await;
+}
+
 // Requests for an owner whose process has ended are "not run" at once, because nothing was sent.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_to_ended_node_is_not_run() {
