Test of health reports whose header cannot be trusted

Health checks read their answers through the same connections as requests, and so through the same check. Before it, a report with a length beside chunks took its upstream out of service (left Some(Draining)); a report with two lengths was unclear before.

--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -145,6 +145,10 @@
     silent: AtomicBool,
     /// Phase that it reports.
     phase: Mutex<&'static str>,
+    /// Sent in place of its reports, if not empty.
+    raw_report: Mutex<&'static str>,
+    /// Number of health checks that were answered.
+    checks: AtomicUsize,
     crashed: watch::Sender<bool>,
 }
 
@@ -169,6 +173,8 @@
             released: watch::Sender::new(false),
             silent: AtomicBool::new(false),
             phase: Mutex::new("ready"),
+            raw_report: Mutex::new(""),
+            checks: AtomicUsize::new(0),
             crashed: watch::Sender::new(false),
         });
         let task = tokio::spawn(accept(listener, shared.clone()));
@@ -218,6 +224,16 @@
         *self.shared.phase.lock().expect("no panic") = phase;
     }
 
+    /// Answers health checks with this text from now on.
+    pub fn report_raw(&self, text: &'static str) {
+        *self.shared.raw_report.lock().expect("no panic") = text;
+    }
+
+    /// Returns the number of health checks that were answered.
+    pub fn checks(&self) -> usize {
+        self.shared.checks.load(Ordering::SeqCst)
+    }
+
     /// Lets every [`Step::Hold`] continue.
     pub fn release(&self) {
         self.shared.released.send_replace(true);
@@ -260,11 +276,16 @@
         if seen.head.starts_with("GET /health ") {
             let phase = *shared.phase.lock().expect("no panic");
             let report = format!(r#"{{"phase":"{phase}","busy":0,"slots":6}}"#);
-            let text = format!(
-                "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{report}",
-                report.len()
-            );
+            let raw = *shared.raw_report.lock().expect("no panic");
+            let text = match raw {
+                "" => format!(
+                    "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{report}",
+                    report.len()
+                ),
+                _ => raw.to_owned(),
+            };
             stream.write_all(text.as_bytes()).await.ok()?;
+            shared.checks.fetch_add(1, Ordering::SeqCst);
             continue;
         }
         let steps = (shared.script)(&seen);
--- a/crates/node/tests/upstream_faults.rs
+++ b/crates/node/tests/upstream_faults.rs
@@ -348,6 +348,24 @@
     cluster.close().await;
 }
 
+// Guards against health reports that are believed although their header cannot be trusted: an upstream in trouble would be
+// taken out of service by bytes that are not its report.
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 20\r\ntransfer-encoding: chunked\r\n\r\n14\r\n{\"phase\":\"draining\"}\r\n0\r\n\r\n" ; "a length and chunks")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 20\r\ncontent-length: 2\r\n\r\n{\"phase\":\"draining\"}" ; "two lengths")]
+#[tokio::test(flavor = "multi_thread")]
+async fn report_with_a_spoilt_header_changes_no_phase(report: &'static str) {
+    let fake = Fake::start(|_| answer("draft")).await;
+    let cluster = cluster(&[&fake]).await;
+    fake.report_raw(report);
+    let before = fake.checks();
+    until(|| fake.checks() >= before + 3).await;
+    assert_ne!(common::phase(&cluster), Some(Phase::Draining));
+    fake.report_raw("");
+    fake.report("draining");
+    until(|| common::phase(&cluster) == Some(Phase::Draining)).await;
+    cluster.close().await;
+}
+
 // A request that gets no connection by its deadline is "not run". It uses the upstream's own node, so that no
 // second timer ends the wait first.
 #[tokio::test(flavor = "multi_thread")]
