A length's name with two faults counts as misspelt, too

An upstream that spoils two letters of the name got its answer passed on like one that spoils one: contentlenght, and xransfer-encodinx with the chunks' lines in the body. Names up to two edits away now count as misspelt; those that begin with x- belong to applications. The nearest name in use is content-range, four edits away.

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -39,6 +39,9 @@
     Misspelt(&'static str),
 }
 
+/// Maximum number of edits by which a name counts as misspelt. The nearest name in use, content-range, is four edits away.
+const MISSPELT_MAX: usize = 2;
+
 /// How the end of a body is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Framing {
@@ -170,10 +173,13 @@
     }
 }
 
-/// Checks that the length is not missing because one letter of a field's name was lost or changed.
+/// Checks that the length is not missing because the name of its field was spoilt.
 fn check_names(headers: &HeaderMap) -> Result<(), BadHead> {
     for framing in ["content-length", "transfer-encoding"] {
-        let is_misspelt = |name: &str| strsim::osa_distance(name, framing) == 1;
+        let is_misspelt = |name: &str| {
+            // Applications use names such as x-content-length for other lengths.
+            !name.starts_with("x-") && strsim::osa_distance(name, framing) <= MISSPELT_MAX
+        };
         if headers.keys().any(|it| is_misspelt(it.as_str())) {
             return Err(BadHead::Misspelt(framing));
         }
