A stopping node refuses what its grace is too short for

What callers saw: a node whose own upstream works on for seconds after the SIGTERM goes on taking requests, and passes them on.

Cause: the callers' listener stays open until the upstream's last request is done, as that may call through this node, and nothing looked at whether a new request can end before the pending ones are answered.

Change: from the end of the linger on, when callers have had the time to notice, a request whose deadline is after that time is refused at once, not run, with the end of the grace as its Retry-After. Calls of a request that runs here are still served, and so is what ends in time. Where the upstream was idle the listener has always been closed at that point.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -32,7 +32,7 @@
     metrics::{Metrics, Source},
     recall::{Keeper, Kept},
     traffic::{
-        Parts, Traffic,
+        Closing, Parts, Traffic,
         connections::OpenConnections,
         counts::Counts,
         faults::Faults,
@@ -273,7 +273,11 @@
         self.traffic.drain();
         sleep(notice).await;
         // Requests at the upstream may call other services through this node, so callers are served until the
-        // last of them is done.
+        // last of them is done, with what is sure to end in time.
+        self.traffic.refuse_long_requests(Closing {
+            answers: answers_due,
+            end,
+        });
         let _ = timeout_at(answers_due, upstream_idle(&self.traffic)).await;
         let mut callers = pin!(self.callers.close());
         if timeout_at(answers_due, &mut callers).await.is_err() {
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -41,7 +41,7 @@
     convert::Infallible,
     net::SocketAddr,
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, OnceLock,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
@@ -57,6 +57,7 @@
     hot::Limiter,
     members::Exposure,
     pick::Place,
+    refusal::{Reason, Refusal},
     retry::{Bound, Deadline},
     settings::Origin,
     standing::Standing,
@@ -128,6 +129,8 @@
     draining: AtomicBool,
     /// Becomes true when pending requests must be answered at once because the node stops.
     stopping: watch::Sender<bool>,
+    /// When this node ends, once callers have had the time to notice that it stops.
+    closing: OnceLock<Closing>,
     /// Permit of the one suspect request that may run at a time.
     suspects: Arc<Semaphore>,
     /// Permits of claim requests in flight.
@@ -136,6 +139,15 @@
     owned: AtomicUsize,
 }
 
+/// Last part of a stop.
+#[derive(Clone, Copy, Debug)]
+pub struct Closing {
+    /// When pending requests are answered, whether or not they are served.
+    pub answers: Instant,
+    /// When the process ends at the latest.
+    pub end: Instant,
+}
+
 /// Interval at which the admission queue and the upstream's phase are updated.
 const TICK: Duration = Duration::from_millis(10);
 /// Ticks between two prunings of idle connections, and two log entries of what was learned of calls.
@@ -235,6 +247,7 @@
             },
             draining: AtomicBool::new(false),
             stopping: watch::Sender::new(false),
+            closing: OnceLock::new(),
             suspects: Arc::new(Semaphore::new(1)),
             claims: Arc::new(Semaphore::new(CLAIMS_MAX)),
             owned: AtomicUsize::new(0),
@@ -360,6 +373,26 @@
         self.update_gate(&self.view());
     }
 
+    /// Refuses callers' requests from now on that may last until pending ones are broken off. A later call has no effect.
+    ///
+    /// The caller of a refused request may send it again; one that is broken off at work may have run.
+    pub fn refuse_long_requests(&self, closing: Closing) {
+        // Fails only if it was called before.
+        let _ = self.0.closing.set(closing);
+    }
+
+    /// Returns the denial for a request that may last longer than this process.
+    fn check_closing(&self, deadline: Deadline) -> Result<(), Denial> {
+        match self.0.closing.get() {
+            Some(closing) if self.instant(deadline) > closing.answers => {
+                let left = closing.end.saturating_duration_since(Instant::now());
+                let refusal = Refusal::after(Reason::Draining, left.as_millis() as u64);
+                Err(Denial::Refused(refusal))
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Answers every pending request of a caller: "not run" if no attempt can have run it, else "unknown".
     pub fn answer_pending(&self) {
         self.0.stopping.send_replace(true);
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -101,10 +101,17 @@
             Ok(mut plan) => {
                 trace.decision = plan.decision.take();
                 call = plan.call.take();
-                (
-                    Some(plan.class),
-                    self.forward_until_stop(plan, incoming, &mut trace).await,
-                )
+                let class = plan.class;
+                let is_taken = match call {
+                    // The run that needs it is awaited.
+                    Some(_) => Ok(()),
+                    None => self.check_closing(plan.deadline),
+                };
+                let result = match is_taken {
+                    Ok(()) => self.forward_until_stop(plan, incoming, &mut trace).await,
+                    Err(denial) => Err(denial),
+                };
+                (Some(class), result)
             }
             Err(denial) => (None, Err(denial)),
         };
