Damaged contact rows do not keep the hosts of a zone from finding each other

What was seen: with a damaged, empty or cut value in a contact row of a zone, two hosts that started there never found each other (60 s, in a zone on its own); with odd rows in many places that all named one address, hosts found each other late or not within 60 s.

Cause: a row that did not decode was left out of what a node knows of the table, so its slot looked free. A node that is alone prefers free slots, and its write on condition that there is no row failed each time. And each of several rows that name one node was a candidate of its own among the two that an attempt asks.

Change: a damaged row counts as a row without a node, and is overwritten like that of a dead node. Rows that name port 0, or an unspecified, multicast or broadcast address count as damaged, and a node that several rows name is one candidate.

--- a/crates/kernel/src/id.rs
+++ b/crates/kernel/src/id.rs
@@ -1,6 +1,11 @@
 //! Identifiers shared by all modules.
 
-use std::{fmt, net::SocketAddr, str::FromStr, sync::Arc};
+use std::{
+    fmt,
+    net::{IpAddr, SocketAddr},
+    str::FromStr,
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -10,6 +15,23 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct NodeId(pub SocketAddr);
 
+impl NodeId {
+    /// Returns whether a node can have this address.
+    pub fn is_valid(self) -> bool {
+        is_address_of_one(self.0)
+    }
+}
+
+/// Returns whether one process can be reached at `address`: not at port 0, the unspecified, multicast or broadcast address.
+pub fn is_address_of_one(address: SocketAddr) -> bool {
+    let is_broadcast = match address.ip() {
+        IpAddr::V4(it) => it.is_broadcast(),
+        IpAddr::V6(_) => false,
+    };
+    let ip = address.ip();
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
+}
+
 /// Position in the configuration log; zero is the empty configuration.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/kernel/src/members/contact.rs
+++ b/crates/kernel/src/members/contact.rs
@@ -58,6 +58,12 @@
     format!("{CONTACT_PREFIX}{zone}/{slot}")
 }
 
+/// Decodes a row, unless it is damaged or names an address that no node has.
+fn decode(row: &Row) -> Option<Contact> {
+    let contact: Contact = postcard::from_bytes(&row.value).ok()?;
+    contact.id.is_valid().then_some(contact)
+}
+
 /// State of reading and writing contact rows.
 #[derive(Debug, Default)]
 pub(super) struct Contacts {
@@ -85,21 +91,19 @@
     /// Returns the number of nodes besides `own` that the rows name, without those that refresh their rows no more.
     pub(super) fn count_others(&self, now: Ms, own: NodeId) -> usize {
         let living = self.rows.values();
-        let living = living.filter(|it| now.since(it.since) < STALE_MS && it.id != own);
-        living.map(|it| it.id).collect::<BTreeSet<_>>().len()
+        let living = living.filter(|it| now.since(it.since) < STALE_MS);
+        let named = living.filter_map(|it| it.id);
+        named.filter(|it| *it != own).collect::<BTreeSet<_>>().len()
     }
 
-    /// Records the rows that a scan found.
+    /// Records the rows that a scan found. A row that names no node still occupies its slot.
     fn record(&mut self, now: Ms, rows: &[Row]) {
         let before = std::mem::take(&mut self.rows);
         for row in rows {
-            let Ok(contact) = postcard::from_bytes::<Contact>(&row.value) else {
-                continue;
-            };
             let known = before.get(&row.key);
             let unchanged = known.filter(|it| it.version == row.version);
             let read = ReadRow {
-                id: contact.id,
+                id: decode(row).map(|it| it.id),
                 version: row.version,
                 since: unchanged.map_or(now, |it| it.since),
             };
@@ -129,7 +133,8 @@
 /// A row as it was read.
 #[derive(Clone, Copy, Debug)]
 struct ReadRow {
-    id: NodeId,
+    /// The node that it names, if it is intact.
+    id: Option<NodeId>,
     version: u64,
     /// When this version was read first.
     since: Ms,
@@ -184,12 +189,15 @@
     // Known members are skipped unless none is reachable: anti-entropy compares with them anyway.
     let alone = members.others.len() == members.unreachable.len();
     let found = |local: bool| -> Vec<NodeId> {
+        // A node that several rows name is asked like the others, or a few rows of a dead one would hide them.
+        let mut seen = BTreeSet::new();
         rows.iter()
             .filter(|it| it.key.starts_with(prefix) == local)
-            .filter_map(|it| postcard::from_bytes::<Contact>(&it.value).ok())
+            .filter_map(decode)
             .map(|it| it.id)
             .filter(|it| *it != members.own.id)
             .filter(|it| alone || !members.others.contains_key(it))
+            .filter(|it| seen.insert(*it))
             .collect()
     };
     // Contacts in the own zone mostly know the other zones. Each answer is a whole view, which costs
