One odd heartbeat does not make a node ignore its upstream for good

What was seen: after one heartbeat with the sequence, or such a row of an earlier process, the later ones of the same start counted as late, and the upstream went out of use after its announcement lapsed. The same after one with a time of birth, when the later ones had none: they counted as those of an earlier start.

Change: heartbeats of the present start count again after a silence of 1.9 s, as those of a start that was replaced do, whatever their sequence; and one without a birth is of the present start of its id. A start that said that it leaves stays away in both cases.

--- a/crates/kernel/src/instance.rs
+++ b/crates/kernel/src/instance.rs
@@ -14,8 +14,9 @@
 /// Maximum number of stored starts that leave. Late heartbeats are seconds old, and an upstream is not replaced that often.
 const LEAVING_MAX: usize = 32;
 
-/// Time without a heartbeat of the present instance after which a retired one may replace it, in ms. It is longer than
-/// the heartbeat interval of 1.5 s, so that a live instance recovers after a late heartbeat of a dead one.
+/// Time without a heartbeat of the present instance after which a retired one may replace it, and after which its own are
+/// accepted whatever their sequence, in ms. It is longer than the heartbeat interval of 1.5 s, so that a live instance
+/// recovers after a late heartbeat of a dead one.
 pub const SILENCE_MS: u64 = 1_900;
 
 /// Decision on a heartbeat or a deregistration.
@@ -69,7 +70,9 @@
             return Verdict::Successor;
         };
         if it.start == *start {
-            if sequence <= it.sequence {
+            // One odd number must not make the node ignore all later heartbeats of a living instance.
+            let is_silent = now.since(it.last_heartbeat) >= SILENCE_MS;
+            if sequence <= it.sequence && !is_silent {
                 return Verdict::Stale;
             }
             (it.sequence, it.last_heartbeat) = (sequence, now);
@@ -83,6 +86,14 @@
         Verdict::Successor
     }
 
+    /// Returns the start that a heartbeat of `start` is of: without a start time, the present one of its id.
+    pub fn resolve(&self, start: Start) -> Start {
+        match &self.present {
+            Some(it) if start.born == 0 && it.start.id == start.id => it.start.clone(),
+            _ => start,
+        }
+    }
+
     /// Decides on the deregistration of `start`; without a start time it applies to the present instance of its id.
     pub fn leave(&mut self, start: &Start) -> Verdict {
         let leaves = |it: &Start| it.id == start.id && (start.born == 0 || it.born <= start.born);
--- a/crates/kernel/tests/instance.rs
+++ b/crates/kernel/tests/instance.rs
@@ -159,3 +159,32 @@
         "started again"
     );
 }
+
+/// Guards against a living instance that is ignored for good after one heartbeat with an odd sequence.
+#[test]
+fn odd_sequence_is_forgotten_in_a_silence() {
+    let mut instances = Instances::default();
+    instances.heartbeat(Ms(0), &id("a"), u64::MAX);
+    assert_eq!(
+        instances.heartbeat(Ms(SILENCE_MS - 1), &id("a"), 2),
+        Verdict::Stale
+    );
+    assert_eq!(
+        instances.heartbeat(Ms(SILENCE_MS), &id("a"), 3),
+        Verdict::Present
+    );
+    assert_eq!(
+        instances.heartbeat(Ms(SILENCE_MS + 1), &id("a"), 3),
+        Verdict::Stale
+    );
+}
+
+/// Guards against a heartbeat without a start time that counts as one of another, earlier start.
+#[test]
+fn heartbeat_without_a_birth_is_of_the_present_start() {
+    let mut instances = Instances::default();
+    instances.heartbeat(Ms(0), &born("a", 7), 1);
+    assert_eq!(instances.resolve(id("a")), born("a", 7));
+    assert_eq!(instances.resolve(born("a", 9)), born("a", 9));
+    assert_eq!(instances.resolve(id("b")), id("b"));
+}
