Heartbeats with an address, slots or birth that cannot be are refused

What was seen: heartbeats with port 0 or an unspecified address, with no slot, and with a birth at the end of its range were acknowledged. The first took the place of the address that works, and the last barred each later start of its id; so did a row of an earlier process with that birth.

Change: such a heartbeat or deregistration is answered with 400 and what to announce instead, and such a row is not taken up.

Evidence: odd_entries; port 0, both unspecified addresses, no slot, and the last birth in a heartbeat, a deregistration and a row failed before (left 200, right 400; left 503, right 200) and pass now. The other fields, each at and past both ends of its range, deep nesting and damaged rows were handled before: their tests stay.

--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -19,7 +19,7 @@
     event::UpstreamEvent,
     guard::{self, Fingerprint},
     health::{Health, Observation},
-    id::Build,
+    id::{Build, is_address_of_one},
     instance::{Instances, Start, Verdict},
     members::Phase,
     standing::StartTag,
@@ -60,6 +60,8 @@
 const ANSWERED_WINDOW: u64 = 30_000;
 /// Maximum number of remembered answered requests; about 50 KB.
 const ANSWERED_MAX: usize = 2_048;
+/// Time by which the clock of an upstream may be ahead, in ms: a day.
+const BORN_AHEAD_MAX: u64 = 24 * 60 * 60 * 1_000;
 /// Requests lost within this time before the upstream was found dead count as in flight when it died, in ms.
 const CRASH_WINDOW: u64 = 2_000;
 
@@ -150,6 +152,20 @@
     pub announcement: Announcement,
 }
 
+/// Why a call of an upstream is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BadCall {
+    /// The address is not that of one process.
+    #[error("no upstream can listen at {0}: announce the address and port that it listens at")]
+    Address(SocketAddr),
+    /// The upstream handles no request.
+    #[error("an upstream with 0 slots takes no request: announce at least 1")]
+    Slots,
+    /// The start is in the future.
+    #[error("born {0} is in the future: announce the time of the start in Unix ms")]
+    Born(u64),
+}
+
 /// Whether the node polls the upstream's health.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Polling {
@@ -222,8 +238,30 @@
         self.apply(Announcement { phase, ..it }, None)
     }
 
+    /// Checks the fields of a heartbeat that its types do not bound.
+    pub fn check_heartbeat(&self, it: &Heartbeat) -> Result<(), BadCall> {
+        let announcement = &it.announcement;
+        if !is_address_of_one(announcement.address) {
+            return Err(BadCall::Address(announcement.address));
+        }
+        if announcement.slots == 0 {
+            return Err(BadCall::Slots);
+        }
+        self.check_start(&it.start)
+    }
+
+    /// Checks that a start is not born in the future: all later starts of its id would count as earlier ones.
+    pub fn check_start(&self, start: &Start) -> Result<(), BadCall> {
+        let latest = self.0.clock.now() + BORN_AHEAD_MAX;
+        match start.born <= latest.0 {
+            true => Ok(()),
+            false => Err(BadCall::Born(start.born)),
+        }
+    }
+
     /// Applies a heartbeat. Late and repeated ones, and those of a replaced process, are ignored.
-    pub fn heartbeat(&self, it: Heartbeat) -> Result<Receipt, Closed> {
+    pub fn heartbeat(&self, mut it: Heartbeat) -> Result<Receipt, Closed> {
+        it.start = lock(&self.0.instances).resolve(it.start);
         let draining = it.announcement.phase == Phase::Draining;
         match draining || self.is_admitted(&it) {
             true => self.handle_heartbeat(it),
@@ -284,6 +322,10 @@
         if self.active().is_some() {
             return Ok(());
         }
+        if let Err(bad) = self.check_heartbeat(&it) {
+            logs::event("heartbeat-refused", &[("why", bad.to_string())]);
+            return Ok(());
+        }
         logs::event("upstream-recalled", &[("id", it.start.id.to_string())]);
         self.handle_heartbeat(it).map(drop)
     }
