The largest limits of a configuration close no socket

What was seen: a configuration with the largest headerBytes or idleTimeout made the callers' socket compute its bounds with an overflow. A build with checks ends the task that accepts callers, and no request is served any more; others go on with bounds that wrapped around.

Evidence: odd_entries::odd_version_of_the_configuration_ends_nothing, the longest timeout and the largest limits failed before ("attempt to multiply with overflow", "attempt to add with overflow", the callers' connections closed) and pass now.

--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -64,13 +64,23 @@
     /// because callers may still rely on a longer time after it was shortened.
     pub fn widened(&self, limits: Limits) -> Bounds {
         Bounds {
-            header_bytes: self.header_bytes.max(limits.header + HEADER_SPARE),
-            header_time: self.header_time.max(2 * limits.idle),
+            header_bytes: self
+                .header_bytes
+                .max(limits.header.saturating_add(HEADER_SPARE))
+                .min(HEADER_MAX),
+            header_time: self
+                .header_time
+                .max(limits.idle.saturating_mul(2))
+                .min(HEADER_TIME_MAX),
             ..self.clone()
         }
     }
 }
 
+/// Largest header that a configuration can grant, in bytes: more than any caller sends.
+const HEADER_MAX: usize = 16 * 1024 * 1024;
+/// Longest idle time that a configuration can grant, in ms: a day.
+const HEADER_TIME_MAX: u64 = 24 * 60 * 60 * 1_000;
 /// Allowance for the request line, in bytes.
 const HEADER_SPARE: usize = 1024;
 
