A request for a tunnel is refused

What callers saw: CONNECT on a route of the prefix "/" was passed on. The upstream's 200 turned the connections on both sides into tunnels, and the caller's connection was closed without an answer.

Cause: a success ends a CONNECT request without a body, whatever the head says, and the HTTP library hands the connection over.

Change: CONNECT is answered 400, not run, before a route is looked up.

Evidence: answer_heads::request_for_a_tunnel_is_refused failed before ("an answer: Kind(UnexpectedEof)") and passes now.

--- a/crates/node/src/traffic/plan.rs
+++ b/crates/node/src/traffic/plan.rs
@@ -70,6 +70,11 @@
 impl Traffic {
     /// Looks up the route of a request and the limits that it sets.
     pub(super) fn plan(&self, parts: Parts, peer: SocketAddr) -> Result<Plan, Denial> {
+        if parts.method == Method::CONNECT {
+            // An answer of success would turn the connections on both sides into a tunnel.
+            let why = "there are no tunnels here; send the request itself, with a path";
+            return Err(Denial::bad(StatusCode::BAD_REQUEST, "tunnel", why));
+        }
         let known_since = self.0.control.known_since();
         let view = self.view();
         // After a restart the node may hold an older configuration than the one it served before.
