A heartbeat with the unspecified address is accepted again

Nodes connect to it on their own host, so an upstream that announces the address it listens at was served with it. Port 0 is still refused. Contact rows that name it are still damaged ones, as no other node can reach it. The check of answers names the client's error type by its import.

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::{
-    Client,
+    self, Client,
     connect::{HttpConnector, capture_connection},
 };
 
@@ -61,10 +61,10 @@
 pub enum SendError {
     /// No connection could be opened; nothing was sent.
     #[error("{0}")]
-    Connect(hyper_util::client::legacy::Error),
+    Connect(legacy::Error),
     /// The connection failed before the head of the answer; the request may have been received.
     #[error("{0}")]
-    Lost(hyper_util::client::legacy::Error),
+    Lost(legacy::Error),
     /// The head of the answer cannot be trusted; the request may have been received.
     #[error("the answer was dropped: {0}; mend its sender")]
     Head(BadHead),
--- a/crates/kernel/src/id.rs
+++ b/crates/kernel/src/id.rs
@@ -16,22 +16,18 @@
 pub struct NodeId(pub SocketAddr);
 
 impl NodeId {
-    /// Returns whether a node can have this address.
+    /// Returns whether other nodes can reach a node at this address: not at port 0 or the unspecified, a multicast or the
+    /// broadcast address.
     pub fn is_valid(self) -> bool {
-        is_address_of_one(self.0)
+        let ip = self.0.ip();
+        let is_broadcast = match ip {
+            IpAddr::V4(it) => it.is_broadcast(),
+            IpAddr::V6(_) => false,
+        };
+        self.0.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
     }
 }
 
-/// Returns whether one process can be reached at `address`: not at port 0, the unspecified, multicast or broadcast address.
-pub fn is_address_of_one(address: SocketAddr) -> bool {
-    let is_broadcast = match address.ip() {
-        IpAddr::V4(it) => it.is_broadcast(),
-        IpAddr::V6(_) => false,
-    };
-    let ip = address.ip();
-    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
-}
-
 /// Position in the configuration log; zero is the empty configuration.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -19,7 +19,7 @@
     event::UpstreamEvent,
     guard::{self, Fingerprint},
     health::{Health, Observation},
-    id::{Build, is_address_of_one},
+    id::Build,
     instance::{Instances, Start, Verdict},
     members::Phase,
     standing::StartTag,
@@ -155,9 +155,9 @@
 /// Why a call of an upstream is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum BadCall {
-    /// The address is not that of one process.
-    #[error("no upstream can listen at {0}: announce the address and port that it listens at")]
-    Address(SocketAddr),
+    /// The address has port 0.
+    #[error("no upstream listens at port 0: announce the port that it listens at")]
+    Port,
     /// The upstream handles no request.
     #[error("an upstream with 0 slots takes no request: announce at least 1")]
     Slots,
@@ -241,8 +241,8 @@
     /// Checks the fields of a heartbeat that its types do not bound.
     pub fn check_heartbeat(&self, it: &Heartbeat) -> Result<(), BadCall> {
         let announcement = &it.announcement;
-        if !is_address_of_one(announcement.address) {
-            return Err(BadCall::Address(announcement.address));
+        if announcement.address.port() == 0 {
+            return Err(BadCall::Port);
         }
         if announcement.slots == 0 {
             return Err(BadCall::Slots);
