Callers that leave with bytes behind their request are noticed

Cause: only the HTTP library read the socket. It reads nothing while a request is in progress and bytes stand in its buffer, or while nobody takes a body, so that the end of the connection behind them was not seen.

Fix: the node watches the socket itself.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -257,6 +257,11 @@
         self.traffic.in_progress()
     }
 
+    /// Returns the number of requests for the upstream beside the node that are in progress, waiting ones included.
+    pub fn owned(&self) -> usize {
+        self.traffic.owned()
+    }
+
     /// Drains and stops the node: the upstream gets no new requests, and every request in progress is answered.
     ///
     /// Requests that are still pending shortly before the grace period ends get an answer that says so;
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -14,6 +14,7 @@
 pub mod counts;
 mod customers;
 pub mod denial;
+mod departure;
 pub mod dialect;
 mod entry;
 pub mod faults;
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -2,12 +2,14 @@
 
 use std::{
     convert::Infallible,
+    future::poll_fn,
     net::SocketAddr,
     pin::pin,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
     },
+    task::Poll,
     time::Duration,
 };
 
@@ -30,7 +32,9 @@
 use tower::{ServiceExt, service_fn};
 
 use super::{
+    body::Budget,
     connections::{OpenConnection, OpenConnections},
+    departure::{self, Departure},
     faults::Faults,
     stall::StallTimeout,
 };
@@ -137,6 +141,8 @@
 pub const PING_TIMEOUT: Duration = Duration::from_millis(1500);
 /// HTTP/2 stream window in bytes, which bounds the memory that a stalled reader takes.
 pub const STREAM_WINDOW: u32 = 64 * 1024;
+/// Maximum total size of what is read ahead on the connections of one socket, in bytes.
+const AHEAD_TOTAL: usize = 8 * 1024 * 1024;
 /// HTTP/2 connection window, in bytes.
 const CONNECTION_WINDOW: u32 = 1024 * 1024;
 
@@ -155,6 +161,7 @@
     {
         let mut bounds = (self.bounds)();
         let mut builder = Arc::new(builder(self.protocols, &bounds));
+        let ahead = Budget::new(AHEAD_TOTAL);
         let mut tasks = JoinSet::new();
         let stopped = stop.clone();
         let mut stopping = pin!(async move {
@@ -187,6 +194,7 @@
                 header_time: Duration::from_millis(bounds.header_time),
                 stall_time: Duration::from_millis(bounds.stall_time),
                 unsent: bounds.unsent,
+                ahead: ahead.clone(),
                 faults: self.faults.clone(),
                 stop: stopped.clone(),
             };
@@ -227,6 +235,7 @@
     header_time: Duration,
     stall_time: Duration,
     unsent: u32,
+    ahead: Budget,
     faults: Arc<Faults>,
     stop: watch::Receiver<bool>,
 }
@@ -267,7 +276,11 @@
                 }
             }
         });
-        let io = TokioIo::new(StallTimeout::new(stream, self.stall_time));
+        let (reader, writer) = stream.into_split();
+        let writer = Arc::new(writer);
+        let (reader, mut departure) = departure::watch(reader, writer.clone(), self.ahead);
+        let writer = StallTimeout::new(writer, self.stall_time);
+        let io = TokioIo::new(tokio::io::join(reader, writer));
         let serving = self
             .builder
             .serve_connection(io, TowerToHyperService::new(service));
@@ -281,12 +294,15 @@
         let mut refused = false;
         loop {
             tokio::select! {
+                // The server comes first: the others ask what it has left unread, and whether it had a request.
+                biased;
                 ended = serving.as_mut() => {
                     if let Err(error) = ended {
                         self.faults.count(error_kind(error.as_ref()), Some(self.peer));
                     }
                     break;
                 }
+                () = caller_left(&peer, &mut departure) => break,
                 () = header_timeout.as_mut(), if timeout_armed => {
                     timeout_armed = false;
                     if !peer.0.has_request.load(Ordering::Relaxed) {
@@ -323,6 +339,17 @@
     }
 }
 
+/// Completes when a caller that has sent a request is gone. Dropping the server then ends its requests.
+///
+/// Before the first request the library reads all that arrives, and reports a connection that ends within a header.
+async fn caller_left(peer: &ConnectionPeer, departure: &mut Departure) {
+    poll_fn(|cx| match peer.0.has_request.load(Ordering::Relaxed) {
+        true => departure.poll(cx),
+        false => Poll::Pending,
+    })
+    .await;
+}
+
 /// Returns the stable name of the error that broke a connection.
 fn error_kind(error: &(dyn std::error::Error + Send + Sync + 'static)) -> &'static str {
     let Some(error) = error.downcast_ref::<hyper::Error>() else {
--- a/crates/node/src/traffic/stall.rs
+++ b/crates/node/src/traffic/stall.rs
@@ -1,16 +1,19 @@
-//! TCP stream whose writes fail when the reader takes no bytes for too long.
+//! Writer of a socket whose writes fail when the reader takes no bytes for too long.
 
 use std::{
     future::Future,
     io,
+    net::Shutdown,
     pin::Pin,
-    task::{Context, Poll},
+    sync::Arc,
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
+use socket2::SockRef;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
+    io::AsyncWrite,
+    net::{TcpStream, tcp::OwnedWriteHalf},
     time::{Sleep, sleep},
 };
 
@@ -20,26 +23,31 @@
 /// bytes.
 #[derive(Debug)]
 pub struct StallTimeout {
-    stream: TcpStream,
+    socket: Arc<OwnedWriteHalf>,
     limit: Duration,
     timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl StallTimeout {
-    /// Limits the writes of `stream` to `limit` each.
-    pub fn new(stream: TcpStream, limit: Duration) -> StallTimeout {
+    /// Limits the writes to `socket` to `limit` each.
+    pub fn new(socket: Arc<OwnedWriteHalf>, limit: Duration) -> StallTimeout {
         StallTimeout {
-            stream,
+            socket,
             limit,
             timer: None,
         }
     }
 
-    fn check_stall<T>(
+    fn socket(&self) -> &TcpStream {
+        (*self.socket).as_ref()
+    }
+
+    fn poll_stalled<T>(
         &mut self,
         cx: &mut Context<'_>,
-        written: Poll<io::Result<T>>,
+        write: impl Fn(&TcpStream) -> io::Result<T>,
     ) -> Poll<io::Result<T>> {
+        let written = poll_write(self.socket(), cx, write);
         if written.is_ready() {
             self.timer = None;
             return written;
@@ -53,13 +61,17 @@
     }
 }
 
-impl AsyncRead for StallTimeout {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
+fn poll_write<T>(
+    socket: &TcpStream,
+    cx: &mut Context<'_>,
+    write: impl Fn(&TcpStream) -> io::Result<T>,
+) -> Poll<io::Result<T>> {
+    loop {
+        ready!(socket.poll_write_ready(cx))?;
+        match write(socket) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            written => return Poll::Ready(written),
+        }
     }
 }
 
@@ -69,8 +81,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
-        self.check_stall(cx, written)
+        self.poll_stalled(cx, |it| it.try_write(bytes))
     }
 
     fn poll_write_vectored(
@@ -78,19 +89,18 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
-        self.check_stall(cx, written)
+        self.poll_stalled(cx, |it| it.try_write_vectored(parts))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(self.socket()).shutdown(Shutdown::Write))
     }
 }
