An upload whose body ends after the linger of a stop is refused

What callers saw: a request whose head reached a stopping node in its linger and whose body ended later was passed on, and broken off at work with 502 shortly before the end of the grace; it may have run, so that the caller could not tell whether to send it again.

Cause: whether a request may outlast the process was asked when its head arrived only.

Evidence: upload_whose_body_ends_late_is_refused failed before (502 at the end of the grace in place of 503).

Fix: it is asked again once the body is there and nothing was passed on. Bodies above 64 KiB are passed on while they arrive; for these it stays open (docs/design/drain.md).

--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -81,6 +81,7 @@
 use headers::REQUEST;
 use link_budget::LinkBudget;
 use peers::Peers;
+use plan::Plan;
 use proof::{Proofs, Unproven};
 use quota::Purses;
 use report::RequestLog;
@@ -383,9 +384,11 @@
     }
 
     /// Returns the denial for a request that may last longer than this process.
-    fn check_closing(&self, deadline: Deadline) -> Result<(), Denial> {
+    fn check_closing(&self, plan: &Plan) -> Result<(), Denial> {
         match self.0.closing.get() {
-            Some(closing) if self.instant(deadline) > closing.answers => {
+            // The run that needs it is awaited.
+            _ if plan.call.is_some() => Ok(()),
+            Some(closing) if self.instant(plan.deadline) > closing.answers => {
                 let left = closing.end.saturating_duration_since(Instant::now());
                 let refusal = Refusal::after(Reason::Draining, left.as_millis() as u64);
                 Err(Denial::Refused(refusal))
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -96,22 +96,11 @@
             decision: None,
             tried: Vec::new(),
         };
-        let mut call = None;
-        let (class, result) = match self.plan(parts, peer) {
+        let (plan, result) = match self.plan(parts, peer) {
             Ok(mut plan) => {
                 trace.decision = plan.decision.take();
-                call = plan.call.take();
-                let class = plan.class;
-                let is_taken = match call {
-                    // The run that needs it is awaited.
-                    Some(_) => Ok(()),
-                    None => self.check_closing(plan.deadline),
-                };
-                let result = match is_taken {
-                    Ok(()) => self.forward_until_stop(plan, incoming, &mut trace).await,
-                    Err(denial) => Err(denial),
-                };
-                (Some(class), result)
+                let result = self.forward_until_stop(&plan, incoming, &mut trace).await;
+                (Some(plan), result)
             }
             Err(denial) => (None, Err(denial)),
         };
@@ -122,13 +111,12 @@
             denial.response()
         });
         self.0.counts.count_answer(response.headers());
-        if let Some(call) = call {
-            call.close(&response);
-        }
-        if let Some(class) = class {
-            self.0
-                .counts
-                .record_latency(class, self.now().since(started));
+        if let Some(plan) = plan {
+            let took = self.now().since(started);
+            self.0.counts.record_latency(plan.class, took);
+            if let Some(call) = plan.call {
+                call.close(&response);
+            }
         }
         if self.0.origin == Origin::Imported {
             self.log_end(&trace, &response);
@@ -167,10 +155,12 @@
 
     async fn forward_until_stop(
         &self,
-        plan: Plan,
+        plan: &Plan,
         incoming: Incoming,
         trace: &mut Trace,
     ) -> Result<Response<Body>, Denial> {
+        // Before the body is read, which a refused request would send for nothing.
+        self.check_closing(plan)?;
         let mut prior = PriorOutcome::NotRun;
         let mut stopping = self.0.stopping.subscribe();
         if let Some(customer) = &plan.customer {
@@ -178,7 +168,7 @@
         }
         let result = tokio::select! {
             biased;
-            it = self.forward(&plan, incoming, &mut prior, trace) => it,
+            it = self.forward(plan, incoming, &mut prior, trace) => it,
             // Shortly before the node exits an answer can still reach the caller. A cut connection would leave
             // the caller unsure whether the request ran.
             _ = stopping.wait_for(|it| *it) => Err(shutdown_denial(&prior)),
@@ -207,6 +197,8 @@
         trace: &mut Trace,
     ) -> Result<Response<Body>, Denial> {
         let payload = self.read_payload(plan, incoming).await?;
+        // A body that arrives slowly may end after the node has begun to stop.
+        self.check_closing(plan)?;
         self.try_endpoints(plan, payload, prior, trace).await
     }
 
