Requests whose callers left are logged

A request that was dropped because its caller left had no line at its entry, so that an operator could not tell why its upstream was let go.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -16,7 +16,7 @@
 };
 
 /// Events that carry a request's id, in the order in which lines of equal time are shown.
-const EVENTS: [&str; 3] = ["owned", "attempt", "request"];
+const EVENTS: [&str; 4] = ["owned", "attempt", "request", "request-abandoned"];
 /// Keys whose values are not listed among a line's pairs.
 const UNLISTED_KEYS: [&str; 4] = ["ts", "level", "event", "id"];
 
@@ -186,7 +186,7 @@
 fn missing_lines(scan: &Scan) -> Vec<String> {
     let of = |event: &'static str| scan.lines.iter().filter(move |it| it.event == event);
     let mut missing = Vec::new();
-    if of("request").next().is_none() {
+    if of("request").chain(of("request-abandoned")).next().is_none() {
         missing.push(
             "the entry's line on its end: add the log of the node that the caller asked, or the line was left out under load"
                 .to_owned(),
--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -11,6 +11,7 @@
 #[test_case("check", &["check", "tests/data/archive.toml", "tests/data/faulty.toml"])]
 #[test_case("explain", &["explain", "94e1052307bc43b9", "tests/data/entry.log", "tests/data/owner.log"])]
 #[test_case("explain-call", &["explain", "f8a2e521e9f1b586.93d8d7b0f3d5c7cc", "tests/data/call.log"])]
+#[test_case("explain-abandoned", &["explain", "4ef0a1b26c7d9385", "tests/data/abandoned.log"])]
 #[test_case("explain-absent", &["explain", "0000000000000000", "tests/data/entry.log"])]
 #[test_case("explain-nothing", &["explain", "0000000000000000", "tests/data/archive.toml"])]
 #[test_case("explain-no-file", &["explain", "0000000000000000", "tests/data/absent.log"])]
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -36,7 +36,7 @@
     },
     peers,
     plan::Plan,
-    report::{EndedRequest, FailedAttempt, RouteDecision},
+    report::{AbandonedRequest, EndedRequest, FailedAttempt, RouteDecision},
     services::InFlight,
 };
 
@@ -49,12 +49,20 @@
 /// Maximum of the reserved time, in ms.
 const MARGIN_MAX: u64 = 10;
 
-/// State of a request that is written to the log.
+/// State of a request that is written to the log. Dropped before the end of the request when its caller leaves.
 struct Trace {
+    traffic: Traffic,
     id: Option<HeaderValue>,
     started: Ms,
     decision: Option<RouteDecision>,
     tried: Vec<NodeId>,
+    progress: Progress,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    Pending,
+    Ended,
 }
 
 /// Body of the request.
@@ -91,10 +99,12 @@
         let (parts, incoming) = request.into_parts();
         let id = self.0.dialect.id(&parts.headers);
         let mut trace = Trace {
+            traffic: self.clone(),
             id: id.clone(),
             started,
             decision: None,
             tried: Vec::new(),
+            progress: Progress::Pending,
         };
         let (plan, result) = match self.plan(parts, peer) {
             Ok(mut plan) => {
@@ -118,25 +128,10 @@
                 call.close(&response);
             }
         }
-        if self.0.origin == Origin::Imported {
-            self.log_end(&trace, &response);
-        }
+        trace.close(&response);
         self.0.dialect.translate_answer(response, id)
     }
 
-    fn log_end(&self, trace: &Trace, response: &Response<Body>) {
-        let now = self.now();
-        let ended = EndedRequest {
-            id: trace.id.as_ref(),
-            decision: trace.decision.as_ref(),
-            tried: &trace.tried,
-            took: now.since(trace.started),
-            status: response.status(),
-            headers: response.headers(),
-        };
-        self.0.request_log.log_request(now, &ended);
-    }
-
     fn log_attempt(&self, trace: &Trace, number: u32, response: &Response<Body>, next: Next) {
         let (Some(node), Origin::Imported) = (trace.tried.last(), self.0.origin) else {
             return;
@@ -521,6 +516,43 @@
     }
 }
 
+impl Trace {
+    /// Logs the end of the request.
+    fn close(mut self, response: &Response<Body>) {
+        self.progress = Progress::Ended;
+        if self.traffic.0.origin == Origin::Submitted {
+            return;
+        }
+        let now = self.traffic.now();
+        let ended = EndedRequest {
+            id: self.id.as_ref(),
+            decision: self.decision.as_ref(),
+            tried: &self.tried,
+            took: now.since(self.started),
+            status: response.status(),
+            headers: response.headers(),
+        };
+        self.traffic.0.request_log.log_request(now, &ended);
+    }
+}
+
+impl Drop for Trace {
+    fn drop(&mut self) {
+        let shared = &self.traffic.0;
+        if self.progress == Progress::Ended || shared.origin == Origin::Submitted {
+            return;
+        }
+        let now = shared.clock.now();
+        let abandoned = AbandonedRequest {
+            id: self.id.as_ref(),
+            decision: self.decision.as_ref(),
+            tried: &self.tried,
+            took: now.since(self.started),
+        };
+        shared.request_log.log_abandoned(now, &abandoned);
+    }
+}
+
 impl Payload {
     fn body(&self) -> Body {
         match self {
--- a/crates/node/src/traffic/report.rs
+++ b/crates/node/src/traffic/report.rs
@@ -1,8 +1,9 @@
 //! Log lines about requests and the decisions on them.
 //!
-//! Only used with an imported configuration. An entry logs `request` when a request ends and `attempt` for each
-//! attempt at an owner that did not serve it; an owner logs `owned` for each request that it did not serve. All
-//! lines carry the request's id, if it has one, so it can be traced through the logs of several nodes.
+//! Only used with an imported configuration. An entry logs `request` when a request ends, `request-abandoned` when its
+//! caller leaves before, and `attempt` for each attempt at an owner that did not serve it; an owner logs `owned` for each
+//! request that it did not serve. All lines carry the request's id, if it has one, so it can be traced through the logs of
+//! several nodes.
 
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -26,6 +27,7 @@
 #[derive(Debug, Default)]
 pub struct RequestLog {
     requests: Mutex<Sampler>,
+    abandoned: Mutex<Sampler>,
     attempts: Mutex<Sampler>,
     owned: Mutex<Sampler>,
 }
@@ -69,6 +71,18 @@
     pub headers: &'a HeaderMap,
 }
 
+/// A request whose caller left before the answer.
+pub struct AbandonedRequest<'a> {
+    /// Id of the request.
+    pub id: Option<&'a HeaderValue>,
+    /// The routing decision, if one was made.
+    pub decision: Option<&'a RouteDecision>,
+    /// Owners that were tried, in order.
+    pub tried: &'a [NodeId],
+    /// Time since the request started, in ms.
+    pub took: u64,
+}
+
 /// An attempt at an owner that did not serve the request.
 pub struct FailedAttempt<'a> {
     /// Id of the request.
@@ -141,12 +155,27 @@
                 pairs.push(("inherited", call.priority.to_string()));
             }
         }
-        let tried: Vec<String> = it.tried.iter().map(ToString::to_string).collect();
-        pairs.push(("tried", tried.join(",")));
+        pairs.push(("tried", tried_text(it.tried)));
         pairs.push(("omitted", omitted.to_string()));
         logs::event("request", &pairs);
     }
 
+    /// Logs the event `request-abandoned`, subject to sampling.
+    pub fn log_abandoned(&self, now: Ms, it: &AbandonedRequest<'_>) {
+        let Some(omitted) = admit(&self.abandoned, now, Kind::Failure) else {
+            return;
+        };
+        let route = it.decision.map(|it| it.route.to_string());
+        let pairs = [
+            ("id", value_text(it.id)),
+            ("route", route.unwrap_or_default()),
+            ("took", it.took.to_string()),
+            ("tried", tried_text(it.tried)),
+            ("omitted", omitted.to_string()),
+        ];
+        logs::event("request-abandoned", &pairs);
+    }
+
     /// Logs the event `attempt`, subject to sampling.
     pub fn log_attempt(&self, now: Ms, it: &FailedAttempt<'_>) {
         let Some(omitted) = admit(&self.attempts, now, Kind::Failure) else {
@@ -197,6 +226,11 @@
     }
 }
 
+fn tried_text(tried: &[NodeId]) -> String {
+    let tried: Vec<String> = tried.iter().map(ToString::to_string).collect();
+    tried.join(",")
+}
+
 fn next_text(next: Next) -> String {
     match next {
         Next::Retry { after } => format!("retry-after-{after}"),
