A request that is read after its caller left is not started

Cause: the HTTP library starts a request as soon as it is read, and looks for the end of the connection only then.

Fix: the kernel is asked before a request is started.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -186,7 +186,11 @@
 fn missing_lines(scan: &Scan) -> Vec<String> {
     let of = |event: &'static str| scan.lines.iter().filter(move |it| it.event == event);
     let mut missing = Vec::new();
-    if of("request").chain(of("request-abandoned")).next().is_none() {
+    if of("request")
+        .chain(of("request-abandoned"))
+        .next()
+        .is_none()
+    {
         missing.push(
             "the entry's line on its end: add the log of the node that the caller asked, or the line was left out under load"
                 .to_owned(),
--- a/crates/node/src/traffic/departure.rs
+++ b/crates/node/src/traffic/departure.rs
@@ -16,6 +16,7 @@
 };
 
 use bytes::{Buf, BufMut, BytesMut};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use tokio::{
     io::{AsyncRead, Interest, ReadBuf},
     net::{
@@ -27,6 +28,8 @@
 
 use super::body::{Budget, Share};
 
+/// What the kernel reports of a connection that its peer has closed or reset.
+const GONE: PollFlags = PollFlags::RDHUP.union(PollFlags::HUP).union(PollFlags::ERR);
 /// Time for which bytes may stand unread before they are read ahead: longer than the library takes to read them itself,
 /// and short beside the half second within which work for a caller that left must end.
 const UNREAD_TIME: Duration = Duration::from_millis(100);
@@ -35,6 +38,19 @@
 /// Size of the buffers for bytes read ahead.
 const CHUNK_BYTES: usize = 16 * 1024;
 
+/// Returns whether the peer has closed or reset the connection of `socket`.
+///
+/// Requests that were read late may have been given up long before, and none of them may reach an upstream. The runtime may hear
+/// of the close only later, so that the kernel is asked.
+pub fn has_left(socket: &OwnedWriteHalf) -> bool {
+    let socket: &TcpStream = socket.as_ref();
+    let mut asked = [PollFd::new(socket, PollFlags::RDHUP)];
+    let at_once = Timespec::default();
+    // An error says nothing of the caller; the request is then served.
+    let _ = poll(&mut asked, Some(&at_once));
+    asked[0].revents().intersects(GONE)
+}
+
 /// Returns the reader of a caller's connection for the HTTP library, and the watch for the caller's departure.
 ///
 /// `budget` is the memory for bytes that are read ahead, shared by all connections.
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -2,7 +2,7 @@
 
 use std::{
     convert::Infallible,
-    future::poll_fn,
+    future::{pending, poll_fn},
     net::SocketAddr,
     pin::pin,
     sync::{
@@ -257,8 +257,10 @@
         }
         let peer = ConnectionPeer::default();
         let open = Arc::new(self.open);
+        let (reader, writer) = stream.into_split();
+        let writer = Arc::new(writer);
         let service = service_fn({
-            let (peer, open) = (peer.clone(), open.clone());
+            let (peer, open, socket) = (peer.clone(), open.clone(), writer.clone());
             move |mut request: Request<Incoming>| {
                 let active = open.begin_request();
                 peer.0.has_request.store(true, Ordering::Relaxed);
@@ -266,7 +268,13 @@
                 let version = request.version();
                 let answer = service.clone().oneshot(request);
                 let peer = peer.clone();
+                let has_left = departure::has_left(&socket);
+                peer.0.has_left.fetch_or(has_left, Ordering::Relaxed);
                 async move {
+                    if has_left {
+                        // The connection is dropped as soon as the server has taken the request.
+                        pending::<()>().await;
+                    }
                     let mut answer = answer.await;
                     drop(active);
                     if let Ok(response) = &mut answer {
@@ -276,8 +284,6 @@
                 }
             }
         });
-        let (reader, writer) = stream.into_split();
-        let writer = Arc::new(writer);
         let (reader, mut departure) = departure::watch(reader, writer.clone(), self.ahead);
         let writer = StallTimeout::new(writer, self.stall_time);
         let io = TokioIo::new(tokio::io::join(reader, writer));
@@ -343,9 +349,14 @@
 ///
 /// Before the first request the library reads all that arrives, and reports a connection that ends within a header.
 async fn caller_left(peer: &ConnectionPeer, departure: &mut Departure) {
-    poll_fn(|cx| match peer.0.has_request.load(Ordering::Relaxed) {
-        true => departure.poll(cx),
-        false => Poll::Pending,
+    poll_fn(|cx| {
+        if peer.0.has_left.load(Ordering::Relaxed) {
+            return Poll::Ready(());
+        }
+        match peer.0.has_request.load(Ordering::Relaxed) {
+            true => departure.poll(cx),
+            false => Poll::Pending,
+        }
     })
     .await;
 }
@@ -381,6 +392,8 @@
 #[derive(Debug, Default)]
 struct PeerFlags {
     has_request: AtomicBool,
+    /// Whether the peer had closed the connection when a request on it was read.
+    has_left: AtomicBool,
     admitted: AtomicBool,
     refused: AtomicBool,
     /// Notified when the answer of a rejected request is ready.
