--- a/crates/node/src/traffic/departure.rs
+++ b/crates/node/src/traffic/departure.rs
@@ -40,8 +40,8 @@
 
 /// Returns whether the peer has closed or reset the connection of `socket`.
 ///
-/// Requests that were read late may have been given up long before, and none of them may reach an upstream. The runtime may hear
-/// of the close only later, so that the kernel is asked.
+/// Requests that were read late may have been given up long before, and none of them may reach an upstream. The
+/// kernel is asked, because the runtime may not have heard of the close when the request is read.
 pub fn has_left(socket: &OwnedWriteHalf) -> bool {
     let socket: &TcpStream = socket.as_ref();
     let mut asked = [PollFd::new(socket, PollFlags::RDHUP)];
@@ -135,7 +135,7 @@
 
     /// Reads what stands unread for long.
     ///
-    /// A caller whose bytes fill the socket's buffer cannot tell that it closes the connection before there is room.
+    /// While bytes fill the socket's buffer, the end of the connection cannot arrive behind them.
     fn poll_ahead(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let socket: &TcpStream = (*self.socket).as_ref();
         loop {
--- a/crates/node/src/traffic/report.rs
+++ b/crates/node/src/traffic/report.rs
@@ -1,9 +1,9 @@
 //! Log lines about requests and the decisions on them.
 //!
 //! Only used with an imported configuration. An entry logs `request` when a request ends, `request-abandoned` when its
-//! caller leaves before, and `attempt` for each attempt at an owner that did not serve it; an owner logs `owned` for each
-//! request that it did not serve. All lines carry the request's id, if it has one, so it can be traced through the logs of
-//! several nodes.
+//! caller leaves before, and `attempt` for each attempt at an owner that did not serve it; an owner logs `owned` for
+//! each request that it did not serve. All lines carry the request's id, if it has one, so it can be traced through the
+//! logs of several nodes.
 
 use std::sync::{Arc, Mutex, PoisonError};
 
