Only connections of HTTP/1 are watched for callers that leave

Cause: processor time. Each poll of a connection between nodes asked the watch too, each request asked the kernel, and up to 40 lines a second were written for abandoned requests.

Change: connections of HTTP/2, those between nodes first of all, are not watched, since the library reads them all the time; sockets are closed without a separate shutdown; request-abandoned is limited to two lines a second.

All 42 cases of departed_callers pass.

--- a/crates/node/src/traffic/departure.rs
+++ b/crates/node/src/traffic/departure.rs
@@ -133,6 +133,16 @@
         self.poll_ahead(cx)
     }
 
+    /// Ends the watch. Unless the library still holds the connection, it is closed without being shut down first, which
+    /// would cost another system call.
+    pub fn close(self) {
+        let Departure { closed, socket, .. } = self;
+        drop(closed);
+        if let Some(socket) = Arc::into_inner(socket) {
+            socket.forget();
+        }
+    }
+
     /// Reads what stands unread for long.
     ///
     /// While bytes fill the socket's buffer, the end of the connection cannot arrive behind them.
--- a/crates/node/src/traffic/report.rs
+++ b/crates/node/src/traffic/report.rs
@@ -162,7 +162,7 @@
 
     /// Logs the event `request-abandoned`, subject to sampling.
     pub fn log_abandoned(&self, now: Ms, it: &AbandonedRequest<'_>) {
-        let Some(omitted) = admit(&self.abandoned, now, Kind::Failure) else {
+        let Some(omitted) = admit(&self.abandoned, now, Kind::Success) else {
             return;
         };
         let route = it.decision.map(|it| it.route.to_string());
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -268,7 +268,10 @@
                 let version = request.version();
                 let answer = service.clone().oneshot(request);
                 let peer = peer.clone();
-                let has_left = departure::has_left(&socket);
+                // Over HTTP/2 the library reads all the time, so that it notices the end itself.
+                let is_watched = version < Version::HTTP_2;
+                let has_left = is_watched && departure::has_left(&socket);
+                peer.0.is_watched.store(is_watched, Ordering::Relaxed);
                 peer.0.has_left.fetch_or(has_left, Ordering::Relaxed);
                 async move {
                     if has_left {
@@ -290,7 +293,7 @@
         let serving = self
             .builder
             .serve_connection(io, TowerToHyperService::new(service));
-        let mut serving = pin!(serving);
+        let mut serving = Box::pin(serving);
         // The library has no timeout for the bytes that distinguish HTTP/1.1 from HTTP/2, so a caller that
         // sends nothing would keep its connection forever.
         let mut header_timeout = pin!(sleep_until(Instant::now() + self.header_time));
@@ -341,11 +344,13 @@
                 }
             }
         }
+        drop(serving);
+        departure.close();
         drop(open);
     }
 }
 
-/// Completes when a caller that has sent a request is gone. Dropping the server then ends its requests.
+/// Completes when a caller that has sent a request over HTTP/1 is gone. Dropping the server then ends its requests.
 ///
 /// Before the first request the library reads all that arrives, and reports a connection that ends within a header.
 async fn caller_left(peer: &ConnectionPeer, departure: &mut Departure) {
@@ -353,7 +358,7 @@
         if peer.0.has_left.load(Ordering::Relaxed) {
             return Poll::Ready(());
         }
-        match peer.0.has_request.load(Ordering::Relaxed) {
+        match peer.0.is_watched.load(Ordering::Relaxed) {
             true => departure.poll(cx),
             false => Poll::Pending,
         }
@@ -392,6 +397,8 @@
 #[derive(Debug, Default)]
 struct PeerFlags {
     has_request: AtomicBool,
+    /// Whether the connection has carried a request and its end is not noticed by the library alone.
+    is_watched: AtomicBool,
     /// Whether the peer had closed the connection when a request on it was read.
     has_left: AtomicBool,
     admitted: AtomicBool,
